--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := $(shell find src -name '*.py')
+export PYTHONPATH := dev
+
+.PHONY: demo test bench fuzz matrix mutants slopes experiments load dist format clean
+
+$(VENV)/ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+dist: dist/oleanderhill
+
+# One file: a zip application with all dependencies, run by the host's Python in one process.
+dist/oleanderhill: $(VENV)/ready $(SOURCES)
+	rm -rf build/site && mkdir -p build/site dist
+	$(BIN)/python -m oleanderhill_dev.package build/site
+	$(BIN)/shiv --quiet --site-packages build/site --console-script oleanderhill \
+		--python '/usr/bin/env python3' --output-file $@ --no-deps --no-build-isolation .
+
+demo: dist/oleanderhill
+	$(BIN)/python -m oleanderhill_dev.demo
+
+test: $(VENV)/ready
+	$(BIN)/black --check --quiet src dev tests
+	$(BIN)/ruff check --quiet src dev tests
+	$(BIN)/mypy
+	$(BIN)/python -m oleanderhill_dev.run_tests
+
+format: $(VENV)/ready
+	$(BIN)/black --quiet src dev tests
+	$(BIN)/ruff check --quiet --fix src dev tests
+
+clean:
+	rm -rf build dist $(VENV)
--- /dev/null
+++ b/dev/oleanderhill_dev/bench_site.py
@@ -0,0 +1,227 @@
+"""A site of real processes on loopback: stand-ins and entry hosts, for the demo and the benchmarks.
+
+Every process is a child of the tool that builds the site, and is ended by id when it leaves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from oleanderhill.fleet import hash_of
+from oleanderhill.httpcall import Call, HttpCaller
+
+PLATFORM = "127.0.0.1:18500"
+OPERATOR_KEY = "operator-key"
+MODEL_HOSTS = 4
+
+
+class EntryAddress(NamedTuple):
+    """Addresses of one entry host."""
+
+    host: str
+    data_centre: str
+    callers: str
+    operators: str
+    peers: str
+
+
+class Shape(NamedTuple):
+    """What a site consists of.
+
+    :param entry_centres: data centre of each entry host
+    :param domains: number of engine hosts by (data centre, domain)
+    """
+
+    entry_centres: tuple[str, ...]
+    domains: dict[tuple[str, str], int]
+    services: int = 1
+    pace: float = 0.02
+    prefill: float = 0.1
+    capacity: int = 16
+    weights_gb_per_second: float = 20.0
+    fencing: bool = True
+    lag: float = 1.0
+    host_prefix: str = "host"
+
+
+class Site:
+    """Starts, faults and ends the processes.
+
+    :param program: how to start an entry host, such as ``["dist/oleanderhill"]``
+    """
+
+    def __init__(self, shape: Shape, folder: Path, program: list[str]) -> None:
+        self.shape = shape
+        self.folder = folder
+        self.program = program
+        self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.entries: list[EntryAddress] = []
+        self.address_by_engine: dict[str, str] = {}
+        self.service_addresses: list[str] = []
+        self.caller = HttpCaller()
+        self._rows: list[list[str]] = []
+        self._layout()
+
+    def _layout(self) -> None:
+        for number, centre in enumerate(self.shape.entry_centres):
+            ip = f"127.0.{10 + number}.1"
+            self.entries.append(
+                EntryAddress(
+                    f"entry-{number + 1}", centre, f"{ip}:7000", f"{ip}:7001", f"{ip}:7002"
+                )
+            )
+        number = 0
+        for (centre, domain), count in self.shape.domains.items():
+            for _ in range(count):
+                number += 1
+                name = f"{self.shape.host_prefix}-{number:03d}"
+                address = f"127.0.{100 + number // 200}.{1 + number % 200}:9000"
+                self.address_by_engine[name] = address
+                self._rows.append([name, address, domain, centre, "live"])
+        self.service_addresses = [f"127.0.90.{n + 1}:9100" for n in range(self.shape.services)]
+
+    def start(self) -> None:
+        """Start everything."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        hosts = self.folder / "hosts.json"
+        hosts.write_text(json.dumps(self._rows))
+        self._spawn_dev(
+            "platform", "platform_standin", PLATFORM, str(hosts), "--lag", str(self.shape.lag)
+        )
+        for name in self.address_by_engine:
+            self.start_engine(name)
+        for number, address in enumerate(self.service_addresses):
+            record = str(self.folder / f"service-{number}.jsonl")
+            self._spawn_dev(f"service-{number}", "service_standin", address, "--record", record)
+        for entry in self.entries:
+            self.start_entry(entry)
+
+    def start_engine(self, name: str) -> None:
+        """Start one engine stand-in."""
+        shape = self.shape
+        self._spawn_dev(
+            name,
+            "engine_standin",
+            name,
+            self.address_by_engine[name],
+            "--pace",
+            str(shape.pace),
+            "--prefill",
+            str(shape.prefill),
+            "--capacity",
+            str(shape.capacity),
+            "--gigabytes-per-second",
+            str(shape.weights_gb_per_second),
+            "--fencing" if shape.fencing else "--no-fencing",
+            "--record",
+            str(self.folder / f"{name}.jsonl"),
+        )
+
+    def start_entry(self, entry: EntryAddress) -> None:
+        """Start one entry host."""
+        boot = {
+            "host": entry.host,
+            "data_centre": entry.data_centre,
+            "listen": {
+                "callers": entry.callers,
+                "operators": entry.operators,
+                "peers": entry.peers,
+            },
+            "platform": PLATFORM,
+            "peers": [e.peers for e in self.entries],
+            "operator_key_hash": hash_of(OPERATOR_KEY),
+            "log": str(self.folder / f"{entry.host}.log"),
+        }
+        path = self.folder / f"{entry.host}.json"
+        path.write_text(json.dumps(boot, indent=2))
+        self._spawn(entry.host, [*self.program, "entry", str(path)])
+
+    def end(self) -> None:
+        """End all processes."""
+        for process in self.process_by_name.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.process_by_name.values():
+            process.wait()
+        self.process_by_name.clear()
+
+    def kill(self, name: str) -> None:
+        """Kill one process, as a host that dies."""
+        process = self.process_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one process."""
+        self.process_by_name[name].send_signal(number)
+
+    def operators(self) -> str:
+        """Return the operator addresses, as ``--at`` takes them."""
+        return ",".join(e.operators for e in self.entries)
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command line as an operator."""
+        env = self._environment(OLEANDERHILL_KEY=OPERATOR_KEY, OLEANDERHILL_AT=self.operators())
+        return subprocess.run(
+            [*self.program, *arguments], env=env, capture_output=True, text=True, timeout=60
+        )
+
+    async def ask(self, address: str, method: str, path: str, body: bytes = b"") -> Any:
+        """Make a call and return its JSON, ``None`` where it fails."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        result = await self.caller.call(Call(address, method, path, headers, body, timeout=5.0))
+        reply = result.value_or(None)
+        return None if reply is None or not reply.body else json.loads(reply.body)
+
+    async def until_serving(self, groups: int, seconds: float, entries: int = 0) -> float:
+        """Wait until every entry host sees this many groups serving; return how long it took."""
+        began = time.monotonic()
+        asked = self.entries[: entries or len(self.entries)]
+        while time.monotonic() - began < seconds:
+            serving = [await self.serving(e) for e in asked if e.host in self.process_by_name]
+            if serving and min(serving) >= groups:
+                return time.monotonic() - began
+            await asyncio.sleep(0.2)
+        raise TimeoutError(f"{groups} groups did not serve within {seconds} s")
+
+    async def serving(self, entry: EntryAddress) -> int:
+        """Return how many groups an entry host sends to, -1 if it can't be asked."""
+        status = await self.ask(entry.operators, "GET", "/v1/status")
+        if status is None:
+            return -1
+        return sum(1 for g in status["groups"] if g["takes_requests"])
+
+    def records(self, pattern: str) -> list[dict[str, Any]]:
+        """Return the rows that stand-ins recorded."""
+        rows = []
+        for path in sorted(self.folder.glob(pattern)):
+            rows += [json.loads(line) for line in path.read_text().splitlines()]
+        return rows
+
+    def _environment(self, **more: str) -> dict[str, str]:
+        return {**os.environ, "SHIV_ROOT": str(self.folder.resolve().parent / "shiv"), **more}
+
+    def _spawn_dev(self, name: str, module: str, *arguments: str) -> None:
+        self._spawn(name, [sys.executable, "-m", f"oleanderhill_dev.{module}", *arguments])
+
+    def _spawn(self, name: str, command: list[str]) -> None:
+        root = Path(__file__).resolve().parents[1]
+        env = self._environment(PYTHONPATH=str(root), PYTHONUNBUFFERED="1")
+        with open(self.folder / f"{name}.out", "ab") as out:
+            self.process_by_name[name] = subprocess.Popen(command, env=env, stdout=out, stderr=out)
+
+
+def new_key() -> str:
+    """Return a random bearer key."""
+    return secrets.token_urlsafe(24)
--- /dev/null
+++ b/dev/oleanderhill_dev/demo.py
@@ -0,0 +1,274 @@
+"""The demo: a whole site on loopback, traffic through every entry host, and two deaths midway."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import defopt
+
+from oleanderhill.httpcall import Call, Observer
+
+from .bench_site import EntryAddress, Shape, Site, new_key
+from .engine_standin import answer, token
+
+REQUESTS = 240
+TOKENS = 30
+ATTEMPTS_OF_A_CALLER = 12
+
+TEAM = "yard"
+
+
+class Outcome(NamedTuple):
+    """What a caller got in the end.
+
+    :param kind: ``answered``, ``refused`` or ``wrong``
+    """
+
+    number: int
+    kind: str
+    detail: str
+    key: str = ""
+
+
+class _Chunks(Observer):
+    def __init__(self) -> None:
+        self.body = b""
+
+    def data(self, chunk: bytes) -> None:
+        self.body += chunk
+
+
+def settings(clerk_key: str, gate_key: str, services: list[str]) -> dict[str, Any]:
+    """Return the team's subtree."""
+    from oleanderhill.fleet import hash_of
+
+    return {
+        "models": {
+            "bale-reader": {"versions": {"v1": {"weights_gb": 40.0}}, "adapters": ["contamination"]}
+        },
+        "groups": {
+            "bale": {
+                "model": "bale-reader",
+                "version": "v1",
+                "hosts": 4,
+                "replicas": {"intake-hall": 2},
+                "adapters": ["contamination"],
+            }
+        },
+        "services": {
+            "yard-operations": {
+                "targets": [{"address": a, "data_centre": "strip-hall"} for a in services],
+                "not_repeatable": ["/payments"],
+            }
+        },
+        "accounts": {
+            "clerks": {
+                "key_hashes": [hash_of(clerk_key)],
+                "models": ["bale-reader"],
+                "services": ["yard-operations"],
+                "requests_per_second": 500,
+                "priority": 5,
+            },
+            "gate": {
+                "key_hashes": [hash_of(gate_key)],
+                "models": ["bale-reader"],
+                "services": ["yard-operations"],
+                "requests_per_second": 500,
+            },
+        },
+    }
+
+
+class Callers:
+    """Plays the callers, who go through any ready entry host and come back when told to."""
+
+    def __init__(self, site: Site, key: str) -> None:
+        self.site = site
+        self.key = key
+        self.rng = random.Random(7)
+        self.retries = 0
+
+    async def run(self, number: int) -> Outcome:
+        """Make one request and return what came of it."""
+        kinds = (self._plain, self._stream, self._stream, self._service, self._payment)
+        return await kinds[number % len(kinds)](number)
+
+    async def _plain(self, number: int) -> Outcome:
+        prompt = f"manifest {number}"
+        body = self._chat(prompt, stream=False)
+        status, text = await self._ask(number, "POST", "/v1/chat/completions", body, {})
+        if status != 200:
+            return Outcome(number, "refused", f"status {status}")
+        content = json.loads(text)["choices"][0]["message"]["content"]
+        whole = content == answer(prompt, TOKENS)
+        return Outcome(number, "answered" if whole else "wrong", "plain")
+
+    async def _stream(self, number: int) -> Outcome:
+        prompt = f"bale report {number}"
+        body = self._chat(prompt, stream=True)
+        status, text = await self._ask(number, "POST", "/v1/chat/completions", body, {})
+        if status != 200:
+            return Outcome(number, "refused", f"status {status}")
+        events = [e for e in text.decode().split("\n\n") if e]
+        tokens = [json.loads(e[6:])["choices"][0]["delta"]["content"] for e in events[:-1]]
+        whole = events[-1] == "data: [DONE]" and tokens == [token(prompt, n) for n in range(TOKENS)]
+        return Outcome(number, "answered" if whole else "wrong", "stream")
+
+    async def _service(self, number: int) -> Outcome:
+        path = f"/services/yard-operations/scan/{number}"
+        status, text = await self._ask(number, "GET", path, b"", {})
+        return Outcome(number, "answered" if status == 200 else "refused", f"scan {status}")
+
+    async def _payment(self, number: int) -> Outcome:
+        key = f"haul-{number}"
+        body = json.dumps({"haul": number}).encode()
+        headers = {"Idempotency-Key": key, "X-Not-Repeatable": "true"}
+        path = "/services/yard-operations/payments"
+        status, text = await self._ask(number, "POST", path, body, headers)
+        kind = "answered" if status == 200 else "refused"
+        return Outcome(number, kind, f"payment {status}", body.decode())
+
+    def _chat(self, prompt: str, stream: bool) -> bytes:
+        messages = [{"role": "user", "content": prompt}]
+        body = {
+            "model": "bale-reader",
+            "messages": messages,
+            "max_tokens": TOKENS,
+            "stream": stream,
+        }
+        return json.dumps(body).encode()
+
+    async def _ask(
+        self, number: int, method: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        """Ask through the balancer: any entry host that is up, again when told to come back."""
+        headers = {**headers, "Authorization": f"Bearer {self.key}"}
+        for attempt in range(ATTEMPTS_OF_A_CALLER):
+            entry = self._balancer(number + attempt)
+            observer = _Chunks()
+            call = Call(entry.callers, method, path, headers, body, timeout=60.0)
+            result = await self.site.caller.call(call, observer)
+            reply = result.value_or(None)
+            if reply is not None and reply.status == 200 and b"event: error" not in observer.body:
+                return 200, observer.body
+            # A caller whose connection broke asks again; a payment does so with the same key.
+            self.retries += 1
+            wait = float(reply.headers.get("Retry-After", "0.5")) if reply is not None else 0.5
+            if reply is not None and reply.status not in (409, 429, 502, 503, 504, 200):
+                return reply.status, observer.body
+            await asyncio.sleep(wait)
+        return (reply.status if reply is not None else 0), observer.body
+
+    def _balancer(self, number: int) -> EntryAddress:
+        up = [e for e in self.site.entries if e.host in self.site.process_by_name]
+        return up[number % len(up)]
+
+
+async def play(folder: Path, program: list[str]) -> int:
+    """Play the demo and return its exit code."""
+    shape = Shape(
+        ("intake-hall", "intake-hall", "strip-hall"), {("intake-hall", "fabric-a"): 10}, services=1
+    )
+    site = Site(shape, folder, program)
+    try:
+        site.start()
+        return await _scenes(site)
+    finally:
+        site.end()
+
+
+async def _scenes(site: Site) -> int:
+    began = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"demo: {time.monotonic() - began:5.1f} s  {text}", flush=True)
+
+    say("started a platform, 10 engines, a plain service and 3 entry hosts as processes")
+    await _until_up(site)
+    key, gate = new_key(), new_key()
+    fleet, yard = site.folder / "fleet.json", site.folder / "yard.json"
+    fleet.write_text(json.dumps({"exchange_rate": 20.0, "entry_hosts": 3}))
+    yard.write_text(json.dumps(settings(key, gate, site.service_addresses)))
+    for team, path in (("fleet", fleet), (TEAM, yard)):
+        done = site.command("settings", "put", team, str(path))
+        say(f"settings put: {(done.stdout or done.stderr).strip()}")
+    say(f"2 groups of 4 hosts serve after {await site.until_serving(2, 40):.1f} s")
+
+    callers = Callers(site, key)
+    victims = asyncio.create_task(_kill_midway(site, say))
+    say(f"{REQUESTS} requests through all entry hosts: plain, streamed, scans, payments")
+    tasks = []
+    for number in range(REQUESTS):
+        tasks.append(asyncio.create_task(callers.run(number)))
+        await asyncio.sleep(0.05)
+    outcomes = await asyncio.gather(*tasks)
+    await victims
+    say(f"the group is whole again {await site.until_serving(2, 30):.1f} s after the last answer")
+    say(f"callers came back {callers.retries} times after a broken connection or a refusal")
+    print(site.command("status").stdout, flush=True)
+    return _count(site, outcomes, say)
+
+
+async def _until_up(site: Site) -> None:
+    for _ in range(100):
+        up = [await site.ask(e.operators, "GET", "/v1/in-force") for e in site.entries]
+        if all(u is not None for u in up):
+            return
+        await asyncio.sleep(0.1)
+    raise TimeoutError("the entry hosts did not come up")
+
+
+async def _kill_midway(site: Site, say: Any) -> None:
+    await asyncio.sleep(4.0)
+    status = await site.ask(site.entries[0].operators, "GET", "/v1/status")
+    victim = status["groups"][0]["hosts"][2]
+    site.kill(victim)
+    say(f"killed {victim}, a member of {status['groups'][0]['group']}")
+    began = time.monotonic()
+    while await site.serving(site.entries[0]) >= 2:
+        await asyncio.sleep(0.05)
+    say(f"the group takes no requests {time.monotonic() - began:.1f} s after the death")
+    took = await site.until_serving(2, 30, entries=1)
+    say(f"repaired from a spare {took:.1f} s later")
+    site.kill("entry-2")
+    say("killed entry-2")
+
+
+def _count(site: Site, outcomes: list[Outcome], say: Any) -> int:
+    """Count from the records of the engines, the service and the callers."""
+    answered = sum(1 for o in outcomes if o.kind == "answered")
+    refused = [o for o in outcomes if o.kind == "refused"]
+    wrong = [o for o in outcomes if o.kind == "wrong"]
+    runs: dict[str, int] = {}
+    for row in site.records("service-*.jsonl"):
+        if row["path"] == "payments" and row["event"] == "start":
+            runs[row["body"]] = runs.get(row["body"], 0) + 1
+    doubled = sum(1 for count in runs.values() if count > 1)
+    unpaid = [o for o in outcomes if o.key and o.kind == "answered" and not runs.get(o.key)]
+    lost = len(wrong) + len(unpaid) + (REQUESTS - len(outcomes))
+    for outcome in refused[:5] + wrong[:5]:
+        say(f"{outcome.kind}: request {outcome.number} {outcome.detail}")
+    print(f"demo: answered={answered} refused={len(refused)} lost={lost} doubled={doubled}")
+    return 1 if lost or doubled else 0
+
+
+def main(*, folder: str = "build/demo", program: str = "dist/oleanderhill") -> None:
+    """Play the demo.
+
+    :param folder: where logs and records go
+    :param program: the shipped program
+    """
+    path = Path(folder)
+    for old in path.glob("*"):
+        old.unlink()
+    sys.exit(asyncio.run(play(path, [program])))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/src/oleanderhill/cli.py
@@ -0,0 +1,297 @@
+"""The command line: ``oleanderhill entry | settings | status | explain | schema | version``.
+
+Exit codes: 0 done, 1 failure, 2 wrong usage, 3 boot file, 4 settings invalid, 5 somebody else
+changed the subtree, 6 outcome unknown, 7 key not accepted, 8 entry host not reached.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import difflib
+import os
+import sys
+from json import dumps, loads
+from typing import Any
+
+import defopt
+from returns.pipeline import is_successful
+
+from . import __version__
+from .checking import check_subtree, json_schema, load_boot
+from .entry import run_entry
+from .exceptions import (
+    AccessError,
+    Finding,
+    OleanderhillError,
+    OutcomeUnknownError,
+    SettingsConflictError,
+    SettingsInvalidError,
+    StoreUnavailableError,
+    UnreachableError,
+)
+from .httpcall import Call, HttpCaller
+from .report import show_decisions, show_in_force, show_status
+from .schema import Boot, FleetSettings, TeamSettings
+
+KEY_VARIABLE = "OLEANDERHILL_KEY"
+AT_VARIABLE = "OLEANDERHILL_AT"
+CALL_TIMEOUT = 15.0
+
+
+class UsageError(OleanderhillError):
+    """An argument does not make sense."""
+
+    exit_code = 2
+
+
+def entry(boot: str, *, check: bool = False) -> None:
+    """Run an entry host until it is told to stop, then drain it.
+
+    Example: ``oleanderhill entry entry-1.json``
+
+    :param boot: path of the boot file (JSON)
+    :param check: only check the boot file
+    """
+    settings = load_boot(boot)
+    if check:
+        print(f"{boot}: valid")
+        return
+    asyncio.run(run_entry(settings))
+
+
+def settings_get(team: str, *, at: str = "", json: bool = False) -> None:
+    """Print a subtree as it is in force at an entry host.
+
+    Example: ``oleanderhill settings get yard --at 10.0.0.1:7001``
+
+    :param team: the subtree, ``fleet`` for what the teams share
+    :param at: operator address of an entry host (else from OLEANDERHILL_AT)
+    :param json: with revision and history, for a script
+    """
+    found = _ask(_one(at), "GET", f"/v1/settings/{team}")
+    print(dumps(found if json else found["tree"], indent=2))
+
+
+def settings_put(
+    team: str, file: str, *, at: str = "", base: int | None = None, json: bool = False
+) -> None:
+    """Check a subtree and put it in force; say accepted, refused or unknown.
+
+    Example: ``oleanderhill settings put yard yard.json --base 6``
+
+    :param team: the subtree
+    :param file: path of the new subtree (JSON), ``-`` for standard input
+    :param at: operator address of an entry host
+    :param base: the revision that was changed; refused if another has come since
+    :param json: print the answer as JSON
+    """
+    query = "" if base is None else f"?base={base}"
+    found = _ask(_one(at), "PUT", f"/v1/settings/{team}{query}", _read(file))
+    line = f"{team}: {found['state']}, revision {found['revision']}"
+    print(dumps(found) if json else line)
+
+
+def settings_check(team: str, file: str, *, at: str = "") -> None:
+    """Check a subtree without changing anything.
+
+    Without ``--at`` the check is made here, without the fleet's budgets.
+    Example: ``oleanderhill settings check yard yard.json``
+
+    :param team: the subtree
+    :param file: path of the subtree (JSON), ``-`` for standard input
+    :param at: operator address of an entry host, to check against the budgets in force
+    """
+    if at:
+        _ask(_one(at), "PUT", f"/v1/settings/{team}?check=1", _read(file))
+    else:
+        check_subtree(team, _read(file))
+    print(f"{team}: valid")
+
+
+def settings_history(team: str, *, at: str = "", json: bool = False) -> None:
+    """Print who changed a subtree, newest first.
+
+    :param team: the subtree
+    :param at: operator address of an entry host
+    :param json: print as JSON
+    """
+    history = _ask(_one(at), "GET", f"/v1/settings/{team}")["history"]
+    if json:
+        print(dumps(history))
+        return
+    for change in history:
+        print(f"{change['revision']:>6}  {_clock(change['at'])}  {change['by']}")
+
+
+def settings_diff(team: str, file: str, *, at: str = "") -> None:
+    """Print how a file differs from the subtree in force.
+
+    :param team: the subtree
+    :param file: path of the subtree (JSON), ``-`` for standard input
+    :param at: operator address of an entry host
+    """
+    held = _ask(_one(at), "GET", f"/v1/settings/{team}")
+    new = loads(_read(file))
+    old_lines = dumps(held["tree"], indent=2, sort_keys=True).splitlines()
+    new_lines = dumps(new, indent=2, sort_keys=True).splitlines()
+    name = f"{team} revision {held['revision']}"
+    for line in difflib.unified_diff(old_lines, new_lines, name, file, lineterm=""):
+        print(line)
+
+
+def settings_status(*, at: str = "", json: bool = False) -> None:
+    """Print what is in force at each entry host, and how old that is.
+
+    Example: ``oleanderhill settings status --at 10.0.0.1:7001,10.0.0.2:7001``
+
+    :param at: operator addresses, separated by commas
+    :param json: print as JSON
+    """
+    found = _ask_all(at, "/v1/in-force")
+    print(dumps(found) if json else show_in_force(found))
+
+
+def status(*, at: str = "", json: bool = False) -> None:
+    """Print groups, measures, owners and what each entry host believes.
+
+    Example: ``oleanderhill status --at 10.0.0.1:7001``
+
+    :param at: operator addresses, separated by commas
+    :param json: print as JSON
+    """
+    found = _ask_all(at, "/v1/status")
+    print(dumps(found) if json else show_status(found))
+
+
+def explain(subject: str, *, at: str = "", json: bool = False) -> None:
+    """Print the decisions about a request, group, host, domain or subtree, in order.
+
+    Example: ``oleanderhill explain 3f0c9a2b11d04e57``
+
+    :param subject: a request id, group id, host, domain or team
+    :param at: operator addresses, separated by commas
+    :param json: print as JSON
+    """
+    found = _ask_all(at, f"/v1/explain/{subject.replace('#', '%23')}")
+    print(dumps(found) if json else show_decisions(subject, found))
+
+
+def schema(kind: str = "team") -> None:
+    """Print the JSON Schema of the settings, for editors.
+
+    :param kind: ``team``, ``fleet`` or ``boot``
+    """
+    types = {"team": TeamSettings, "fleet": FleetSettings, "boot": Boot}
+    if kind not in types:
+        raise UsageError(f"kind is one of {', '.join(types)}")
+    print(dumps(json_schema(types[kind]), indent=2))
+
+
+def version() -> None:
+    """Print the version."""
+    print(f"oleanderhill {__version__}")
+
+
+COMMANDS: dict[str, Any] = {
+    "entry": entry,
+    "settings": {
+        "get": settings_get,
+        "put": settings_put,
+        "check": settings_check,
+        "history": settings_history,
+        "diff": settings_diff,
+        "status": settings_status,
+    },
+    "status": status,
+    "explain": explain,
+    "schema": schema,
+    "version": version,
+}
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the command line and exit with its code."""
+    try:
+        defopt.run(COMMANDS, argv=argv, short={}, cli_options="has_default")
+    except OleanderhillError as error:
+        print(f"oleanderhill: {error.show()}", file=sys.stderr)
+        sys.exit(error.exit_code)
+    except BrokenPipeError:
+        sys.exit(0)
+
+
+def _clock(at: float) -> str:
+    from datetime import datetime
+
+    return datetime.fromtimestamp(at).strftime("%Y-%m-%d %H:%M:%S")
+
+
+def _read(path: str) -> bytes:
+    if path == "-":
+        return sys.stdin.buffer.read()
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+
+
+def _addresses(at: str) -> list[str]:
+    text = at or os.environ.get(AT_VARIABLE, "")
+    found = [a.strip() for a in text.split(",") if a.strip()]
+    if not found:
+        raise UsageError(f"name an entry host with --at or {AT_VARIABLE}")
+    return found
+
+
+def _one(at: str) -> list[str]:
+    return _addresses(at)
+
+
+def _ask_all(at: str, path: str) -> list[dict[str, Any]]:
+    """Ask every address; one that can't be reached is shown as such, if another answers."""
+    answers: list[dict[str, Any]] = []
+    failures = 0
+    for address in _addresses(at):
+        try:
+            answers.append(_ask([address], "GET", path))
+        except UnreachableError as error:
+            failures += 1
+            answers.append({"host": address, "unreachable": str(error)})
+    if failures == len(answers):
+        raise UnreachableError("; ".join(a["unreachable"] for a in answers))
+    return answers
+
+
+def _ask(addresses: list[str], method: str, path: str, body: bytes = b"") -> dict[str, Any]:
+    """Ask the first address that answers."""
+    reason = ""
+    for address in addresses:
+        headers = {"Authorization": f"Bearer {os.environ.get(KEY_VARIABLE, '')}"}
+        call = Call(address, method, path, headers, body, timeout=CALL_TIMEOUT)
+        result = asyncio.run(HttpCaller().call(call))
+        if is_successful(result):
+            reply = result.unwrap()
+            return _judged(path, reply.status, loads(reply.body))
+        failure = result.failure()
+        reason = f"{address}: {failure.kind.value}: {failure.reason}"
+        if failure.sent and method != "GET":
+            raise OutcomeUnknownError(reason)
+    raise UnreachableError(reason)
+
+
+def _judged(path: str, status_code: int, found: dict[str, Any]) -> dict[str, Any]:
+    if status_code == 200:
+        return found
+    team = path.rsplit("/", 1)[-1].partition("?")[0]
+    if status_code in (401, 403):
+        raise AccessError(f"{found.get('detail')} (the key is read from {KEY_VARIABLE})")
+    if status_code == 422:
+        raise SettingsInvalidError(team, tuple(Finding(**f) for f in found["findings"]))
+    if status_code == 409:
+        raise SettingsConflictError(team, 0, found["revision"])
+    if status_code == 504:
+        raise OutcomeUnknownError(f"settings of {team}: ask again with settings history")
+    if status_code == 503:
+        raise StoreUnavailableError("nothing was changed")
+    raise OleanderhillError(str(found.get("detail", found)))
--- /dev/null
+++ b/src/oleanderhill/entry.py
@@ -0,0 +1,120 @@
+"""Puts an entry host together from its boot file, runs it, and drains it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import signal
+import time
+
+from .claims import Claims
+from .decisions import Decisions, log_to
+from .dispatch import RouterTask
+from .edge import Edge
+from .fleet import DEFAULT_ENTRY_HOSTS
+from .httpcall import HttpCaller
+from .kernel import Kernel
+from .limiting import LimitsTask
+from .members import MembershipTask
+from .membership import Row
+from .metrics import Metrics
+from .operators import Operators
+from .peers import Peers
+from .planning import PlanningTask
+from .relay import DocumentsTask
+from .schema import Boot
+from .services import ServiceFinder
+from .stewards import Stewards
+from .store import StoreClient
+from .targets import TargetClient
+
+READINESS_LAG = 1.0
+"""Seconds for which the balancer may go on sending after readiness is withdrawn."""
+
+DRAIN_LIMIT = 600.0
+"""Seconds after which a drain ends even with requests in flight: the longest request allowed."""
+
+
+def make_kernel(boot: Boot, decisions: Decisions) -> Kernel:
+    """Return a kernel with all services of an entry host, not started."""
+    host, data_centre = boot["host"], boot["data_centre"]
+    rng = random.Random(secrets.randbits(64))
+    incarnation = int(time.time() * 1000)
+    caller = HttpCaller()
+    store = StoreClient(boot["platform"], caller)
+    targets = TargetClient(boot["platform"], caller)
+    metrics = Metrics(host, boot.get("statsd"))
+    kernel = Kernel()
+    peers_address = boot["listen"]["peers"]
+    me = Row(host, peers_address, data_centre, incarnation, 0)
+    kernel.register(Peers(kernel, host, peers_address, incarnation, decisions))
+    kernel.register(MembershipTask(kernel, me, boot["peers"], rng, decisions))
+    kernel.register(LimitsTask(kernel, host, DEFAULT_ENTRY_HOSTS))
+    router = RouterTask(kernel, data_centre, targets, rng, decisions)
+    kernel.register(router)
+    kernel.register(
+        Stewards(
+            kernel, host, secrets.token_hex(4), data_centre, store, targets, metrics, decisions
+        )
+    )
+    kernel.register(PlanningTask(kernel, host, data_centre, decisions))
+    kernel.register(Claims(kernel, host, store, decisions))
+    kernel.register(
+        Edge(
+            kernel,
+            host,
+            boot["listen"]["callers"],
+            router,
+            ServiceFinder(data_centre, rng),
+            caller,
+            targets,
+            metrics,
+            decisions,
+        )
+    )
+    kernel.register(DocumentsTask(kernel, host, data_centre, store, targets, rng, decisions))
+    kernel.register(
+        Operators(kernel, boot["listen"]["operators"], boot["operator_key_hash"], decisions)
+    )
+    return kernel
+
+
+async def run_entry(boot: Boot) -> None:
+    """Run an entry host until SIGTERM or SIGINT, then drain it."""
+    log_to(boot.get("log"))
+    decisions = Decisions(boot["host"])
+    kernel = make_kernel(boot, decisions)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await kernel.start()
+    decisions.note("member", boot["host"], "started")
+    await stopping.wait()
+    await drain(kernel, decisions)
+    await kernel.stop()
+
+
+async def drain(kernel: Kernel, decisions: Decisions) -> None:
+    """Finish what is in flight and hand over what is owned.
+
+    Readiness goes first; requests that the balancer still sends are taken for
+    :data:`READINESS_LAG` seconds. Then domains are given up and the peers are told, so that others
+    take them over while the requests in flight here run to their end.
+    """
+    edge = kernel.find("edge", Edge)
+    edge.withdrawn = True
+    decisions.note("drain", edge.host, f"not ready, {edge.in_flight} in flight")
+    await asyncio.sleep(READINESS_LAG)
+    edge.draining = True
+    domains = kernel.find("stewards", Stewards).release()
+    kernel.find("membership", MembershipTask).leave()
+    decisions.note("drain", edge.host, f"left, {domains} domains given up")
+    claims = kernel.find("claims", Claims)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DRAIN_LIMIT):
+            while edge.in_flight or not claims.idle:
+                await asyncio.sleep(0.05)
+    decisions.note("drain", edge.host, f"done, {edge.in_flight} in flight")
--- /dev/null
+++ b/src/oleanderhill/members.py
@@ -0,0 +1,61 @@
+"""The task that runs :mod:`.membership`."""
+
+from __future__ import annotations
+
+import random
+import time
+from functools import singledispatchmethod
+from typing import Any
+
+from .decisions import Decisions
+from .kernel import Kernel, Received, Task
+from .membership import GOSSIP_INTERVAL, Gossip, Membership, Row
+from .messages import SendTo
+
+
+class MembershipTask(Task):
+    """Owns what this entry host knows of the others."""
+
+    name = "membership"
+    interval = GOSSIP_INTERVAL
+
+    def __init__(
+        self, kernel: Kernel, me: Row, seeds: list[str], rng: random.Random, decisions: Decisions
+    ) -> None:
+        super().__init__(kernel)
+        self.membership = Membership(me, seeds, rng, time.monotonic())
+        self._decisions = decisions
+        self._was_live: set[str] = set()
+
+    def live(self, data_centre: str | None = None) -> dict[str, Row]:
+        """Return the live entry hosts by name, this one included."""
+        return self.membership.live(time.monotonic(), data_centre)
+
+    def settled(self) -> bool:
+        """Tell whether the first view of the others is complete enough to act on."""
+        return self.membership.settled(time.monotonic())
+
+    async def tick(self) -> None:
+        """Gossip."""
+        now = time.monotonic()
+        for send in self.membership.tick(now):
+            self.kernel.post("peers", SendTo(send.address, send.message))
+        live = set(self.membership.live(now))
+        for host in sorted(live - self._was_live):
+            self._decisions.note("member", host, "live")
+        for host in sorted(self._was_live - live):
+            self._decisions.note("member", host, self.membership.state(host, now).value)
+        self._was_live = live
+
+    def leave(self) -> None:
+        """Say goodbye to the peers."""
+        for send in self.membership.leave():
+            self.kernel.post("peers", SendTo(send.address, send.message))
+
+    @singledispatchmethod
+    def receive(self, body: Any, envelope: Received) -> None:
+        """Handle a peer's message."""
+
+    @receive.register
+    def _(self, body: Gossip, envelope: Received) -> None:
+        self.membership.receive(envelope.arrived, body)
--- /dev/null
+++ b/src/oleanderhill/messages.py
@@ -0,0 +1,152 @@
+"""Messages between entry hosts and between tasks, and the codec for those that travel.
+
+A message travels as MessagePack: an envelope with the sender and its clock, and the body as an
+array whose type is named. :data:`DESTINATION_BY_TYPE` says which task takes which message.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .documents import Digest, Have, Want
+from .fleet import Fleet
+from .kernel import Received
+from .limits import Demand
+from .membership import Gossip
+from .once import Row, Verdict
+from .types import GroupRecord, HostEntry, WantedGroup
+
+
+class GroupState(NamedTuple):
+    """The part of a :class:`~.types.GroupView` that changes often; 40 bytes on the wire."""
+
+    group: str
+    epoch: int
+    whole: bool
+    accepting: bool
+    age_ms: int
+    running: int
+    waiting: int
+    capacity: int
+
+
+class DomainEvidence(NamedTuple):
+    """What the owner of a domain found at its hosts.
+
+    :param records: full records, sent when they changed and now and then; else empty
+    """
+
+    domain: str
+    data_centre: str
+    owner_epoch: int
+    states: tuple[GroupState, ...]
+    records: tuple[GroupRecord, ...]
+    usable: int
+
+
+class ClaimAsk(NamedTuple):
+    """Ask the home of a journal shard to record a row."""
+
+    shard: int
+    row: Row
+
+
+class ClaimAnswer(NamedTuple):
+    """What became of a claim."""
+
+    nonce: bytes
+    verdict: Verdict
+    row: Row | None
+
+
+class Envelope(NamedTuple):
+    """A message on its way.
+
+    :param incarnation: of the sender's process
+    :param stamp: the sender's monotonic clock when it sent the message, in seconds
+    """
+
+    kind: str
+    sender: str
+    address: str
+    incarnation: int
+    stamp: float
+    body: msgspec.Raw
+
+
+class SendTo(NamedTuple):
+    """Ask the peers task to send a message to an address."""
+
+    address: str
+    body: Any
+
+
+class FleetChanged(NamedTuple):
+    """The settings in force changed."""
+
+    fleet: Fleet
+
+
+class HostsChanged(NamedTuple):
+    """The host list of this data centre changed."""
+
+    hosts: tuple[HostEntry, ...]
+
+
+class PlanChanged(NamedTuple):
+    """The plan of this data centre changed, or what the settings want."""
+
+    wanted_by_domain: dict[str, tuple[WantedGroup, ...]]
+
+
+class LocalEvidence(NamedTuple):
+    """Evidence of this entry host's own stewards.
+
+    :param at: local monotonic time to which the ages refer
+    """
+
+    evidence: DomainEvidence
+    records: tuple[GroupRecord, ...]
+    at: float
+
+
+DESTINATION_BY_TYPE: dict[type, str] = {
+    Gossip: "membership",
+    Digest: "documents",
+    Want: "documents",
+    Have: "documents",
+    Demand: "limits",
+    DomainEvidence: "router",
+    ClaimAsk: "claims",
+    ClaimAnswer: "claims",
+}
+
+_DECODER_BY_KIND: dict[str, tuple[type, msgspec.msgpack.Decoder[Any]]] = {
+    kind.__name__: (kind, msgspec.msgpack.Decoder(kind)) for kind in DESTINATION_BY_TYPE
+}
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def pack(sender: str, address: str, incarnation: int, stamp: float, body: Any) -> bytes:
+    """Return a message as bytes."""
+    raw = msgspec.Raw(_ENCODER.encode(body))
+    kind = type(body).__name__
+    return _ENCODER.encode(Envelope(kind, sender, address, incarnation, stamp, raw))
+
+
+def unpack(data: bytes, arrived: float) -> Received | None:
+    """Return the message of some bytes, ``None`` for one of an unknown kind.
+
+    :raises msgspec.DecodeError: if the bytes are malformed
+    """
+    envelope = _ENVELOPE_DECODER.decode(data)
+    known = _DECODER_BY_KIND.get(envelope.kind)
+    if known is None:
+        return None
+    body = known[1].decode(envelope.body)
+    return Received(
+        envelope.sender, envelope.address, envelope.incarnation, envelope.stamp, arrived, body
+    )
--- /dev/null
+++ b/src/oleanderhill/operators.py
@@ -0,0 +1,291 @@
+"""The HTTP server towards operators: settings, status and explain."""
+
+from __future__ import annotations
+
+import json
+import resource
+import time
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from .checking import check_subtree
+from .claims import Claims
+from .decisions import Decision, Decisions
+from .dispatch import RouterTask
+from .edge import Edge
+from .exceptions import SettingsInvalidError
+from .fleet import OperatorView, find_by_key
+from .kernel import Kernel
+from .members import MembershipTask
+from .peers import Peers
+from .planning import PlanningTask
+from .relay import DocumentsTask
+from .settings import SETTINGS_PREFIX, WriteState, decode_subtree
+from .stewards import Stewards
+
+MAX_BODY = 1024 * 1024
+STATUS_BY_STATE = {
+    WriteState.ACCEPTED: 200,
+    WriteState.REFUSED: 409,
+    WriteState.UNKNOWN: 504,
+    WriteState.STORE_DOWN: 503,
+}
+
+
+class Operators:
+    """Owns the server towards operators.
+
+    :param key_hash: of the boot file's operator key, which may change every subtree
+    """
+
+    name = "operators"
+
+    def __init__(self, kernel: Kernel, address: str, key_hash: str, decisions: Decisions) -> None:
+        self.kernel = kernel
+        self.decisions = decisions
+        self._address = address
+        self._key_hash = key_hash
+        self._server: HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        application = Application(
+            [
+                (r"/v1/settings/([a-z0-9.-]+)", SettingsHandler, {"operators": self}),
+                (r"/v1/in-force", InForceHandler, {"operators": self}),
+                (r"/v1/status", StatusHandler, {"operators": self}),
+                (r"/v1/explain/(.+)", ExplainHandler, {"operators": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(application, max_body_size=MAX_BODY)
+        ip, port = self._address.rsplit(":", 1)
+        self._server.listen(int(port), ip)
+
+    async def stop(self) -> None:
+        """Close the server."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def operator(self, key: str) -> OperatorView | None:
+        """Return the operator of a bearer key."""
+        documents = self.kernel.find("documents", DocumentsTask)
+        found = find_by_key(documents.fleet.operator_by_key, key)
+        if found is not None:
+            return found
+        # The boot file's key works before there are any settings, and when they are broken.
+        boot = {self._key_hash: OperatorView("boot", frozenset("*"))}
+        return find_by_key(boot, key)
+
+    def status(self) -> dict[str, Any]:
+        """Return what this entry host believes, and how old that is."""
+        return {
+            "host": self.decisions.host,
+            "edge": self._edge_status(),
+            "groups": self._groups(),
+            "domains": self._domains(),
+            "members": self._members(),
+            "plan": self._plan(),
+            "settings": self.in_force(),
+            "measures": self._measures(),
+            "cost": self._cost(),
+        }
+
+    def in_force(self) -> dict[str, Any]:
+        """Return what is in force for each subtree, and how old that is."""
+        documents = self.kernel.find("documents", DocumentsTask)
+        now = time.time()
+        return {
+            team: {
+                "revision": s.revision,
+                "seen": s.seen,
+                "age": round(now - s.learned_at, 1),
+                "findings": list(s.findings),
+            }
+            for team, s in sorted(documents.in_force.state_by_team.items())
+        }
+
+    def _edge_status(self) -> dict[str, Any]:
+        edge = self.kernel.find("edge", Edge)
+        documents = self.kernel.find("documents", DocumentsTask)
+        age = time.monotonic() - documents.store_ok_at
+        return {
+            "ready": edge.ready,
+            "draining": edge.draining,
+            "in_flight": edge.in_flight,
+            "answers": dict(sorted(edge.metrics.counted.items())),
+            "store_seen": round(age, 1) if documents.store_ok_at else None,
+            "journal_idle": self.kernel.find("claims", Claims).idle,
+        }
+
+    def _groups(self) -> list[dict[str, Any]]:
+        router = self.kernel.find("router", RouterTask).router
+        now = time.monotonic()
+        return [
+            {
+                "group": group,
+                "epoch": e.view.epoch,
+                "data_centre": e.data_centre,
+                "domain": e.domain,
+                "whole": e.view.whole,
+                "takes_requests": router.may_send(group, e.view.epoch, now),
+                "evidence_age": round(now - e.proven_at, 2),
+                "hosts": [m.host for m in e.view.members],
+                "load": [e.view.running, e.view.waiting, e.view.capacity],
+            }
+            for group, e in sorted(router.by_group.items())
+        ]
+
+    def _domains(self) -> list[dict[str, Any]]:
+        stewards = self.kernel.find("stewards", Stewards)
+        now = time.monotonic()
+        return [
+            {
+                "domain": d,
+                "owned_here": s.owned,
+                "owner": s.ledger.owner,
+                "owner_epoch": s.ledger.owner_epoch,
+                "unsaved": s.unsaved,
+                "hosts": len(s.entry_by_host),
+                "usable": s.usable(now) if s.owned else None,
+                "retired": sorted(s.ledger.retired),
+                "wanted": [w.group for w in s.wanted],
+                "confirmed_age": round(now - s.mine.confirmed_at, 1) if s.owned else None,
+            }
+            for d, s in sorted(stewards.by_domain.items())
+        ]
+
+    def _members(self) -> list[dict[str, Any]]:
+        membership = self.kernel.find("membership", MembershipTask).membership
+        now = time.monotonic()
+        return [
+            {
+                "host": h,
+                "data_centre": k.row.data_centre,
+                "state": membership.state(h, now).value,
+                "heard": round(now - k.risen_at, 1),
+            }
+            for h, k in sorted(membership.by_host.items())
+        ]
+
+    def _plan(self) -> dict[str, Any]:
+        planner = self.kernel.find("planner", PlanningTask)
+        placed = planner.plan.domain_by_group
+        return {
+            "revision": planner.plan.revision,
+            "without_domain": [w.group for w in planner.wanted() if w.group not in placed],
+            "clipped": [c._asdict() for c in self.kernel.find("edge", Edge).fleet.clipped],
+        }
+
+    def _measures(self) -> dict[str, Any]:
+        stewards = self.kernel.find("stewards", Stewards)
+        gauges = stewards.gauges_by_domain.values()
+        return {
+            "groups_down": sum(g.down for g in gauges),
+            "hosts_stranded": sum(g.stranded for g in gauges),
+            "downtime_seconds": round(stewards.sums.downtime, 1),
+            "stranded_host_seconds": round(stewards.sums.stranded, 1),
+        }
+
+    def _cost(self) -> dict[str, Any]:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        peers = self.kernel.find("peers", Peers)
+        store = self.kernel.find("documents", DocumentsTask).store
+        return {
+            "cpu_seconds": round(usage.ru_utime + usage.ru_stime, 2),
+            "resident_mb": round(usage.ru_maxrss / 1024, 1),
+            "peer_bytes_sent": peers.bytes_sent,
+            "peer_bytes_received": peers.bytes_received,
+            "store_reads": store.reads,
+            "store_writes": store.writes,
+            "probes": self.kernel.find("stewards", Stewards).probes,
+            "self_probes": self.kernel.find("router", RouterTask).self_probes,
+        }
+
+
+class _OperatorHandler(RequestHandler):
+    def initialize(self, operators: Operators) -> None:
+        self.operators = operators
+        self.who: OperatorView | None = None
+
+    def prepare(self) -> None:
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        self.who = self.operators.operator(key.strip()) if scheme.lower() == "bearer" else None
+        if self.who is None:
+            self.refuse(401, "unauthenticated", "the operator key is missing or unknown")
+
+    def refuse(self, status: int, kind: str, detail: str, **more: Any) -> None:
+        """Answer with a typed failure."""
+        self.set_status(status)
+        self.finish({"error": kind, "detail": detail, **more})
+
+
+class SettingsHandler(_OperatorHandler):
+    """Reads, checks and writes one subtree."""
+
+    def get(self, team: str) -> None:
+        documents = self.operators.kernel.find("documents", DocumentsTask).documents
+        held = documents.by_key.get(SETTINGS_PREFIX + team)
+        if held is None:
+            self.refuse(404, "unknown-team", f"there is no subtree {team}")
+            return
+        subtree = decode_subtree(held.body)
+        history = [c._asdict() for c in subtree.history]
+        tree = json.loads(bytes(subtree.tree))
+        self.finish({"team": team, "revision": subtree.revision, "tree": tree, "history": history})
+
+    async def put(self, team: str) -> None:
+        assert self.who is not None
+        if not self.who.may_change(team):
+            self.refuse(403, "forbidden", f"{self.who.name} may not change {team}")
+            return
+        documents = self.operators.kernel.find("documents", DocumentsTask)
+        body = self.request.body
+        try:
+            check_subtree(team, body, documents.fleet.budgets)
+        except SettingsInvalidError as error:
+            findings = [f._asdict() for f in error.findings]
+            self.refuse(422, "invalid", str(error), findings=findings)
+            return
+        if self.get_query_argument("check", "") == "1":
+            self.finish({"state": "valid", "team": team})
+            return
+        base = self.get_query_argument("base", "")
+        if base and not base.isdigit():
+            self.refuse(400, "bad-request", "base is not a revision")
+            return
+        ended = await documents.write_subtree(
+            team, body, self.who.name, int(base) if base else None
+        )
+        self.set_status(STATUS_BY_STATE[ended.state])
+        self.finish({"state": ended.state.value, "team": team, "revision": ended.revision})
+
+
+class InForceHandler(_OperatorHandler):
+    """What is in force here."""
+
+    def get(self) -> None:
+        operators = self.operators
+        self.finish({"host": operators.decisions.host, "settings": operators.in_force()})
+
+
+class StatusHandler(_OperatorHandler):
+    """What this entry host believes."""
+
+    def get(self) -> None:
+        self.finish(self.operators.status())
+
+
+class ExplainHandler(_OperatorHandler):
+    """The decisions about one subject, in order."""
+
+    def get(self, subject: str) -> None:
+        found = self.operators.decisions.about(subject)
+        self.finish({"host": self.operators.decisions.host, "decisions": _shown(found)})
+
+
+def _shown(decisions: list[Decision]) -> list[dict[str, Any]]:
+    return [{"at": d.at, "part": d.part, "subject": d.subject, "text": d.text} for d in decisions]
--- /dev/null
+++ b/src/oleanderhill/peers.py
@@ -0,0 +1,111 @@
+"""Sockets between entry hosts: one listening socket, and a few connections to peers (pynng)."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+import pynng
+
+from .decisions import Decisions
+from .kernel import Kernel, Task
+from .messages import DESTINATION_BY_TYPE, SendTo, pack, unpack
+
+SEND_BUFFER = 64
+"""Messages kept for a peer that is slow; beyond that they are dropped, as all are refreshed."""
+
+MAX_CONNECTIONS = 64
+RECEIVE_LIMIT = 2 * 1024 * 1024
+
+
+class Peers(Task):
+    """Owns the sockets towards other entry hosts.
+
+    :param host: name of this entry host
+    :param address: ``ip:port`` on which it listens
+    :param incarnation: told to peers, so that they can tell one start from the next
+    """
+
+    name = "peers"
+
+    def __init__(
+        self, kernel: Kernel, host: str, address: str, incarnation: int, decisions: Decisions
+    ) -> None:
+        super().__init__(kernel)
+        self._host = host
+        self._address = address
+        self._incarnation = incarnation
+        self._decisions = decisions
+        self._listener = pynng.Pull0(recv_max_size=RECEIVE_LIMIT)
+        self._by_address: dict[str, pynng.Push0] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages_sent = 0
+
+    async def start(self) -> None:
+        """Listen, and start to receive."""
+        self._listener.listen(f"tcp://{self._address}")
+        await super().start()
+        self.spawn(self._receive())
+
+    async def stop(self) -> None:
+        """Send what is queued, then close all sockets."""
+        while not self._inbox.empty():
+            self.dispatch(self._inbox.get_nowait())
+        await asyncio.sleep(0.05)
+        await super().stop()
+        self._listener.close()
+        for socket in self._by_address.values():
+            socket.close()
+
+    def send(self, address: str, body: Any) -> None:
+        """Send a message without waiting; it is dropped when the peer can't take it."""
+        if address == self._address:
+            return
+        data = pack(self._host, self._address, self._incarnation, time.monotonic(), body)
+        socket = self._socket(address)
+        try:
+            socket.send(data, block=False)
+        except (pynng.TryAgain, pynng.exceptions.NNGException):
+            return
+        self.bytes_sent += len(data)
+        self.messages_sent += 1
+
+    def _socket(self, address: str) -> pynng.Push0:
+        socket = self._by_address.pop(address, None)
+        if socket is None:
+            if len(self._by_address) >= MAX_CONNECTIONS:
+                oldest = next(iter(self._by_address))
+                self._by_address.pop(oldest).close()
+            socket = pynng.Push0(
+                send_buffer_size=SEND_BUFFER, reconnect_time_min=200, reconnect_time_max=2000
+            )
+            socket.dial(f"tcp://{address}", block=False)
+        self._by_address[address] = socket
+        return socket
+
+    async def _receive(self) -> None:
+        while True:
+            data = await self._listener.arecv()
+            self.bytes_received += len(data)
+            self._deliver(data)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
+            received = unpack(data, time.monotonic())
+        except msgspec.DecodeError as error:
+            self._decisions.note("peers", "drop", f"malformed message: {error}")
+            return
+        if received is not None:
+            self.kernel.post(DESTINATION_BY_TYPE[type(received.body)], received)
+
+    @singledispatchmethod
+    def handle(self, message: Any) -> None:
+        """Handle a message from another task."""
+
+    @handle.register
+    def _(self, message: SendTo) -> None:
+        self.send(message.address, message.body)
--- /dev/null
+++ b/src/oleanderhill/planning.py
@@ -0,0 +1,134 @@
+"""The task that plans which domain holds which group of its data centre, when it is its turn."""
+
+from __future__ import annotations
+
+import time
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+
+from .decisions import Decisions
+from .documents import Document
+from .fleet import Fleet
+from .kernel import Kernel, Task
+from .members import MembershipTask
+from .messages import FleetChanged, HostsChanged, LocalEvidence, PlanChanged
+from .ownership import rendezvous
+from .planner import DomainState, Plan, make_plan
+from .relay import DocumentsTask
+from .types import HostEntry, WantedGroup
+
+EVIDENCE_LIFE = 5.0
+"""Seconds for which what an owner said of its domain counts."""
+
+
+class PlanBody(msgspec.Struct):
+    """The plan as stored."""
+
+    revision: int
+    domain_by_group: dict[str, str]
+
+
+class PlanningTask(Task):
+    """Owns the plan of this data centre.
+
+    All entry hosts follow the plan; the one that ranks first for it by rendezvous hash writes it.
+    Two that both think they do are settled by compare-and-swap, so nothing rests on the turn.
+    """
+
+    name = "planner"
+    interval = 1.0
+
+    def __init__(self, kernel: Kernel, host: str, data_centre: str, decisions: Decisions) -> None:
+        super().__init__(kernel)
+        self._host = host
+        self._data_centre = data_centre
+        self._decisions = decisions
+        self._fleet = Fleet()
+        self._hosts: dict[str, list[HostEntry]] = {}
+        self._usable: dict[str, tuple[int, float]] = {}
+        self._needed: dict[str, int] = {}
+        self._dark_since: dict[str, float] = {}
+        self.plan = Plan(0, {})
+
+    @singledispatchmethod
+    def handle(self, message: Any) -> None:
+        """Handle a message from another task."""
+
+    @handle.register
+    def _(self, message: FleetChanged) -> None:
+        self._fleet = message.fleet
+        self._tell()
+
+    @handle.register
+    def _(self, message: HostsChanged) -> None:
+        self._hosts = {}
+        for entry in message.hosts:
+            self._hosts.setdefault(entry.domain, []).append(entry)
+
+    @handle.register
+    def _(self, message: LocalEvidence) -> None:
+        evidence = message.evidence
+        if evidence.data_centre == self._data_centre:
+            self._usable[evidence.domain] = (evidence.usable, message.at)
+
+    @handle.register
+    def _(self, message: Document) -> None:
+        body = msgspec.json.decode(message.body, type=PlanBody)
+        self.plan = Plan(body.revision, body.domain_by_group)
+        self._tell()
+
+    async def tick(self) -> None:
+        """Plan, if it is this host's turn."""
+        now = time.monotonic()
+        self._note_dark(now)
+        members = self.kernel.find("membership", MembershipTask)
+        first = rendezvous(f"plan/{self._data_centre}", members.live(self._data_centre))
+        if not members.settled() or first != (self._host,):
+            return
+        wanted = self.wanted()
+        plan = make_plan(now, self.plan, wanted, self._states(now), self._fleet.exchange_rate)
+        if plan is self.plan:
+            return
+        documents = self.kernel.find("documents", DocumentsTask)
+        if not documents.loaded:
+            return
+        body = msgspec.json.encode(PlanBody(plan.revision, plan.domain_by_group))
+        if await documents.write_plan(plan.revision, body):
+            placed = len(plan.domain_by_group)
+            text = f"revision {plan.revision}, {placed} of {len(wanted)} groups have a domain"
+            self._decisions.note("plan", self._data_centre, text)
+
+    def wanted(self) -> tuple[WantedGroup, ...]:
+        """Return the groups that the settings want in this data centre."""
+        return self._fleet.wanted_by_data_centre.get(self._data_centre, ())
+
+    def _tell(self) -> None:
+        by_domain: dict[str, list[WantedGroup]] = {}
+        self._needed = {}
+        for item in self.wanted():
+            domain = self.plan.domain_by_group.get(item.group)
+            if domain is not None:
+                by_domain.setdefault(domain, []).append(item)
+                self._needed[domain] = self._needed.get(domain, 0) + item.spec.hosts
+        wanted = {d: tuple(g) for d, g in by_domain.items()}
+        self.kernel.post("stewards", PlanChanged(wanted))
+
+    def _note_dark(self, now: float) -> None:
+        for domain, (usable, at) in self._usable.items():
+            enough = usable >= self._needed.get(domain, 0)
+            # Silence of an owner says nothing of its domain: the owner may have died.
+            if enough or now - at > EVIDENCE_LIFE:
+                self._dark_since.pop(domain, None)
+            else:
+                self._dark_since.setdefault(domain, now)
+
+    def _states(self, now: float) -> dict[str, DomainState]:
+        states = {}
+        for domain, entries in self._hosts.items():
+            usable, at = self._usable.get(domain, (len(entries), 0.0))
+            if now - at > EVIDENCE_LIFE:
+                usable = len(entries)
+            states[domain] = DomainState(usable, self._dark_since.get(domain))
+        return states
--- /dev/null
+++ b/src/oleanderhill/schema.py
@@ -0,0 +1,121 @@
+"""Types of the settings: the boot file of a process and the operators' tree.
+
+The tree has one subtree for the fleet and one for each team, each stored and changed as a whole.
+A JSON Schema for editors is made from these types by :func:`.checking.json_schema`.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, NotRequired, TypedDict
+
+from msgspec import Meta
+
+FLEET_TEAM = "fleet"
+"""Name of the subtree that holds what the teams share."""
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+KeyHash = Annotated[str, Meta(pattern=r"^sha256:[0-9a-f]{64}$")]
+Count = Annotated[int, Meta(ge=0, le=100_000)]
+HostCount = Annotated[int, Meta(ge=1, le=64)]
+Rate = Annotated[float, Meta(gt=0, le=1_000_000)]
+
+
+class Listen(TypedDict):
+    """Addresses that an entry host listens on."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+class Boot(TypedDict):
+    """Boot file of ``oleanderhill entry``: only what can't be learned from the platform."""
+
+    host: Name
+    data_centre: Name
+    listen: Listen
+    platform: Address
+    peers: list[Address]
+    operator_key_hash: KeyHash
+    statsd: NotRequired[Address]
+    log: NotRequired[str]
+
+
+class Operator(TypedDict):
+    """An operator, and the subtrees that it may change; ``*`` stands for all."""
+
+    key_hash: KeyHash
+    teams: list[str]
+
+
+class FleetSettings(TypedDict):
+    """What the teams share.
+
+    ``exchange_rate`` is how many host-seconds stranded one group-second of downtime is worth.
+    ``host_budgets`` caps the hosts of a team in each data centre; it is applied where hosts are
+    given out, so no order of two operators' changes can get round it.
+    """
+
+    exchange_rate: NotRequired[Rate]
+    entry_hosts: NotRequired[HostCount]
+    host_budgets: NotRequired[dict[Name, dict[Name, Count]]]
+    operators: NotRequired[dict[Name, Operator]]
+    domains_without_fencing: NotRequired[list[Name]]
+
+
+class Version(TypedDict):
+    """One version of a model."""
+
+    weights_gb: Annotated[float, Meta(gt=0, le=100_000)]
+
+
+class Model(TypedDict):
+    """A model, its versions and adapters."""
+
+    versions: dict[Name, Version]
+    adapters: NotRequired[list[Name]]
+
+
+class Group(TypedDict):
+    """Serving groups of one kind: each replica is one group of ``hosts`` hosts."""
+
+    model: Name
+    version: Name
+    hosts: HostCount
+    replicas: dict[Name, Count]
+    adapters: NotRequired[list[Name]]
+    priority: NotRequired[Annotated[int, Meta(ge=0, le=9)]]
+
+
+class ServiceTarget(TypedDict):
+    """One target of a plain service."""
+
+    address: Address
+    data_centre: Name
+
+
+class PlainService(TypedDict):
+    """A plain service. Calls to ``not_repeatable`` paths need an Idempotency-Key."""
+
+    targets: list[ServiceTarget]
+    not_repeatable: NotRequired[list[str]]
+
+
+class Account(TypedDict):
+    """A client account and what it may use."""
+
+    key_hashes: list[KeyHash]
+    models: NotRequired[list[Name]]
+    services: NotRequired[list[Name]]
+    requests_per_second: Rate
+    priority: NotRequired[Annotated[int, Meta(ge=0, le=9)]]
+
+
+class TeamSettings(TypedDict):
+    """The subtree of one team."""
+
+    models: NotRequired[dict[Name, Model]]
+    groups: NotRequired[dict[Name, Group]]
+    services: NotRequired[dict[Name, PlainService]]
+    accounts: NotRequired[dict[Name, Account]]
--- /dev/null
+++ b/src/oleanderhill/services.py
@@ -0,0 +1,82 @@
+"""Finds targets of plain services: nearest data centre first, then the least busy."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+
+from .routing import Choice, NoChoice, Wanted
+from .schema import PlainService, ServiceTarget
+from .types import Member
+from .waiting import Waiter
+
+EJECT_SECONDS = 2.0
+
+
+class ServiceFinder:
+    """Finds targets for requests to plain services.
+
+    :param data_centre: of this entry host
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._in_flight: dict[str, int] = {}
+        self._ejected_until: dict[str, float] = {}
+        self.service_by_name: Mapping[tuple[str, str], PlainService] = {}
+
+    async def acquire(
+        self, waiter: Waiter, wanted: Wanted, exclude: frozenset[str]
+    ) -> Choice | NoChoice:
+        """Find a target of the service named by ``wanted.model`` as ``team/service``."""
+        choice = self.choose(wanted.model, waiter.arrived, exclude)
+        if isinstance(choice, Choice):
+            self._in_flight[choice.group] = self._in_flight.get(choice.group, 0) + 1
+        return choice
+
+    def choose(self, name: str, now: float, exclude: frozenset[str]) -> Choice | NoChoice:
+        """Choose a target."""
+        team, service = name.split("/", 1)
+        found = self.service_by_name.get((team, service))
+        if found is None:
+            return NoChoice(f"no service {service}", False, False)
+        target_by_id = {f"{name}/{t['address']}": t for t in found["targets"]}
+        left = {i: t for i, t in target_by_id.items() if i not in exclude}
+        able = {i: t for i, t in left.items() if self._ejected_until.get(i, 0.0) <= now} or left
+        if not able:
+            return NoChoice(f"none of {len(target_by_id)} targets took it", False, True)
+        target = min(able, key=lambda i: (self._far(able[i]), self._load(i), self._rng.random()))
+        member = Member(able[target]["address"], able[target]["address"], "")
+        reason = f"nearest and least busy of {len(able)}"
+        return Choice(target, 0, member, able[target]["data_centre"], reason)
+
+    def release(self, account: str, choice: Choice, model: str) -> None:
+        """Count the end of a request at its target."""
+        left = self._in_flight.get(choice.group, 0) - 1
+        if left > 0:
+            self._in_flight[choice.group] = left
+        else:
+            self._in_flight.pop(choice.group, None)
+
+    def may_send(self, choice: Choice, now: float) -> bool:
+        """Tell whether the target is still in the settings."""
+        team, service, address = choice.group.split("/", 2)
+        found = self.service_by_name.get((team, service))
+        return found is not None and any(t["address"] == address for t in found["targets"])
+
+    def eject(self, choice: Choice, now: float) -> None:
+        """Keep a target that can't be reached from new requests for a while."""
+        self._ejected_until[choice.group] = now + EJECT_SECONDS
+
+    def watch(self, run: str, choice: Choice, broken: Callable[[], None]) -> None:
+        """Do nothing: a plain service consists of single hosts."""
+
+    def unwatch(self, run: str) -> None:
+        """Do nothing."""
+
+    def _far(self, target: ServiceTarget) -> bool:
+        return target["data_centre"] != self._data_centre
+
+    def _load(self, target: str) -> int:
+        return self._in_flight.get(target, 0)
--- /dev/null
+++ b/src/oleanderhill/stewards.py
@@ -0,0 +1,259 @@
+"""The task that runs the domain stewards: probes, store calls, orders and evidence."""
+
+from __future__ import annotations
+
+import time
+from functools import singledispatchmethod
+from typing import Any
+
+from returns.pipeline import is_successful
+from returns.result import Success
+
+from . import steward as machine
+from .decisions import Decisions
+from .fleet import Fleet
+from .kernel import Kernel, Task
+from .ledger import ledger_key
+from .members import MembershipTask
+from .messages import (
+    DomainEvidence,
+    FleetChanged,
+    GroupState,
+    HostsChanged,
+    LocalEvidence,
+    PlanChanged,
+    SendTo,
+)
+from .metrics import Metrics
+from .orders import OrderKey
+from .ownership import rendezvous
+from .placement import Policy
+from .steward import DomainSteward
+from .store import StoreClient
+from .tally import Gauges, Sums, added, measure
+from .targets import TargetClient
+from .types import GroupRecord, GroupView, HostEntry, Order, SeenReport, WantedGroup
+
+RECORDS_EVERY = 5.0
+"""Seconds between full records to peers; the states in between are small."""
+
+VIEW_DOMAINS = 24
+"""Domains of one data centre that an entry host hears of; bounds its view at any fleet size."""
+
+
+class Stewards(Task):
+    """Owns the stewards of the domains of this data centre."""
+
+    name = "stewards"
+    interval = machine.TICK
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        host: str,
+        life: str,
+        data_centre: str,
+        store: StoreClient,
+        targets: TargetClient,
+        metrics: Metrics,
+        decisions: Decisions,
+    ) -> None:
+        super().__init__(kernel)
+        self._host = host
+        self._life = life
+        self._data_centre = data_centre
+        self._store = store
+        self._targets = targets
+        self._decisions = decisions
+        self._fleet = Fleet()
+        self._wanted: dict[str, tuple[WantedGroup, ...]] = {}
+        self._sent_records: dict[str, tuple[tuple[GroupRecord, ...], float]] = {}
+        self._probing: set[str] = set()
+        self._metrics = metrics
+        self._tallied_at = time.monotonic()
+        self.by_domain: dict[str, DomainSteward] = {}
+        self.gauges_by_domain: dict[str, Gauges] = {}
+        self.sums = Sums()
+        self.probes = 0
+
+    @singledispatchmethod
+    def handle(self, message: Any) -> None:
+        """Handle a message from another task."""
+
+    @handle.register
+    def _(self, message: HostsChanged) -> None:
+        by_domain: dict[str, list[HostEntry]] = {}
+        for entry in message.hosts:
+            by_domain.setdefault(entry.domain, []).append(entry)
+        for domain in by_domain.keys() - self.by_domain.keys():
+            self.by_domain[domain] = self._make(domain)
+        for domain, steward in self.by_domain.items():
+            steward.hosts(by_domain.get(domain, []))
+
+    @handle.register
+    def _(self, message: FleetChanged) -> None:
+        self._fleet = message.fleet
+        for domain, steward in self.by_domain.items():
+            steward.policy = Policy(exchange_rate=message.fleet.exchange_rate)
+            steward.fencing = domain not in message.fleet.domains_without_fencing
+
+    @handle.register
+    def _(self, message: PlanChanged) -> None:
+        self._wanted = message.wanted_by_domain
+        for domain, steward in self.by_domain.items():
+            steward.wanted = self._wanted.get(domain, ())
+
+    async def tick(self) -> None:
+        """Tick every steward, probe the hosts of owned domains, publish evidence."""
+        now = time.monotonic()
+        members = self.kernel.find("membership", MembershipTask)
+        live = frozenset(members.live(self._data_centre))
+        for domain, steward in self.by_domain.items():
+            steward.live = live
+            steward.settled = members.settled()
+            self._perform(steward, steward.tick(now))
+            if steward.owned:
+                self._probe_all(steward)
+                self._publish(domain, steward, now)
+        self._tally(now)
+
+    def release(self) -> int:
+        """Give up all domains, at shutdown; return how many there were."""
+        owned = [s for s in self.by_domain.values() if s.owned]
+        for steward in owned:
+            steward.cede()
+        return len(owned)
+
+    def _tally(self, now: float) -> None:
+        seconds, self._tallied_at = now - self._tallied_at, now
+        self.gauges_by_domain = {
+            d: measure(s.ledger, s.wanted, s.views(now))
+            for d, s in self.by_domain.items()
+            if s.owned
+        }
+        for gauges in self.gauges_by_domain.values():
+            self.sums = added(self.sums, gauges, seconds)
+        self._metrics.gauge("groups_down", sum(g.down for g in self.gauges_by_domain.values()))
+        stranded = sum(g.stranded for g in self.gauges_by_domain.values())
+        self._metrics.gauge("hosts_stranded", stranded)
+
+    def _make(self, domain: str) -> DomainSteward:
+        fencing = domain not in self._fleet.domains_without_fencing
+        policy = Policy(exchange_rate=self._fleet.exchange_rate)
+        steward = DomainSteward(self._host, self._life, domain, policy, fencing)
+        steward.wanted = self._wanted.get(domain, ())
+        return steward
+
+    def _perform(self, steward: DomainSteward, effects: list[machine.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case machine.Decided(part, subject, text, also):
+                    self._decisions.note(part, subject, text, also)
+                case machine.ReadLedger() | machine.SwapLedger():
+                    self.spawn(self._call_store(steward, effect))
+                case machine.SendOrder(order):
+                    self.spawn(self._send(steward, order))
+                case machine.AskTicket(key, gigabytes):
+                    self.spawn(self._ask_ticket(steward, key, gigabytes))
+
+    async def _call_store(
+        self, steward: DomainSteward, effect: machine.ReadLedger | machine.SwapLedger
+    ) -> None:
+        key = ledger_key(self._data_centre, steward.domain)
+        event: machine.StoreEvent
+        if isinstance(effect, machine.ReadLedger):
+            read = await self._store.read(key)
+            event = machine.StoreFailed(False)
+            if is_successful(read):
+                found = read.unwrap()
+                event = machine.LedgerAnswer(*found) if found else machine.LedgerAnswer(b"", 0)
+        else:
+            swapped = await self._store.swap(key, effect.value, effect.modify_index)
+            event = machine.StoreFailed(True)
+            if is_successful(swapped):
+                event = machine.SwapAnswer(swapped.unwrap())
+        self._perform(steward, steward.store(event, time.monotonic()))
+
+    async def _send(self, steward: DomainSteward, order: Order) -> None:
+        # Asked again here: between the decision and this line the process may have been paused,
+        # and another owner may act by now.
+        if not steward.may_send(order, time.monotonic()):
+            self._decisions.note("order", order.host, "withheld: ownership not confirmed")
+            return
+        result = await self._targets.order(order)
+        if not is_successful(result):
+            self._decisions.note("order", order.host, result.failure().show(), (order.group,))
+
+    async def _ask_ticket(self, steward: DomainSteward, key: OrderKey, gigabytes: float) -> None:
+        match await self._targets.ticket(gigabytes):
+            case Success(ticket):
+                steward.ticket(key, ticket.wait, time.monotonic())
+            case _:
+                steward.ticket(key, 1.0, time.monotonic())
+
+    def _probe_all(self, steward: DomainSteward) -> None:
+        for host, entry in steward.entry_by_host.items():
+            if host not in self._probing:
+                self.spawn(self._probe(steward, entry))
+
+    async def _probe(self, steward: DomainSteward, entry: HostEntry) -> None:
+        self._probing.add(entry.host)
+        self.probes += 1
+        sent_at = time.monotonic()
+        try:
+            result = await self._targets.probe(entry.address)
+        finally:
+            self._probing.discard(entry.host)
+        if is_successful(result) and result.unwrap().host == entry.host:
+            steward.saw(SeenReport(result.unwrap(), sent_at))
+
+    def _publish(self, domain: str, steward: DomainSteward, now: float) -> None:
+        views = steward.views(now)
+        records = tuple(steward.ledger.groups.values())
+        last, at = self._sent_records.get(domain, ((), -RECORDS_EVERY))
+        full = records != last or now - at >= RECORDS_EVERY
+        if full:
+            self._sent_records[domain] = (records, now)
+        evidence = DomainEvidence(
+            domain,
+            self._data_centre,
+            steward.mine.epoch,
+            tuple(_state(v) for v in views),
+            records if full else (),
+            steward.usable(now),
+        )
+        self.kernel.post("router", LocalEvidence(evidence, records, now))
+        self.kernel.post("planner", LocalEvidence(evidence, records, now))
+        for address in self._audience(domain):
+            self.kernel.post("peers", SendTo(address, evidence))
+
+    def _audience(self, domain: str) -> list[str]:
+        """Return the entry hosts that hear of a domain.
+
+        Each of them hears of at most :data:`VIEW_DOMAINS` domains of this data centre, chosen by
+        rendezvous hash, so that its view and its traffic don't grow with the fleet.
+        """
+        members = self.kernel.find("membership", MembershipTask)
+        domains = list(self.by_domain)
+        return [
+            row.address
+            for row in members.live().values()
+            if row.host != self._host
+            and (
+                len(domains) <= VIEW_DOMAINS
+                or domain in rendezvous(f"view/{row.host}", domains, VIEW_DOMAINS)
+            )
+        ]
+
+
+def _state(view: GroupView) -> GroupState:
+    return GroupState(
+        view.group,
+        view.epoch,
+        view.whole,
+        view.accepting,
+        view.age_ms,
+        view.running,
+        view.waiting,
+        view.capacity,
+    )
--- /dev/null
+++ b/src/oleanderhill/targets.py
@@ -0,0 +1,141 @@
+"""Adapters to targets: reports and orders of engines, the platform's host list, weight tickets.
+
+Each outside format is known here and nowhere else, so that the users' own formats replace ours in
+one module.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from .exceptions import OleanderhillError, OrderRefusedError, TargetUnreachableError
+from .httpcall import Call, CallFailure, HttpCaller, Reply
+from .store import WATCH_WAIT
+from .types import HostEntry, HostReport, Order
+
+PROBE_TIMEOUT = 0.8
+ORDER_TIMEOUT = 0.8
+TICKET_TIMEOUT = 1.0
+
+
+class HostList(NamedTuple):
+    """The platform's host list of one data centre at an index."""
+
+    list_index: int
+    hosts: tuple[HostEntry, ...]
+
+
+class Ticket(NamedTuple):
+    """Leave to read weights: now when ``wait`` is 0, else ask again after that many seconds."""
+
+    wait: float
+
+
+class _ReportBody(msgspec.Struct):
+    host: str
+    boot_id: str
+    group: str
+    epoch: int
+    rank: int
+    state: str
+    leaving: bool
+    running: int
+    waiting: int
+    capacity: int
+
+
+class _TicketBody(msgspec.Struct):
+    wait: float
+
+
+class _HostsBody(msgspec.Struct):
+    index: int
+    hosts: list[HostEntry]
+
+
+class TargetClient:
+    """Calls to engines and to the platform's smaller services.
+
+    :param platform: address of the platform
+    """
+
+    def __init__(self, platform: str, caller: HttpCaller) -> None:
+        self._platform = platform
+        self._caller = caller
+
+    async def probe(self, address: str) -> Result[HostReport, OleanderhillError]:
+        """Ask an engine for its report."""
+        call = Call(address, "GET", "/report", timeout=PROBE_TIMEOUT, reuse=True)
+        reply = (await self._caller.call(call)).alt(_unreachable(address))
+        return reply.bind(lambda r: _decode(address, r, _ReportBody)).map(_as_report)
+
+    async def order(self, order: Order) -> Result[None, OleanderhillError]:
+        """Send an order. An engine that checks fencing numbers refuses an old one."""
+        body = {
+            "kind": order.kind,
+            "group": order.group,
+            "epoch": order.epoch,
+            "rank": order.rank,
+            "members": [{"host": m.host, "address": m.address} for m in order.members],
+            "model": order.spec.model if order.spec else "",
+            "version": order.spec.version if order.spec else "",
+            "adapters": list(order.spec.adapters) if order.spec else [],
+            "weights_gb": order.spec.weights_gb / order.spec.hosts if order.spec else 0,
+            "fence": list(order.fence),
+        }
+        payload = json.dumps(body).encode()
+        call = Call(order.address, "POST", "/orders", body=payload, timeout=ORDER_TIMEOUT)
+        reply = (await self._caller.call(call)).alt(_unreachable(order.address))
+        return reply.bind(lambda r: _accepted(order.host, r))
+
+    async def cancel(self, address: str, run_id: str) -> None:
+        """Tell an engine to drop a request; best effort, since the closed stream says it too."""
+        await self._caller.call(Call(address, "POST", f"/cancel/{run_id}", timeout=PROBE_TIMEOUT))
+
+    async def hosts(self, data_centre: str, index: int) -> Result[HostList, OleanderhillError]:
+        """Wait for the host list of a data centre to change after ``index``."""
+        path = f"/v1/hosts?dc={data_centre}&index={index}&wait={int(WATCH_WAIT)}s"
+        call = Call(self._platform, "GET", path, timeout=WATCH_WAIT + 2.0, reuse=True)
+        reply = (await self._caller.call(call)).alt(_unreachable(self._platform))
+        return reply.bind(lambda r: _decode(self._platform, r, _HostsBody)).map(
+            lambda b: HostList(b.index, tuple(b.hosts))
+        )
+
+    async def ticket(self, gigabytes: float) -> Result[Ticket, OleanderhillError]:
+        """Ask the weight store for leave to read so much; loads are paced, not stampeded."""
+        path = f"/v1/weights/ticket?gb={gigabytes}"
+        call = Call(self._platform, "POST", path, timeout=TICKET_TIMEOUT)
+        reply = (await self._caller.call(call)).alt(_unreachable(self._platform))
+        return reply.bind(lambda r: _decode(self._platform, r, _TicketBody)).map(
+            lambda b: Ticket(b.wait)
+        )
+
+
+def _unreachable(address: str):  # noqa: ANN202 - a small closure
+    def convert(failure: CallFailure) -> OleanderhillError:
+        return TargetUnreachableError(address, f"{failure.kind.value}: {failure.reason}")
+
+    return convert
+
+
+def _decode(address: str, reply: Reply, kind: type) -> Result:
+    if reply.status != 200:
+        return Failure(TargetUnreachableError(address, f"status {reply.status}"))
+    try:
+        return Success(msgspec.json.decode(reply.body, type=kind))
+    except msgspec.DecodeError as error:
+        return Failure(TargetUnreachableError(address, f"malformed answer: {error}"))
+
+
+def _as_report(body: _ReportBody) -> HostReport:
+    return msgspec.convert(msgspec.structs.astuple(body), HostReport)
+
+
+def _accepted(host: str, reply: Reply) -> Result[None, OleanderhillError]:
+    if reply.status == 200:
+        return Success(None)
+    return Failure(OrderRefusedError(host, f"status {reply.status} {reply.body[:200]!r}"))
--- /dev/null
+++ b/src/oleanderhill/wholeness.py
@@ -0,0 +1,125 @@
+"""Wholeness by evidence: is every member of a group there, in the boot that joined it?
+
+Answering a probe is not enough. A host that died and came back answers with an empty engine or
+with its old role, so a group is whole only when every member reports the group, its epoch, its
+rank and the boot recorded in the ledger, in a report younger than :data:`EVIDENCE_MAX_AGE`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from .types import EngineState, GroupPhase, GroupRecord, GroupView, Member, SeenReport
+
+EVIDENCE_MAX_AGE = 2.0
+"""Seconds for which a report counts. A group stops at most this long after a silent loss."""
+
+
+class MemberFault(StrEnum):
+    """Why one member does not count."""
+
+    SILENT = "silent"
+    REBOOTED = "rebooted"
+    OTHER_GROUP = "other group"
+    LOADING = "loading"
+
+
+class Verdict(NamedTuple):
+    """Result of judging one group.
+
+    :param faults: fault by host, empty when the group is whole
+    :param oldest: sending time of the oldest probe behind the verdict
+    """
+
+    whole: bool
+    faults: dict[str, MemberFault]
+    oldest: float
+    leaving: bool
+
+
+def member_fault(
+    record: GroupRecord, rank: int, seen: SeenReport | None, now: float, max_age: float
+) -> MemberFault | None:
+    """Return why the member of this rank does not count, or ``None`` when it does."""
+    member = record.members[rank]
+    if seen is None or now - seen.sent_at > max_age:
+        return MemberFault.SILENT
+    report = seen.report
+    # A returned host answers as if nothing had happened, with the old role and no weights.
+    # Only the boot id tells; without this check requests go to a replica that can't answer.
+    if report.boot_id != member.boot_id:
+        return MemberFault.REBOOTED
+    if report.group == record.group and report.epoch == record.epoch and report.rank == rank:
+        return None if report.state == EngineState.READY else MemberFault.LOADING
+    if report.state != EngineState.EMPTY and report.group not in ("", record.group):
+        return MemberFault.OTHER_GROUP
+    return MemberFault.LOADING
+
+
+def judge(
+    record: GroupRecord,
+    seen_by_host: Mapping[str, SeenReport],
+    now: float,
+    max_age: float = EVIDENCE_MAX_AGE,
+) -> Verdict:
+    """Judge one group by the reports of its members.
+
+    :param seen_by_host: the latest report of each host
+    :param now: local monotonic time, in seconds
+    """
+    faults: dict[str, MemberFault] = {}
+    oldest = now
+    leaving = False
+    for rank, member in enumerate(record.members):
+        seen = seen_by_host.get(member.host)
+        fault = member_fault(record, rank, seen, now, max_age)
+        if fault is not None:
+            faults[member.host] = fault
+        if seen is not None:
+            oldest = min(oldest, seen.sent_at)
+            leaving = leaving or seen.report.leaving
+    # A verdict of "not whole" is news of this moment, however old the report behind it; dated
+    # back, it would lose against the older verdict of "whole".
+    return Verdict(not faults, faults, now if faults else oldest, leaving)
+
+
+def view_of(
+    record: GroupRecord,
+    seen_by_host: Mapping[str, SeenReport],
+    leaving_hosts: frozenset[str],
+    now: float,
+) -> GroupView:
+    """Return what entry hosts are told about one group.
+
+    :param leaving_hosts: hosts that the platform's list or a report calls leaving
+    """
+    verdict = judge(record, seen_by_host, now)
+    leaving = verdict.leaving or any(m.host in leaving_hosts for m in record.members)
+    draining = record.phase == GroupPhase.DRAINING
+    head = seen_by_host.get(record.head.host)
+    running, waiting, capacity = _load(head)
+    return GroupView(
+        group=record.group,
+        epoch=record.epoch,
+        spec=record.spec,
+        members=record.members,
+        whole=verdict.whole,
+        accepting=verdict.whole and not leaving and not draining,
+        age_ms=int((now - verdict.oldest) * 1000),
+        running=running,
+        waiting=waiting,
+        capacity=capacity,
+    )
+
+
+def _load(head: SeenReport | None) -> tuple[int, int, int]:
+    if head is None:
+        return 0, 0, 1
+    return head.report.running, head.report.waiting, max(1, head.report.capacity)
+
+
+def head_of(view: GroupView) -> Member:
+    """Return the member of a view that takes requests."""
+    return view.members[0]
