--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SOURCES := $(shell find src -name '*.py')
-export PYTHONPATH := dev
+export PYTHONPATH := dev:.
 
 .PHONY: demo test bench fuzz matrix mutants slopes experiments load dist format clean
 
@@ -36,3 +36,12 @@
 
 clean:
 	rm -rf build dist $(VENV)
+
+SEED ?= 1
+DURATION ?= 60
+
+fuzz: $(VENV)/ready
+	$(BIN)/python -m oleanderhill_dev.fuzz --seed-number $(SEED) --duration $(DURATION)
+
+mutants: $(VENV)/ready
+	$(BIN)/python -m oleanderhill_dev.mutants
--- /dev/null
+++ b/dev/oleanderhill_dev/mutants.py
@@ -0,0 +1,310 @@
+"""``make mutants``: takes out each safeguard in turn and runs the proof that must then fail.
+
+A safeguard is taken out here, by replacing one of the product's functions or constants while the
+proof runs; the product has no switch for it. A proof that goes on passing means that the safeguard
+is unproved or not needed.
+"""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any, NamedTuple
+from unittest import mock
+
+import defopt
+from hypothesis.stateful import RuleBasedStateMachine
+
+from oleanderhill import (
+    attempts,
+    documents,
+    evidence,
+    ledger,
+    limits,
+    membership,
+    once,
+    orders,
+    ownership,
+    placement,
+    planner,
+    routing,
+    settings,
+    skew,
+    steward,
+    wholeness,
+)
+from oleanderhill.types import EngineState
+
+from .fuzz import run_once
+from .fuzz_domain import DomainMachine
+from .fuzz_requests import RequestsMachine
+from .fuzz_settings import SettingsMachine
+
+SEEDS = 12
+CREATED = ("max", "leaving_hosts", "fleet")
+"""Names that the target does not have itself: a builtin, attributes of instances."""
+
+Patch = tuple[Any, str, Any]
+
+
+class Proof(NamedTuple):
+    """A proof by name, and how to run it; it fails by raising."""
+
+    name: str
+    run: Callable[[], None]
+
+
+class Mutant(NamedTuple):
+    """A safeguard and how to take it out."""
+
+    safeguard: str
+    patches: list[Patch]
+    proof: Proof
+
+
+def fuzzing(machine: type[RuleBasedStateMachine], examples: int = 40, steps: int = 40) -> Proof:
+    """Return the proof by a state machine, over a fixed set of seeds."""
+
+    def run() -> None:
+        for number in range(SEEDS):
+            run_once(machine, number, examples, steps)
+
+    return Proof(f"fuzz:{machine.__name__}", run)
+
+
+def testing(name: str) -> Proof:
+    """Return the proof by one unit test."""
+
+    def run() -> None:
+        result = unittest.TestResult()
+        unittest.defaultTestLoader.loadTestsFromName(f"tests.{name}").run(result)
+        if not result.testsRun:
+            raise LookupError(f"no test {name}")
+        for _, text in result.failures + result.errors:
+            raise AssertionError(text)
+
+    return Proof(f"test:{name}", run)
+
+
+def mutants() -> list[Mutant]:
+    """Return all mutants."""
+    domain = fuzzing(DomainMachine)
+    requests = fuzzing(RequestsMachine, 60, 60)
+    tree = fuzzing(SettingsMachine, 60, 50)
+    return [
+        Mutant("boot id of a member", [(wholeness, "member_fault", _ignoring_boots)], domain),
+        Mutant("age of evidence", [(routing.Router, "may_send", _may_send_old)], domain),
+        Mutant("delay of a message", [(skew.ClockOffsets, "sent_at", _arrival)], domain),
+        Mutant("settling of a sender's clock", [(skew, "SETTLE_SECONDS", 0.0)], domain),
+        Mutant("wait until a host let go", [(placement, "_let_go", _let_go_at_once)], domain),
+        Mutant("load order on its way", [(ownership, "ORDER_LIFE", 0.0)], domain),
+        Mutant("wait of a taker", [(ownership, "TAKE_OVER_WAIT", 0.0)], domain),
+        Mutant("confirmation before an order", [(ownership, "CONFIRM_WINDOW", 1e9)], domain),
+        Mutant(
+            "leaving list at the router", [(routing.Router, "leaving_hosts", _Nothing())], domain
+        ),
+        Mutant("leaving members close a group", [(steward, "state_of", _never_closing)], domain),
+        Mutant("life of an owner", [(steward.DomainSteward, "_owner_acts", _named_acts)], domain),
+        Mutant(
+            "rank of records by owner", [(evidence.EvidenceBook, "_keep", _keep_by_epoch)], domain
+        ),
+        Mutant("orders mend other groups", [(placement, "MENDED_BY_ORDERS", frozenset())], domain),
+        Mutant("rule of the ledger", [(ledger, "_put", _put_unchecked)], _LEDGER_RULE),
+        Mutant("epochs outlive groups", [(ledger, "_put", _put_unchecked)], _EPOCHS),
+        Mutant("pause of the owner", [(steward, "GAP", 1e9)], _PAUSE),
+        Mutant("wait of a displaced owner", [(steward, "DISPLACED_WAIT", 0.0)], _DISPLACED),
+        Mutant("older copy of the ledger", [(ledger, "age_of", lambda v: (0, 0))], _SET_BACK),
+        Mutant("boot in a load order", [(orders, "_load", _load_any_boot)], _BOOT_ORDER),
+        Mutant("first claim holds", [(once.Journal, "_take", _last_claim_holds)], requests),
+        Mutant("claim before sending", [(once.Journal, "claim", _granted_at_once)], requests),
+        Mutant("release only if not run", [(once, "closing_row", _always_release)], requests),
+        Mutant(
+            "sent is unknown", [(attempts.RequestMachine, "ran", lambda m: once.Ran.NO)], requests
+        ),
+        Mutant("no second send", [(attempts.RequestMachine, "_lost", _lost_again)], requests),
+        Mutant("late answers", [(attempts.RequestMachine, "_is_late", lambda m, e: False)], _LATE),
+        Mutant("retry budget", [(attempts.RetryBudget, "take", lambda b, now: True)], _BUDGET),
+        Mutant("documents only move up", [(documents.Documents, "offer", _offer_any)], tree),
+        Mutant("known revision", [(settings, "max", lambda a, b: a)], tree),
+        Mutant(
+            "lost write is resolved", [(settings.SubtreeWrite, "failed", _call_it_refused)], tree
+        ),
+        Mutant("store set back", [(documents, "to_write_back", lambda h, s: [])], _WRITE_BACK),
+        Mutant("invalid subtree stays out", [(settings, "check_subtree", _unchecked)], _INVALID),
+        Mutant("part of a cut-off fleet", [(limits.AccountLimits, "fleet", _One())], _LIMIT),
+        Mutant("left outranks rumours", [(membership.Membership, "_take", _take_newer)], _LEFT),
+        Mutant("bound on ejections", [(routing, "EJECT_LIMIT", 1.0)], _EJECT),
+        Mutant("patience of the plan", [(planner, "patience", lambda rate: 0.0)], _PATIENCE),
+    ]
+
+
+_LEDGER_RULE = testing("test_placement.LedgerRuleTest.test_ledger_refuses_a_host_in_two_groups")
+_EPOCHS = testing("test_placement.LedgerRuleTest.test_group_formed_again_never_reuses_an_epoch")
+_PAUSE = testing("test_steward.StewardTest.test_owner_that_wakes_from_a_pause_repairs_nothing")
+_DISPLACED = testing("test_steward.StewardTest.test_displaced_owner_waits_before_it_takes_back")
+_SET_BACK = testing("test_steward.StewardTest.test_older_copy_of_the_ledger_is_written_over")
+_BOOT_ORDER = testing("test_steward.OrdersTest.test_host_in_an_unknown_boot_gets_no_load")
+_LATE = testing(
+    "test_attempts.RequestMachineTest.test_late_answer_of_an_abandoned_attempt_is_ignored"
+)
+_BUDGET = testing(
+    "test_attempts.RequestMachineTest.test_retries_stay_within_their_part_of_the_requests"
+)
+_WRITE_BACK = testing("test_settings.DocumentsTest.test_store_that_was_set_back_is_written_over")
+_INVALID = testing("test_settings.InForceTest.test_invalid_subtree_leaves_the_last_valid_in_force")
+_LIMIT = testing("test_limits.LimitsTest.test_two_sides_of_a_partition_stay_within_the_rate")
+_LEFT = testing("test_membership.MembershipTest.test_goodbye_outranks_rumours_of_heartbeats")
+_EJECT = testing("test_routing.RouterTest.test_at_most_a_third_of_the_groups_is_ejected")
+_PATIENCE = testing(
+    "test_planner.PlannerTest.test_domain_that_is_dark_for_a_moment_keeps_its_groups"
+)
+
+
+# What stands in the place of a safeguard.
+
+_member_fault = wholeness.member_fault
+_router_put = routing.Router.may_send
+_state_of = evidence.state_of
+
+
+class _Nothing:
+    """An attribute that forgets what is set."""
+
+    def __get__(self, instance: Any, owner: Any = None) -> frozenset[str]:
+        return frozenset()
+
+    def __set__(self, instance: Any, value: Any) -> None:
+        return None
+
+
+class _One:
+    """An attribute that is one, whatever is set."""
+
+    def __get__(self, instance: Any, owner: Any = None) -> int:
+        return 1
+
+    def __set__(self, instance: Any, value: Any) -> None:
+        return None
+
+
+def _ignoring_boots(record: Any, rank: int, seen: Any, now: float, max_age: float) -> Any:
+    if seen is not None:
+        boot = record.members[rank].boot_id
+        seen = seen._replace(report=seen.report._replace(boot_id=boot))
+    return _member_fault(record, rank, seen, now, max_age)
+
+
+def _may_send_old(router: Any, group: str, epoch: int, now: float) -> bool:
+    held = router.by_group.get(group)
+    return held is not None and _router_put(router, group, epoch, held.proven_at)
+
+
+def _arrival(offsets: Any, sender: str, incarnation: int, stamp: float, now: float) -> float:
+    return now
+
+
+def _let_go_at_once(s: Any, host: str) -> bool:
+    return s.seen_by_host[host].report.state == EngineState.EMPTY
+
+
+def _never_closing(view: Any) -> Any:
+    return _state_of(view)._replace(accepting=view.whole)
+
+
+def _named_acts(machine: Any, found: Any, now: float) -> bool:
+    return found.owner != machine.me and found.owner in machine.life_by_live
+
+
+def _keep_by_epoch(book: Any, owner_epoch: int, records: Any) -> None:
+    for record in records:
+        held = book.record_by_group.get(record.group)
+        if held is None or record.epoch >= held.epoch:
+            book.record_by_group[record.group] = record
+
+
+def _put_unchecked(book: Any, group: str, spec: Any, members: Any) -> Any:
+    record = ledger.GroupRecord(group, 1, spec, members)
+    return book._replace(groups={**book.groups, group: record})
+
+
+def _load_any_boot(record: Any, rank: int, seen: Any) -> Any:
+    member = record.members[rank]
+    report = seen.report._replace(boot_id=member.boot_id)
+    return _orders_load(record, rank, seen._replace(report=report))
+
+
+_orders_load = orders._load
+
+
+def _last_claim_holds(journal: Any, row: Any) -> bool:
+    journal.by_key[row.key] = row
+    return row.kind == once.RowKind.CLAIM
+
+
+def _granted_at_once(journal: Any, row: Any) -> Any:
+    return [once.Decided(row.nonce, once.Verdict.GRANTED)]
+
+
+def _always_release(claim: Any, ran: Any, status: int = 0, answer: Any = None) -> Any:
+    return claim._replace(kind=once.RowKind.RELEASE)
+
+
+def _lost_again(machine: Any, reason: str, now: float) -> Any:
+    return machine._not_run(reason, now)
+
+
+def _offer_any(held: Any, document: Any, now: float) -> bool:
+    held.by_key[document.key] = document
+    return True
+
+
+def _call_it_refused(write: Any, wrote: bool) -> Any:
+    return [settings.Ended(settings.WriteState.REFUSED, 0)]
+
+
+def _unchecked(team: str, text: bytes) -> Any:
+    return settings.msgspec.json.decode(text)
+
+
+def _take_newer(self: Any, now: float, row: Any) -> bool:
+    known = self.by_host.get(row.host)
+    if known and (row.incarnation, row.heartbeat) <= (known.row.incarnation, known.row.heartbeat):
+        return False
+    self.by_host[row.host] = membership.Known(row, now)
+    return True
+
+
+def caught(mutant: Mutant) -> bool:
+    """Tell whether the proof fails without the safeguard."""
+    with ExitStack() as stack:
+        for target, name, value in mutant.patches:
+            stack.enter_context(mock.patch.object(target, name, value, create=name in CREATED))
+        try:
+            mutant.proof.run()
+        except LookupError:
+            raise
+        except Exception:
+            return True
+    return False
+
+
+def main(*, only: str = "") -> None:
+    """Take out each safeguard in turn.
+
+    :param only: only safeguards whose name holds this
+    """
+    chosen = [m for m in mutants() if only in m.safeguard]
+    count = 0
+    for mutant in chosen:
+        ok = caught(mutant)
+        count += ok
+        word = "caught by" if ok else "NOT CAUGHT by"
+        print(f"{mutant.safeguard}: {word} {mutant.proof.name}", flush=True)
+    print(f"mutants: safeguards={len(chosen)} caught={count}")
+    sys.exit(0 if count == len(chosen) else 1)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/src/oleanderhill/dispatch.py
+++ b/src/oleanderhill/dispatch.py
@@ -12,23 +12,18 @@
 from returns.pipeline import is_successful
 
 from .decisions import Decisions
+from .evidence import EvidenceBook
 from .fleet import Fleet
 from .kernel import Kernel, Received, Task
-from .messages import DomainEvidence, FleetChanged, GroupState, LocalEvidence
+from .messages import DomainEvidence, FleetChanged, HostsChanged, LocalEvidence
 from .routing import Choice, Evidence, NoChoice, Router, Wanted
-from .skew import ClockOffsets
 from .targets import TargetClient
-from .types import GroupRecord, GroupView, SeenReport
+from .types import GroupRecord, HostState, SeenReport
 from .waiting import Waiter, WaitingQueue
-from .wholeness import EVIDENCE_MAX_AGE, judge, view_of
 
 TICK = 0.1
-SELF_PROBE_AFTER = 1.2
-"""Age of evidence at which this entry host asks the members itself: its owner may be gone."""
-
 SELF_PROBE_EVERY = 0.6
 SELF_PROBES_AT_ONCE = 4
-FORGET_AFTER = 300.0
 PATIENCE = 3.0
 """Seconds a request waits for a group to become whole before it is refused."""
 
@@ -51,8 +46,7 @@
         self.router = Router(data_centre, rng)
         self._targets = targets
         self._decisions = decisions
-        self._offsets = ClockOffsets()
-        self._records: dict[str, GroupRecord] = {}
+        self.book = EvidenceBook(self.router)
         self._queue_by_model: dict[str, WaitingQueue] = {}
         self._woken: dict[str, asyncio.Event] = {}
         self._broken_by_run: dict[str, tuple[str, int, Callable[[], None]]] = {}
@@ -154,25 +148,24 @@
 
     @handle.register
     def _(self, message: LocalEvidence) -> None:
-        self._learn(message.evidence, message.records, message.at)
+        self.book.learn(message.evidence, message.records, message.at)
 
     @handle.register
     def _(self, message: FleetChanged) -> None:
         self.fleet = message.fleet
 
+    @handle.register
+    def _(self, message: HostsChanged) -> None:
+        leaving = (h.host for h in message.hosts if h.state == HostState.LEAVING)
+        self.router.leaving_hosts = frozenset(leaving)
+
     @singledispatchmethod
     def receive(self, body: Any, envelope: Received) -> None:
         """Handle a peer's message."""
 
     @receive.register
     def _(self, body: DomainEvidence, envelope: Received) -> None:
-        sent_at = self._offsets.sent_at(
-            envelope.sender, envelope.incarnation, envelope.stamp, envelope.arrived
-        )
-        if sent_at is not None:
-            self._learn(body, body.records, sent_at)
-        else:
-            self._keep_records(body.records)
+        self.book.receive(body, envelope)
 
     async def tick(self) -> None:
         """Check requests in flight, look for stale evidence, wake queues."""
@@ -183,35 +176,8 @@
         for queue in self._queue_by_model.values():
             self._wake(queue)
         self._note_changes(now)
-        for evidence in self.router.stale(now, SELF_PROBE_AFTER):
-            self._probe_stale(evidence, now)
-
-    def _learn(
-        self, evidence: DomainEvidence, records: tuple[GroupRecord, ...], sent_at: float
-    ) -> None:
-        self._keep_records(records)
-        for state in evidence.states:
-            record = self._records.get(state.group)
-            if record is None or record.epoch != state.epoch:
-                continue
-            proven_at = sent_at - state.age_ms / 1000
-            self.router.learn(
-                Evidence(
-                    _view(record, state),
-                    evidence.data_centre,
-                    evidence.domain,
-                    evidence.owner_epoch,
-                    proven_at,
-                )
-            )
-        listed = [s.group for s in evidence.states]
-        self.router.forget_absent(evidence.domain, evidence.owner_epoch, listed)
-
-    def _keep_records(self, records: tuple[GroupRecord, ...]) -> None:
-        for record in records:
-            held = self._records.get(record.group)
-            if held is None or record.epoch >= held.epoch:
-                self._records[record.group] = record
+        for evidence, record in self.book.to_probe(now):
+            self._probe_stale(evidence, record, now)
 
     def _note_changes(self, now: float) -> None:
         for group, evidence in self.router.by_group.items():
@@ -222,55 +188,29 @@
                 self._decisions.note("group", group, f"{text}, epoch {evidence.view.epoch}")
         for group in self._accepting.keys() - self.router.by_group.keys():
             del self._accepting[group]
-            self._records.pop(group, None)
+            self.book.forget(group)
             self._decisions.note("group", group, "gone")
 
-    def _probe_stale(self, evidence: Evidence, now: float) -> None:
-        group = evidence.view.group
-        if now - evidence.proven_at > FORGET_AFTER:
-            self.router.by_group.pop(group, None)
-            return
+    def _probe_stale(self, evidence: Evidence, record: GroupRecord, now: float) -> None:
+        group = record.group
         rested = now - self._self_probed_at.get(group, 0.0) >= SELF_PROBE_EVERY
-        if not rested or group in self._self_probing or group not in self._records:
+        if not rested or group in self._self_probing:
             return
         if len(self._self_probing) >= SELF_PROBES_AT_ONCE:
             return
         self._self_probed_at[group] = now
-        self.spawn(self._self_probe(evidence, self._records[group]))
+        self.spawn(self._self_probe(evidence, record))
 
     async def _self_probe(self, evidence: Evidence, record: GroupRecord) -> None:
         """Ask the members themselves: the domain's owner is gone or can't be heard."""
         self._self_probing.add(record.group)
         self.self_probes += len(record.members)
+        sent_at = time.monotonic()
         try:
-            sent_at = time.monotonic()
-            results = await asyncio.gather(
-                *(self._targets.probe(m.address) for m in record.members)
-            )
+            probes = (self._targets.probe(m.address) for m in record.members)
+            results = await asyncio.gather(*probes)
         finally:
             self._self_probing.discard(record.group)
-        seen = {
-            r.unwrap().host: SeenReport(r.unwrap(), sent_at) for r in results if is_successful(r)
-        }
-        now = time.monotonic()
-        if not judge(record, seen, now, EVIDENCE_MAX_AGE).whole:
-            return
-        view = view_of(record, seen, frozenset(), now)
-        still_draining = not evidence.view.accepting and evidence.view.whole
-        view = view._replace(accepting=view.accepting and not still_draining)
-        self.router.learn(evidence._replace(view=view, proven_at=sent_at))
-
-
-def _view(record: GroupRecord, state: GroupState) -> GroupView:
-    return GroupView(
-        record.group,
-        record.epoch,
-        record.spec,
-        record.members,
-        state.whole,
-        state.accepting,
-        state.age_ms,
-        state.running,
-        state.waiting,
-        state.capacity,
-    )
+        reports = [r.unwrap() for r in results if is_successful(r)]
+        seen_by_host = {r.host: SeenReport(r, sent_at) for r in reports}
+        self.book.probed(evidence, record, seen_by_host, sent_at, time.monotonic())
--- a/src/oleanderhill/documents.py
+++ b/src/oleanderhill/documents.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import xxhash
@@ -124,3 +124,15 @@
 def is_watcher(me: str, data_centre: str, live: Iterable[str]) -> bool:
     """Tell whether this entry host should watch the store for its data centre."""
     return me in rendezvous(f"watch/{data_centre}", {*live, me}, WATCHERS)
+
+
+def to_write_back(held: Mapping[str, Document], stored: Mapping[str, int]) -> list[Document]:
+    """Return the documents that the store holds in an older revision, or has lost.
+
+    A store that was set back to an older copy would otherwise hand old settings to every entry
+    host that starts after it.
+
+    :param held: the documents in force here
+    :param stored: revision by key as the store holds it
+    """
+    return [d for k, d in sorted(held.items()) if stored.get(k, 0) < d.revision]
--- a/src/oleanderhill/edge.py
+++ b/src/oleanderhill/edge.py
@@ -25,7 +25,7 @@
 from .limiting import LimitsTask
 from .messages import FleetChanged
 from .metrics import Metrics
-from .once import ANSWER_LIMIT, Decided, Row, RowKind, Verdict, hash_body, hash_key
+from .once import Decided, Row, Verdict, closing_row, hash_body, hash_key
 from .outcomes import Problem, Ran
 from .relay import DocumentsTask
 from .routing import Wanted
@@ -306,28 +306,17 @@
         finally:
             self._record(claims, row, sink)
 
-    def _record(self, claims: Claims, row: Row, sink: _Sink | None) -> None:
+    def _record(self, claims: Claims, claim: Row, sink: _Sink | None) -> None:
         """Record how a claimed request ended; an unknown end leaves the claim as it is."""
         if sink is None or self.exchange is None:
             return
-        if sink.problem is not None:
-            if sink.problem.ran == Ran.NO:
-                claims.finish(row._replace(kind=RowKind.RELEASE))
-            return
-        if sink.answered is None and self.exchange.machine.ran() == Ran.NO:
-            claims.finish(row._replace(kind=RowKind.RELEASE))
-            return
-        if sink.answered is None:
-            return
-        keep = len(sink.answered.body) <= ANSWER_LIMIT and not sink.streamed
-        claims.finish(
-            row._replace(
-                kind=RowKind.DONE,
-                status=sink.answered.status,
-                answer=sink.answered.body if keep else b"",
-                answer_kept=keep,
-            )
-        )
+        if sink.answered is not None:
+            answer = None if sink.streamed else sink.answered.body
+            row = closing_row(claim, Ran.YES, sink.answered.status, answer)
+        else:
+            row = closing_row(claim, self.exchange.machine.ran())
+        if row is not None:
+            claims.finish(row)
 
     def _answer_repeated(self, decided: Decided) -> None:
         row = decided.row
--- a/src/oleanderhill/entry.py
+++ b/src/oleanderhill/entry.py
@@ -48,17 +48,14 @@
     metrics = Metrics(host, boot.get("statsd"))
     kernel = Kernel()
     peers_address = boot["listen"]["peers"]
-    me = Row(host, peers_address, data_centre, incarnation, 0)
+    life = secrets.token_hex(4)
+    me = Row(host, peers_address, data_centre, incarnation, 0, life=life)
     kernel.register(Peers(kernel, host, peers_address, incarnation, decisions))
     kernel.register(MembershipTask(kernel, me, boot["peers"], rng, decisions))
     kernel.register(LimitsTask(kernel, host, DEFAULT_ENTRY_HOSTS))
     router = RouterTask(kernel, data_centre, targets, rng, decisions)
     kernel.register(router)
-    kernel.register(
-        Stewards(
-            kernel, host, secrets.token_hex(4), data_centre, store, targets, metrics, decisions
-        )
-    )
+    kernel.register(Stewards(kernel, host, life, data_centre, store, targets, metrics, decisions))
     kernel.register(PlanningTask(kernel, host, data_centre, decisions))
     kernel.register(Claims(kernel, host, store, decisions))
     kernel.register(
--- a/src/oleanderhill/ledger.py
+++ b/src/oleanderhill/ledger.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from .exceptions import OleanderhillError
-from .types import DomainLedger, GroupPhase, GroupRecord, GroupSpec, Member, RetiredHost
+from .types import DomainLedger, GroupPhase, GroupRecord, GroupSpec, Member
 
 EPOCH_SHIFT = 20
 """Bits of a group epoch below the owner epoch: changes to one group under one owner."""
@@ -27,14 +27,14 @@
 
 
 def holder_by_host(ledger: DomainLedger) -> dict[str, str]:
-    """Return the group that holds each host, retired hosts excluded."""
+    """Return the group that holds each host."""
     return {m.host: g.group for g in ledger.groups.values() for m in g.members}
 
 
-def taken(ledger: DomainLedger, owner: str) -> DomainLedger:
+def taken(ledger: DomainLedger, owner: str, life: str) -> DomainLedger:
     """Return the ledger after ``owner`` has taken it: the owner epoch rises by one."""
     return ledger._replace(
-        owner=owner, owner_epoch=ledger.owner_epoch + 1, version=ledger.version + 1
+        owner=owner, owner_life=life, owner_epoch=ledger.owner_epoch + 1, version=ledger.version + 1
     )
 
 
@@ -48,19 +48,9 @@
 
 
 def swapped(ledger: DomainLedger, group: str, members: tuple[Member, ...]) -> DomainLedger:
-    """Return the ledger with other members in a group, at a higher epoch.
-
-    Members that leave the group are retired: they may still believe that they belong to it.
-    """
-    old = _get(ledger, group)
-    cleared = ledger._replace(groups={k: v for k, v in ledger.groups.items() if k != group})
-    changed = _put(cleared, group, old.spec, members)
-    return _retire(changed, old, keep={m.host for m in members})
-
-
-def rebooted(ledger: DomainLedger, group: str, members: tuple[Member, ...]) -> DomainLedger:
-    """Return the ledger with the same hosts in a group, bound to their present boots."""
-    return swapped(ledger, group, members)
+    """Return the ledger with other members in a group, or the same in new boots, at a new epoch."""
+    spec = _get(ledger, group).spec
+    return _put(dissolved(ledger, group), group, spec, members)
 
 
 def draining(ledger: DomainLedger, group: str) -> DomainLedger:
@@ -70,16 +60,9 @@
 
 
 def dissolved(ledger: DomainLedger, group: str) -> DomainLedger:
-    """Return the ledger without the group; all its hosts are retired until they let go."""
-    old = _get(ledger, group)
-    groups = {k: v for k, v in ledger.groups.items() if k != group}
-    return _retire(ledger._replace(groups=groups), old, keep=set())
-
-
-def released(ledger: DomainLedger, hosts: frozenset[str]) -> DomainLedger:
-    """Return the ledger in which these retired hosts are free again."""
-    retired = {k: v for k, v in ledger.retired.items() if k not in hosts}
-    return ledger._replace(retired=retired)
+    """Return the ledger without the group."""
+    _get(ledger, group)
+    return ledger._replace(groups={k: v for k, v in ledger.groups.items() if k != group})
 
 
 def age_of(ledger: DomainLedger) -> tuple[int, int]:
@@ -105,25 +88,12 @@
         # the store's compare-and-swap makes the value it is checked against the current one.
         if host in held:
             raise LedgerRuleError(ledger.domain, f"host {host} is in {held[host]}")
-        if host in ledger.retired and ledger.retired[host].group != group:
-            raise LedgerRuleError(ledger.domain, f"host {host} is retired")
     # The last epoch outlives the group: a group formed again under the same name must not
     # reuse the epoch that an unreachable old member still reports. The owner epoch is its upper
     # part, so that a displaced owner and its successor never name two memberships alike.
     epoch = max(ledger.last_epoch.get(group, 0), ledger.owner_epoch << EPOCH_SHIFT) + 1
     record = GroupRecord(group, epoch, spec, members)
-    retired = {k: v for k, v in ledger.retired.items() if k not in hosts}
     return ledger._replace(
         groups={**ledger.groups, group: record},
         last_epoch={**ledger.last_epoch, group: epoch},
-        retired=retired,
     )
-
-
-def _retire(ledger: DomainLedger, old: GroupRecord, keep: set[str]) -> DomainLedger:
-    gone = {
-        m.host: RetiredHost(old.group, old.epoch, m.boot_id)
-        for m in old.members
-        if m.host not in keep
-    }
-    return ledger._replace(retired={**ledger.retired, **gone})
--- a/src/oleanderhill/membership.py
+++ b/src/oleanderhill/membership.py
@@ -36,6 +36,7 @@
     :param incarnation: raised at each start (wall clock in ms), so that a restarted host wins
     :param heartbeat: raised by its owner once an interval
     :param left: it said goodbye
+    :param life: random for each start; unlike the incarnation it never changes within one
     """
 
     host: str
@@ -44,6 +45,7 @@
     incarnation: int
     heartbeat: int
     left: bool = False
+    life: str = ""
 
 
 class Gossip(NamedTuple):
--- a/src/oleanderhill/once.py
+++ b/src/oleanderhill/once.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from .outcomes import Ran
+
 SHARDS = 8
 MAX_BATCH = 200
 ANSWER_LIMIT = 4096
@@ -136,6 +138,22 @@
     return msgspec.msgpack.decode(value, type=Batch)
 
 
+def closing_row(claim: Row, ran: Ran, status: int = 0, answer: bytes | None = None) -> Row | None:
+    """Return the row that closes a granted claim, ``None`` where its end is not known.
+
+    :param ran: what is known of the run; only a claim whose request was surely not run is
+        released, so that its key can be claimed again
+    :param answer: ``None`` for one that is not kept
+    """
+    if ran == Ran.NO:
+        return claim._replace(kind=RowKind.RELEASE)
+    if ran == Ran.UNKNOWN:
+        return None
+    kept = answer is not None and len(answer) <= ANSWER_LIMIT
+    shown = answer if kept and answer is not None else b""
+    return claim._replace(kind=RowKind.DONE, status=status, answer=shown, answer_kept=kept)
+
+
 class Journal:
     """One shard as seen by one entry host."""
 
--- a/src/oleanderhill/operators.py
+++ b/src/oleanderhill/operators.py
@@ -24,6 +24,7 @@
 from .relay import DocumentsTask
 from .settings import SETTINGS_PREFIX, WriteState, decode_subtree
 from .stewards import Stewards
+from .tally import stranded_hosts
 
 MAX_BODY = 1024 * 1024
 STATUS_BY_STATE = {
@@ -141,17 +142,18 @@
 
     def _domains(self) -> list[dict[str, Any]]:
         stewards = self.kernel.find("stewards", Stewards)
+        owner_by_domain = self.kernel.find("router", RouterTask).book.owner_by_domain
         now = time.monotonic()
         return [
             {
                 "domain": d,
                 "owned_here": s.owned,
-                "owner": s.ledger.owner,
+                "owner": s.ledger.owner if s.owned else owner_by_domain.get(d, ""),
                 "owner_epoch": s.ledger.owner_epoch,
                 "unsaved": s.unsaved,
                 "hosts": len(s.entry_by_host),
                 "usable": s.usable(now) if s.owned else None,
-                "retired": sorted(s.ledger.retired),
+                "stranded": sorted(stranded_hosts(s.ledger, s.views(now), s.seen_by_host)),
                 "wanted": [w.group for w in s.wanted],
                 "confirmed_age": round(now - s.mine.confirmed_at, 1) if s.owned else None,
             }
--- a/src/oleanderhill/orders.py
+++ b/src/oleanderhill/orders.py
@@ -76,7 +76,7 @@
 
 
 def _unload(host: str, entry: HostEntry, seen: SeenReport) -> list[Due]:
-    """Empty a host that no group holds: a retired one, or one under a forgotten order."""
+    """Empty a host that no group holds any more."""
     report = seen.report
     if report.state == EngineState.EMPTY:
         return []
--- a/src/oleanderhill/placement.py
+++ b/src/oleanderhill/placement.py
@@ -14,7 +14,6 @@
 from . import ledger as ledgers
 from .types import (
     DomainLedger,
-    EngineState,
     GroupPhase,
     GroupRecord,
     GroupSpec,
@@ -36,8 +35,10 @@
 DRAIN_LIMIT = 120.0
 """Seconds after which a draining group is dissolved even with requests in flight."""
 
-GHOST_WAIT = 3 * EVIDENCE_MAX_AGE
-"""Seconds after which no entry host can still hold evidence for a group that nobody reports."""
+
+MENDED_BY_ORDERS = frozenset({MemberFault.LOADING, MemberFault.OTHER_GROUP})
+"""Faults that a load order of the present epoch ends. A new epoch for them would start over each
+time that a report older than the order comes in, and never get anywhere."""
 
 
 class Policy(NamedTuple):
@@ -82,14 +83,7 @@
     reason: str
 
 
-class Release(NamedTuple):
-    """Free retired hosts that were seen to have let go."""
-
-    hosts: tuple[str, ...]
-    reason: str
-
-
-Action = Form | Rebind | Drain | Dissolve | Release
+Action = Form | Rebind | Drain | Dissolve
 
 
 class Situation(NamedTuple):
@@ -97,6 +91,7 @@
 
     :param wanted: groups the plan gives to this domain
     :param entry_by_host: the platform's list for this domain
+    :param empty_since: since when each host reports, in its present boot, that it holds nothing
     :param broken_since: when each group that isn't whole was last seen whole, or formed
     :param draining_since: when each draining group began to drain
     """
@@ -106,6 +101,7 @@
     wanted: tuple[WantedGroup, ...]
     entry_by_host: Mapping[str, HostEntry]
     seen_by_host: Mapping[str, SeenReport]
+    empty_since: Mapping[str, float]
     broken_since: Mapping[str, float]
     draining_since: Mapping[str, float]
     policy: Policy
@@ -125,15 +121,13 @@
             return ledgers.draining(ledger, group)
         case Dissolve(group, _):
             return ledgers.dissolved(ledger, group)
-        case Release(hosts, _):
-            return ledgers.released(ledger, frozenset(hosts))
 
 
 def decide(s: Situation) -> list[Action]:
     """Return the actions to take now, in order; each holds after those before it."""
     actions: list[Action] = []
     ledger = s.ledger
-    for step in (_release, _remove_unwanted, _repair, _form):
+    for step in (_remove_unwanted, _repair, _form):
         found = step(s._replace(ledger=ledger))
         for action in found:
             ledger = apply(ledger, action)
@@ -147,13 +141,19 @@
     return [
         seen
         for host, seen in sorted(s.seen_by_host.items())
-        if host not in held
-        and host not in s.ledger.retired
-        and _present(s, host)
-        and seen.report.state == EngineState.EMPTY
+        if host not in held and _present(s, host) and _let_go(s, host)
     ]
 
 
+def _let_go(s: Situation, host: str) -> bool:
+    """Tell whether a host has held nothing for longer than evidence of its last group counts.
+
+    An entry host that is cut off from the owner may send to the host's last group for as long as
+    its evidence of it counts. Given to another group at once, the host would belong to two.
+    """
+    return s.now - s.empty_since.get(host, s.now) > EVIDENCE_MAX_AGE
+
+
 def _present(s: Situation, host: str) -> bool:
     entry = s.entry_by_host.get(host)
     seen = s.seen_by_host.get(host)
@@ -167,22 +167,6 @@
     return Member(host, s.entry_by_host[host].address, seen.report.boot_id)
 
 
-def _release(s: Situation) -> list[Action]:
-    """Free a retired host only once it is seen to hold nothing, or in another boot.
-
-    A host that went from one group to the next while an entry host still sent to the first
-    would serve for two. An empty report, or a new boot, proves that it has let go.
-    """
-    done = []
-    for host, retired in s.ledger.retired.items():
-        seen = s.seen_by_host.get(host)
-        if seen is None or s.now - seen.sent_at > EVIDENCE_MAX_AGE:
-            continue
-        if seen.report.state == EngineState.EMPTY or seen.report.boot_id != retired.boot_id:
-            done.append(host)
-    return [Release(tuple(sorted(done)), "seen empty or in a new boot")] if done else []
-
-
 def _remove_unwanted(s: Situation) -> list[Action]:
     wanted = {w.group for w in s.wanted}
     actions: list[Action] = []
@@ -226,7 +210,7 @@
     forming = any(w.group in s.ledger.groups for w in successors) and whole < len(successors)
     room = len(free_hosts(s)) >= record.spec.hosts
     drains = any(r.phase == GroupPhase.DRAINING for r in s.ledger.groups.values())
-    if busy or drains or room or forming or s.ledger.retired or whole < len(successors):
+    if busy or drains or room or forming or whole < len(successors):
         return []
     if all(w.group in s.ledger.groups for w in successors):
         return []
@@ -270,7 +254,7 @@
 
 def _needs_repair(s: Situation, record: GroupRecord, verdict: Verdict) -> bool:
     if verdict.faults:
-        return any(f != MemberFault.LOADING for f in verdict.faults.values())
+        return any(f not in MENDED_BY_ORDERS for f in verdict.faults.values())
     return any(_is_leaving(s, m.host) for m in record.members)
 
 
@@ -311,7 +295,7 @@
     if _is_leaving(s, member.host):
         return True
     fault = verdict.faults.get(member.host)
-    if fault is None or fault == MemberFault.LOADING:
+    if fault is None or fault in MENDED_BY_ORDERS:
         return False
     return fault == MemberFault.SILENT or not _present(s, member.host)
 
--- a/src/oleanderhill/relay.py
+++ b/src/oleanderhill/relay.py
@@ -18,7 +18,7 @@
 
 from . import settings as writes
 from .decisions import Decisions
-from .documents import Digest, Document, Documents, Have, Want, is_watcher
+from .documents import Digest, Document, Documents, Have, Want, is_watcher, to_write_back
 from .fleet import Fleet, build
 from .kernel import Kernel, Received, Task
 from .members import MembershipTask
@@ -228,18 +228,13 @@
 
     async def _repair(self, prefix: str, listing: Listing) -> None:
         """Write back what the store holds in an older revision than is in force here."""
-        for key, document in self.documents.under(prefix).items():
-            stored = listing.by_key.get(key)
-            try:
-                behind = stored is None or _document(key, stored).revision < document.revision
-            except msgspec.DecodeError:
-                behind = True
-            if not behind:
-                continue
-            index = stored.modify_index if stored else 0
-            done = await self.store.swap(key, document.body, index)
+        stored = {k: _revision(v) for k, v in listing.by_key.items()}
+        for document in to_write_back(self.documents.under(prefix), stored):
+            found = listing.by_key.get(document.key)
+            index = found.modify_index if found else 0
+            done = await self.store.swap(document.key, document.body, index)
             text = f"store was behind revision {document.revision}; written back: "
-            self._decisions.note("settings", key, text + str(done.value_or(False)))
+            self._decisions.note("settings", document.key, text + str(done.value_or(False)))
 
     async def _watch_hosts(self) -> None:
         index = 0
@@ -272,6 +267,7 @@
             entries = msgspec.json.decode(document.body, type=tuple[HostEntry, ...])
             self.kernel.post("stewards", HostsChanged(entries))
             self.kernel.post("planner", HostsChanged(entries))
+            self.kernel.post("router", HostsChanged(entries))
         elif document.key == plan_key(self._data_centre):
             self.kernel.post("planner", document)
 
@@ -289,6 +285,13 @@
             self.kernel.post(name, FleetChanged(self.fleet))
 
 
+def _revision(stored: Stored) -> int:
+    try:
+        return _document("", stored).revision
+    except msgspec.DecodeError:
+        return 0
+
+
 def _document(key: str, stored: Stored) -> Document:
     head = msgspec.json.decode(stored.value, type=_Head)
     return Document(key, head.revision, stored.value)
--- a/src/oleanderhill/report.py
+++ b/src/oleanderhill/report.py
@@ -84,8 +84,8 @@
     parts = [owner, f"epoch {domain['owner_epoch']}", f"{domain['hosts']} hosts"]
     if domain["usable"] is not None:
         parts.append(f"{domain['usable']} usable")
-    if domain["retired"]:
-        parts.append(f"retired {' '.join(domain['retired'])}")
+    if domain["stranded"]:
+        parts.append(f"stranded {' '.join(domain['stranded'])}")
     if domain["unsaved"]:
         parts.append("UNSAVED: the store is out")
     return ", ".join(parts)
--- a/src/oleanderhill/routing.py
+++ b/src/oleanderhill/routing.py
@@ -82,6 +82,7 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self.data_centre = data_centre
         self.by_group: dict[str, Evidence] = {}
+        self.leaving_hosts: frozenset[str] = frozenset()
         self.in_flight_by_group: dict[str, int] = {}
         self._starts: dict[str, deque[float]] = {}
         self._ejected_until: dict[str, float] = {}
@@ -115,6 +116,10 @@
         held = self.by_group.get(group)
         if held is None or held.view.epoch != epoch:
             return False
+        # The list is looked at here too, not only by the owner of the domain: while nobody owns
+        # the domain, a leaving host would get new requests until somebody has taken it.
+        if any(m.host in self.leaving_hosts for m in held.view.members):
+            return False
         return held.view.accepting and now - held.proven_at <= EVIDENCE_MAX_AGE
 
     def still_whole(self, group: str, epoch: int, now: float) -> bool:
--- a/src/oleanderhill/steward.py
+++ b/src/oleanderhill/steward.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -20,11 +20,14 @@
 from . import ledger as ledgers
 from . import ownership as owners
 from . import placement
+from .evidence import state_of
+from .messages import DomainEvidence
 from .orders import Due, OrderKey, due, order_key
 from .ownership import Ownership, Standing
 from .placement import Policy, Situation
 from .types import (
     DomainLedger,
+    EngineState,
     GroupPhase,
     GroupView,
     HostEntry,
@@ -47,6 +50,9 @@
 DISPLACED_WAIT = 30.0
 """Seconds a displaced owner waits before it takes the domain back; doubled each time."""
 
+OWNER_SILENT = 8.0
+"""Seconds without evidence from a live owner after which another takes the domain."""
+
 DISPLACED_MAX = 480.0
 
 
@@ -141,8 +147,9 @@
         self.fencing = fencing
         self.entry_by_host: dict[str, HostEntry] = {}
         self.wanted: tuple[WantedGroup, ...] = ()
-        self.live: frozenset[str] = frozenset()
+        self.life_by_live: Mapping[str, str] = {}
         self.settled = False
+        self.owner_heard_at = float("-inf")
         self.seen_by_host: dict[str, SeenReport] = {}
         self.ledger = DomainLedger(domain)
         self.mine = Ownership(domain)
@@ -150,6 +157,8 @@
         self._life = life
         self._index = 0
         self._read_once = False
+        self._named = ("", 0)
+        self._named_at = 0.0
         self._call_started: float | None = None
         self._writing: DomainLedger | None = None
         self._next_store = 0.0
@@ -158,6 +167,8 @@
         self._takes = 0
         self._last_tick: float | None = None
         self._watching_since = 0.0
+        self._empty_since: dict[str, float] = {}
+        self._load_lands_by: dict[str, float] = {}
         self._broken_since: dict[str, float] = {}
         self._draining_since: dict[str, float] = {}
         self._order_sent_at: dict[OrderKey, float] = {}
@@ -174,8 +185,16 @@
     def saw(self, seen: SeenReport) -> None:
         """Take in a report; one from an earlier probe than the one held is ignored."""
         held = self.seen_by_host.get(seen.report.host)
-        if held is None or held.sent_at <= seen.sent_at:
-            self.seen_by_host[seen.report.host] = seen
+        if held is not None and held.sent_at > seen.sent_at:
+            return
+        self.seen_by_host[seen.report.host] = seen
+        same_boot = held is not None and held.report.boot_id == seen.report.boot_id
+        if seen.report.state != EngineState.EMPTY:
+            self._empty_since.pop(seen.report.host, None)
+        elif not same_boot or seen.report.host not in self._empty_since:
+            # A load order may still be on its way to a host that reports that it is empty.
+            lands_by = self._load_lands_by.get(seen.report.host, seen.sent_at)
+            self._empty_since[seen.report.host] = max(seen.sent_at, lands_by)
 
     def ticket(self, key: OrderKey, wait: float, now: float) -> None:
         """Take in the weight store's answer: load now, or ask again after ``wait`` seconds."""
@@ -224,6 +243,17 @@
             for record in self.ledger.groups.values()
         ]
 
+    def evidence(self, data_centre: str, now: float, full: bool) -> DomainEvidence:
+        """Return what to tell entry hosts about the domain.
+
+        :param full: with the full records, not only the states
+        """
+        states = tuple(state_of(v) for v in self.views(now))
+        records = tuple(self.ledger.groups.values()) if full else ()
+        return DomainEvidence(
+            self.domain, data_centre, self.mine.epoch, states, records, self.usable(now)
+        )
+
     def usable(self, now: float) -> int:
         """Return how many of the domain's hosts are present and staying."""
         return sum(
@@ -253,10 +283,12 @@
 
     def _seek(self, now: float) -> list[Effect]:
         """Take the domain if membership suggests it and its owner is not there."""
-        if not self.settled or not owners.should_own(self.domain, self.me, self.live):
+        if not self.settled or not owners.should_own(self.domain, self.me, self.life_by_live):
             return []
         if now < self._next_take or self._busy(now):
             return []
+        if now - self.owner_heard_at < OWNER_SILENT / 2:
+            return []
         return self._call_read(now)
 
     def _read(self, value: bytes, index: int, started: float, now: float) -> list[Effect]:
@@ -295,13 +327,29 @@
         if ours and self._takes:
             return self._taken(found, now)
         # A live owner keeps its domain: moving it for balance would pause repairs for the wait.
-        if found.owner != self.me and found.owner in self.live:
+        if self._owner_acts(found, now):
             self._next_take = now + IDLE_CONFIRM
             return []
         self._takes += 1
-        wanted = ledgers.taken(found, self.me)._replace(write_id=self._write_id())
+        wanted = ledgers.taken(found, self.me, self._life)._replace(write_id=self._write_id())
         return self._call_swap(wanted, now)
 
+    def _owner_acts(self, found: DomainLedger, now: float) -> bool:
+        """Tell whether the owner named in the ledger is there and acts as one.
+
+        A restarted owner knows nothing of what it owned, so its name alone is not enough. Nor is
+        its life: its take-over may have landed after it gave the write up, and then it does not
+        know that it owns. So it must also be heard of, as the sender of evidence.
+        """
+        if found.owner == self.me:
+            return False
+        if self.life_by_live.get(found.owner) != found.owner_life:
+            return False
+        named = (found.owner, found.owner_epoch)
+        if named != self._named:
+            self._named, self._named_at = named, now
+        return now - max(self._named_at, self.owner_heard_at) < OWNER_SILENT
+
     def _write_id(self) -> str:
         return f"{self.me}/{self._life}/{self._takes}"
 
@@ -413,6 +461,7 @@
             self.wanted,
             self.entry_by_host,
             self.seen_by_host,
+            self._empty_since,
             self._broken_since,
             self._draining_since,
             self.policy,
@@ -460,6 +509,9 @@
             self._held_order = True
             return []
         self._order_sent_at[key] = now
+        if order.kind == "load":
+            self._load_lands_by[order.host] = now + owners.ORDER_LIFE
+            self._empty_since.pop(order.host, None)
         self._tickets.pop(key, None)
         text = f"{order.kind} {order.group} epoch {order.epoch} rank {order.rank}"
         return [SendOrder(order), Decided("order", order.host, text, (order.group,))]
@@ -477,5 +529,3 @@
             return Decided("place", group, f"drain: {reason}", (domain,))
         case placement.Dissolve(group, reason):
             return Decided("place", group, f"dissolve: {reason}", (domain,))
-        case placement.Release(hosts, reason):
-            return Decided("place", domain, f"release {' '.join(hosts)}: {reason}", hosts)
--- a/src/oleanderhill/stewards.py
+++ b/src/oleanderhill/stewards.py
@@ -11,14 +11,13 @@
 
 from . import steward as machine
 from .decisions import Decisions
+from .dispatch import RouterTask
 from .fleet import Fleet
 from .kernel import Kernel, Task
 from .ledger import ledger_key
 from .members import MembershipTask
 from .messages import (
-    DomainEvidence,
     FleetChanged,
-    GroupState,
     HostsChanged,
     LocalEvidence,
     PlanChanged,
@@ -32,7 +31,7 @@
 from .store import StoreClient
 from .tally import Gauges, Sums, added, measure
 from .targets import TargetClient
-from .types import GroupRecord, GroupView, HostEntry, Order, SeenReport, WantedGroup
+from .types import GroupRecord, HostEntry, Order, SeenReport, WantedGroup
 
 RECORDS_EVERY = 5.0
 """Seconds between full records to peers; the states in between are small."""
@@ -107,9 +106,11 @@
         """Tick every steward, probe the hosts of owned domains, publish evidence."""
         now = time.monotonic()
         members = self.kernel.find("membership", MembershipTask)
-        live = frozenset(members.live(self._data_centre))
+        life_by_live = {h: r.life for h, r in members.live(self._data_centre).items()}
+        heard_at_by_domain = self.kernel.find("router", RouterTask).book.heard_at_by_domain
         for domain, steward in self.by_domain.items():
-            steward.live = live
+            steward.life_by_live = life_by_live
+            steward.owner_heard_at = heard_at_by_domain.get(domain, float("-inf"))
             steward.settled = members.settled()
             self._perform(steward, steward.tick(now))
             if steward.owned:
@@ -127,7 +128,7 @@
     def _tally(self, now: float) -> None:
         seconds, self._tallied_at = now - self._tallied_at, now
         self.gauges_by_domain = {
-            d: measure(s.ledger, s.wanted, s.views(now))
+            d: measure(s.ledger, s.wanted, s.views(now), s.seen_by_host)
             for d, s in self.by_domain.items()
             if s.owned
         }
@@ -208,22 +209,14 @@
             steward.saw(SeenReport(result.unwrap(), sent_at))
 
     def _publish(self, domain: str, steward: DomainSteward, now: float) -> None:
-        views = steward.views(now)
         records = tuple(steward.ledger.groups.values())
         last, at = self._sent_records.get(domain, ((), -RECORDS_EVERY))
         full = records != last or now - at >= RECORDS_EVERY
         if full:
             self._sent_records[domain] = (records, now)
-        evidence = DomainEvidence(
-            domain,
-            self._data_centre,
-            steward.mine.epoch,
-            tuple(_state(v) for v in views),
-            records if full else (),
-            steward.usable(now),
-        )
-        self.kernel.post("router", LocalEvidence(evidence, records, now))
-        self.kernel.post("planner", LocalEvidence(evidence, records, now))
+        evidence = steward.evidence(self._data_centre, now, full)
+        for name in ("router", "planner"):
+            self.kernel.post(name, LocalEvidence(evidence, records, now))
         for address in self._audience(domain):
             self.kernel.post("peers", SendTo(address, evidence))
 
@@ -244,16 +237,3 @@
                 or domain in rendezvous(f"view/{row.host}", domains, VIEW_DOMAINS)
             )
         ]
-
-
-def _state(view: GroupView) -> GroupState:
-    return GroupState(
-        view.group,
-        view.epoch,
-        view.whole,
-        view.accepting,
-        view.age_ms,
-        view.running,
-        view.waiting,
-        view.capacity,
-    )
--- a/src/oleanderhill/tally.py
+++ b/src/oleanderhill/tally.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
-from .types import DomainLedger, GroupPhase, GroupView, WantedGroup
+from .ledger import holder_by_host
+from .types import DomainLedger, EngineState, GroupView, SeenReport, WantedGroup
 
 LONGEST_STEP = 5.0
 """Seconds of a step that count; a longer one means this process was paused and saw nothing."""
@@ -30,17 +31,28 @@
 
 
 def measure(
-    ledger: DomainLedger, wanted: Iterable[WantedGroup], views: Iterable[GroupView]
+    ledger: DomainLedger,
+    wanted: Iterable[WantedGroup],
+    views: Collection[GroupView],
+    seen_by_host: Mapping[str, SeenReport],
 ) -> Gauges:
     """Return the groups down and hosts stranded in one domain now."""
     whole = {v.group for v in views if v.whole}
     down = sum(1 for w in wanted if w.group not in whole)
-    held = sum(
-        len(r.members)
-        for r in ledger.groups.values()
-        if r.group not in whole or r.phase != GroupPhase.ACTIVE
-    )
-    return Gauges(down, held + len(ledger.retired))
+    return Gauges(down, len(stranded_hosts(ledger, views, seen_by_host)))
+
+
+def stranded_hosts(
+    ledger: DomainLedger, views: Iterable[GroupView], seen_by_host: Mapping[str, SeenReport]
+) -> set[str]:
+    """Return the hosts held by groups that don't serve, and those that hold what no group has."""
+    serving = {v.group for v in views if v.whole}
+    held = holder_by_host(ledger)
+    idle = {h for h, g in held.items() if g not in serving}
+    left_over = {
+        h for h, s in seen_by_host.items() if h not in held and s.report.state != EngineState.EMPTY
+    }
+    return idle | left_over
 
 
 def added(sums: Sums, gauges: Gauges, seconds: float) -> Sums:
--- a/src/oleanderhill/types.py
+++ b/src/oleanderhill/types.py
@@ -111,25 +111,13 @@
         return self.members[0]
 
 
-class RetiredHost(NamedTuple):
-    """A host taken out of a group while it could not be asked to let go.
-
-    :param group: group it belonged to
-    :param epoch: epoch of that group
-    :param boot_id: boot in which it belonged to it
-    """
-
-    group: str
-    epoch: int
-    boot_id: str
-
-
 class DomainLedger(NamedTuple):
     """The whole allocation of one fabric domain: a single value under one store key.
 
     One compare-and-swap changes it, hence a host can never be given to two groups by a race.
 
     :param owner: entry host that may act for the domain
+    :param owner_life: which start of that entry host, since a restarted one owns nothing
     :param owner_epoch: raised by one at each take-over; first half of the fencing number
     :param write_id: id of the take-over write, to resolve its lost answer
     :param version: raised by one with each change, to tell an older copy of the store
@@ -137,10 +125,10 @@
 
     domain: str
     owner: str = ""
+    owner_life: str = ""
     owner_epoch: int = 0
     write_id: str = ""
     groups: dict[str, GroupRecord] = {}
-    retired: dict[str, RetiredHost] = {}
     last_epoch: dict[str, int] = {}
     version: int = 0
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,71 @@
+"""Membership by gossip."""
+
+import random
+import unittest
+
+from oleanderhill.membership import SUSPECT_AFTER, Gossip, Membership, PeerState, Row
+
+
+def member(name, seeds=("a", "b")):
+    return Membership(Row(name, name, "dc", 1, 0), list(seeds), random.Random(name))
+
+
+def talk(members, now, linked=lambda a, b: True):
+    sends = [(n, s) for n, m in members.items() for s in m.tick(now)]
+    for sender, send in sends:
+        if linked(sender, send.address):
+            members[send.address].receive(now, send.message)
+
+
+class MembershipTest(unittest.TestCase):
+    def test_all_hear_of_all_within_seconds(self):
+        names = [f"n{i}" for i in range(9)]
+        members = {n: member(n, names[:2]) for n in names}
+        for second in range(8):
+            talk(members, float(second))
+        for m in members.values():
+            self.assertEqual(set(m.live(8.0)), set(names))
+
+    def test_silent_peer_is_suspected_and_comes_back(self):
+        m = member("a")
+        m.receive(0.0, Gossip((Row("b", "b", "dc", 1, 1),)))
+        self.assertEqual(m.state("b", SUSPECT_AFTER + 1), PeerState.SUSPECT)
+        m.receive(9.0, Gossip((Row("b", "b", "dc", 1, 2),)))
+        self.assertEqual(m.state("b", 9.0), PeerState.LIVE)
+
+    def test_rumour_of_an_old_heartbeat_proves_nothing(self):
+        m = member("a")
+        m.receive(0.0, Gossip((Row("b", "b", "dc", 1, 5),)))
+        m.receive(9.0, Gossip((Row("b", "b", "dc", 1, 4),)))
+        self.assertEqual(m.state("b", 9.0), PeerState.SUSPECT)
+
+    def test_goodbye_outranks_rumours_of_heartbeats(self):
+        # A host says goodbye; a heartbeat that it sent before still goes round and arrives later.
+        m = member("a")
+        m.receive(0.0, Gossip((Row("b", "b", "dc", 1, 5, left=True),)))
+        m.receive(0.1, Gossip((Row("b", "b", "dc", 1, 6),)))
+        self.assertEqual(m.state("b", 0.2), PeerState.LEFT)
+
+    def test_restarted_host_is_live_again_after_its_goodbye(self):
+        m = member("a")
+        m.receive(0.0, Gossip((Row("b", "b", "dc", 1, 5, left=True),)))
+        m.receive(1.0, Gossip((Row("b", "b", "dc", 2, 1),)))
+        self.assertEqual(m.state("b", 1.0), PeerState.LIVE)
+
+    def test_host_outlives_a_rumour_that_it_left(self):
+        m = member("b")
+        m.receive(0.0, Gossip((m.me._replace(left=True),)))
+        self.assertEqual(m.me.incarnation, 2)
+
+    def test_one_way_link_does_not_hide_a_host(self):
+        # c hears a but a never hears c directly; b passes the news on.
+        members = {n: member(n, ("a", "b", "c")) for n in ("a", "b", "c")}
+        for second in range(12):
+            talk(members, float(second), lambda x, y: (x, y) != ("c", "a"))
+        self.assertIn("c", members["a"].live(12.0))
+
+    def test_message_size_does_not_grow_with_the_fleet(self):
+        m = member("a")
+        for n in range(500):
+            m.receive(0.0, Gossip((Row(f"x{n}", f"x{n}", "dc", 1, 1),)))
+        self.assertLessEqual(len(m.tick(1.0)[0].message.rows), 21)
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,51 @@
+"""Which domain holds which group."""
+
+import unittest
+
+from oleanderhill.planner import DomainState, Plan, make_plan, patience, spares_kept
+from oleanderhill.types import WantedGroup
+
+from .test_placement import SPEC
+
+NOTHING = Plan(0, {})
+
+
+def wanted(count, version="x"):
+    return [WantedGroup(f"yard/bale@{version}#{n}", SPEC) for n in range(count)]
+
+
+class PlannerTest(unittest.TestCase):
+    def test_groups_go_where_there_is_room(self):
+        plan = make_plan(0.0, NOTHING, wanted(3), {"d": DomainState(4), "e": DomainState(2)}, 8.0)
+        self.assertEqual(sorted(plan.domain_by_group.values()), ["d", "d", "e"])
+
+    def test_settled_group_stays(self):
+        plan = make_plan(0.0, NOTHING, wanted(1), {"d": DomainState(4)}, 8.0)
+        more = {"d": DomainState(4), "a": DomainState(2)}
+        self.assertIs(make_plan(1.0, plan, wanted(1), more, 8.0), plan)
+
+    def test_domain_that_is_dark_for_a_moment_keeps_its_groups(self):
+        plan = make_plan(0.0, NOTHING, wanted(1), {"d": DomainState(2)}, 8.0)
+        dark = {"d": DomainState(0, 100.0), "e": DomainState(4)}
+        self.assertIs(make_plan(110.0, plan, wanted(1), dark, 8.0), plan)
+
+    def test_group_of_a_domain_that_stays_dark_moves_and_does_not_come_back(self):
+        plan = make_plan(0.0, NOTHING, wanted(1), {"d": DomainState(2)}, 8.0)
+        dark = {"d": DomainState(0, 100.0), "e": DomainState(4)}
+        moved = make_plan(100.0 + patience(8.0) + 1, plan, wanted(1), dark, 8.0)
+        self.assertEqual(set(moved.domain_by_group.values()), {"e"})
+        back = {"d": DomainState(2), "e": DomainState(4)}
+        self.assertIs(make_plan(500.0, moved, wanted(1), back, 8.0), moved)
+
+    def test_new_version_is_planned_where_the_old_one_is(self):
+        states = {"d": DomainState(8), "e": DomainState(8)}
+        plan = make_plan(0.0, NOTHING, wanted(2), states, 8.0)
+        rolled = make_plan(1.0, plan, wanted(2, "y"), states, 8.0)
+        for n in range(2):
+            old = plan.domain_by_group[f"yard/bale@x#{n}"]
+            self.assertEqual(rolled.domain_by_group[f"yard/bale@y#{n}"], old)
+
+    def test_downtime_that_is_worth_more_shortens_the_wait_and_keeps_spares(self):
+        self.assertLess(patience(80.0), patience(2.0))
+        self.assertEqual(spares_kept(32, 1.0), 0)
+        self.assertGreaterEqual(spares_kept(32, 2000.0), 1)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,155 @@
+"""Settings: checks, writes with lost answers, and what is in force."""
+
+import json
+import unittest
+
+from oleanderhill import documents, fleet, settings
+from oleanderhill.checking import check_subtree
+from oleanderhill.documents import Document, Documents
+from oleanderhill.exceptions import SettingsInvalidError
+from oleanderhill.settings import Change, Ended, SettingsInForce, Subtree, SubtreeWrite, WriteState
+
+YARD = {
+    "models": {"m": {"versions": {"v1": {"weights_gb": 10}}, "adapters": ["x"]}},
+    "groups": {"g": {"model": "m", "version": "v1", "hosts": 4, "replicas": {"hall": 2}}},
+    "accounts": {
+        "clerks": {"key_hashes": ["sha256:" + "0" * 64], "models": ["m"], "requests_per_second": 5}
+    },
+}
+
+
+def findings(tree, team="yard", budgets=None):
+    try:
+        check_subtree(team, json.dumps(tree), budgets)
+    except SettingsInvalidError as error:
+        return {f.path: f.expected for f in error.findings}
+    return {}
+
+
+def document(revision, tree=YARD):
+    raw = settings.msgspec.Raw(json.dumps(tree).encode())
+    return Document("settings/yard", revision, settings.encode_subtree(Subtree(revision, raw, ())))
+
+
+class CheckTest(unittest.TestCase):
+    def test_valid_subtree_has_no_findings(self):
+        self.assertEqual(findings(YARD), {})
+
+    def test_all_findings_come_at_once_with_path_and_hint(self):
+        bad = json.loads(json.dumps(YARD))
+        bad["groups"]["g"]["hosts"] = 0
+        bad["groups"]["g"]["priorty"] = 1
+        bad["accounts"]["clerks"]["key_hashes"] = ["secret"]
+        found = findings(bad)
+        self.assertIn("at least 1", found["$.groups.g.hosts"])
+        self.assertIn("'priority'", found["$.groups.g.priorty"])
+        self.assertIn("$.accounts.clerks.key_hashes[0]", found)
+
+    def test_names_that_lead_nowhere_are_found_with_a_hint(self):
+        bad = json.loads(json.dumps(YARD))
+        bad["groups"]["g"]["version"] = "v11"
+        bad["accounts"]["clerks"]["models"] = ["n"]
+        found = findings(bad)
+        self.assertIn("'v1'", found["$.groups.g.version"])
+        self.assertIn("$.accounts.clerks.models", found)
+
+    def test_wish_over_the_budget_is_refused(self):
+        self.assertIn("$.groups", findings(YARD, budgets={"yard": {"hall": 7}}))
+        self.assertEqual(findings(YARD, budgets={"yard": {"hall": 8}}), {})
+
+    def test_not_json_a_doubled_key_and_an_oversized_subtree_are_refused(self):
+        for text in ("{", '{"models": {}, "models": {}}', '{"x": "' + "y" * 1_000_000 + '"}'):
+            with self.assertRaises(SettingsInvalidError):
+                check_subtree("yard", text)
+
+    def test_budget_holds_whatever_the_order_of_two_operators_changes(self):
+        # One operator raises a wish while another lowers the budget; both were accepted. What
+        # is given out stays within the budget in force, and the cut is shown.
+        built = fleet.build({"yard": YARD, "fleet": {"host_budgets": {"yard": {"hall": 4}}}})
+        self.assertEqual(len(built.wanted_by_data_centre["hall"]), 1)
+        self.assertEqual(built.clipped[0].budget, 4)
+
+    def test_key_is_found_by_its_hash_alone(self):
+        held = {fleet.hash_of("right"): "view"}
+        self.assertEqual(fleet.find_by_key(held, "right"), "view")
+        self.assertIsNone(fleet.find_by_key(held, "wrong"))
+        self.assertIsNone(fleet.find_by_key(held, fleet.hash_of("right")))
+
+
+class WriteTest(unittest.TestCase):
+    def write(self, base=None, known=0):
+        return SubtreeWrite(b"{}", Change(0, "w1", "op", 0.0), base, known)
+
+    def test_lost_answer_is_found_in_the_history(self):
+        write = self.write()
+        write.start()
+        (swap,) = write.read(b"", 0)
+        write.failed(True)
+        (ended,) = write.read(swap.value, 1)
+        self.assertEqual((ended.state, ended.revision), (WriteState.ACCEPTED, 1))
+
+    def test_lost_write_that_was_overtaken_is_refused(self):
+        write = self.write()
+        write.start()
+        write.read(b"", 0)
+        write.failed(True)
+        other = settings.encode_subtree(Subtree(1, settings.msgspec.Raw(b"{}"), ()))
+        (ended,) = write.read(other, 1)
+        self.assertEqual(ended.state, WriteState.REFUSED)
+
+    def test_unresolved_write_is_unknown_and_never_refused(self):
+        write = self.write()
+        write.start()
+        write.read(b"", 0)
+        write.failed(True)
+        write.failed(False)
+        self.assertEqual(write.timeout().state, WriteState.UNKNOWN)
+
+    def test_write_on_an_old_revision_is_refused(self):
+        write = self.write(base=1, known=0)
+        write.start()
+        stored = settings.encode_subtree(Subtree(2, settings.msgspec.Raw(b"{}"), ()))
+        self.assertEqual(write.read(stored, 5), [Ended(WriteState.REFUSED, 2)])
+
+    def test_write_after_the_store_was_set_back_outranks_what_is_in_force(self):
+        write = self.write(known=9)
+        write.start()
+        stored = settings.encode_subtree(Subtree(3, settings.msgspec.Raw(b"{}"), ()))
+        write.read(stored, 5)
+        self.assertEqual(write.swapped(True)[0].revision, 10)
+
+
+class InForceTest(unittest.TestCase):
+    def test_invalid_subtree_leaves_the_last_valid_in_force(self):
+        in_force = SettingsInForce()
+        in_force.take(document(1), 0.0)
+        self.assertFalse(in_force.take(document(2, {"modles": 1}), 1.0))
+        state = in_force.state_by_team["yard"]
+        self.assertEqual((state.revision, state.seen), (1, 2))
+        self.assertTrue(state.findings)
+        self.assertIn("models", in_force.tree_by_team["yard"])
+
+    def test_next_valid_subtree_comes_into_force(self):
+        in_force = SettingsInForce()
+        in_force.take(document(1, {"modles": 1}), 0.0)
+        self.assertTrue(in_force.take(document(2), 1.0))
+        self.assertEqual(in_force.state_by_team["yard"].findings, ())
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_older_news_is_ignored(self):
+        held = Documents()
+        held.offer(document(5), 0.0)
+        self.assertFalse(held.offer(document(4), 0.0))
+        self.assertEqual(held.revision("settings/yard"), 5)
+
+    def test_peers_that_hold_the_same_say_nothing(self):
+        a, b = Documents(), Documents()
+        for held in (a, b):
+            held.offer(document(5), 0.0)
+        self.assertEqual(b.answer(a.digest()), [])
+
+    def test_store_that_was_set_back_is_written_over(self):
+        held = {"settings/yard": document(5)}
+        self.assertEqual(documents.to_write_back(held, {"settings/yard": 3}), [document(5)])
+        self.assertEqual(documents.to_write_back(held, {"settings/yard": 5}), [])
