Take out each safeguard and see its proof fail; mend what the scripts found

Cause: a proof that can't fail proves nothing.

Found by the scripts and mended: - a taker, or an owner waking from a pause, published evidence before its first round of probes and closed every group of the domain: it waits FIRST_ROUND; - a roll-out drained an old group while its successor was still loading; - a request that a group refused did not try the group again after its repair: what was tried is remembered with the epoch.

The requests machine now sends keys twice and gets requests far at once.

--- a/dev/oleanderhill_dev/bench_site.py
+++ b/dev/oleanderhill_dev/bench_site.py
@@ -11,6 +11,7 @@
 import os
 import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -222,6 +223,13 @@
             self.process_by_name[name] = subprocess.Popen(command, env=env, stdout=out, stderr=out)
 
 
+def free_address() -> str:
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
 def new_key() -> str:
     """Return a random bearer key."""
     return secrets.token_urlsafe(24)
--- a/dev/oleanderhill_dev/domain_world.py
+++ b/dev/oleanderhill_dev/domain_world.py
@@ -328,7 +328,8 @@
             self._perform(node, steward.tick(self.now))
             if steward.owned:
                 self._probe_all(node)
-                self._publish(node)
+                if steward.can_tell(self.now):
+                    self._publish(node)
         for evidence, record in node.book.to_probe(self.now):
             if record.group not in node.probing:
                 self._self_probe(node, evidence, record)
--- a/dev/oleanderhill_dev/engine_standin.py
+++ b/dev/oleanderhill_dev/engine_standin.py
@@ -61,9 +61,16 @@
         self.leaving = False
         self.members_ok = True
         self.prefixes: OrderedDict[str, None] = OrderedDict()
-        self.faults: dict[str, Any] = {"stall": False, "slow": 1.0, "cut_after": 0, "silent": False}
+        self.faults: dict[str, Any] = {
+            "stall": False,
+            "slow": 1.0,
+            "cut_after": 0,
+            "silent": False,
+            "padding": 0,
+        }
         self.shown: tuple[float, int, int] = (0.0, 0, 0)
         self.loads = 0
+        self.tokens = 0
 
     def clear(self) -> None:
         """Hold nothing."""
@@ -257,8 +264,9 @@
             if engine.faults["cut_after"] and number - start >= engine.faults["cut_after"]:
                 self.detach().close()
                 return
+            engine.tokens += 1
             if stream:
-                self.write(_event(run, number, token(prompt, number)))
+                self.write(_event(run, number, token(prompt, number), engine.faults["padding"]))
                 await self.flush()
             await engine.step(engine.pace, cancelled)
         engine.note("end", run)
@@ -270,9 +278,11 @@
         self.finish({"id": run, "object": "chat.completion", "choices": [choice]})
 
 
-def _event(run: str, number: int, text: str) -> bytes:
+def _event(run: str, number: int, text: str, padding: int) -> bytes:
     choice = {"index": 0, "delta": {"content": text}}
     body = {"id": run, "object": "chat.completion.chunk", "offset": number, "choices": [choice]}
+    if padding:
+        body["padding"] = "x" * padding
     return b"data: " + json.dumps(body).encode() + b"\n\n"
 
 
--- a/dev/oleanderhill_dev/fuzz_requests.py
+++ b/dev/oleanderhill_dev/fuzz_requests.py
@@ -20,7 +20,7 @@
 from oleanderhill.types import Member
 
 ENTRIES = 3
-KEYS = 3
+KEYS = 6
 
 
 class Submission:
@@ -75,19 +75,32 @@
 
     # Callers
 
-    @rule(key=st.integers(0, KEYS - 1), entry=st.integers(0, ENTRIES - 1), same=st.integers(0, 9))
-    def caller_sends(self, key: int, entry: int, same: int) -> None:
+    @rule(
+        key=st.integers(0, KEYS - 1),
+        entry=st.integers(0, ENTRIES - 1),
+        same=st.integers(0, 9),
+        then=st.sampled_from(("wait", "wait", "claim", "send", "run")),
+        again=st.none() | st.integers(0, ENTRIES - 1),
+    )
+    def caller_sends(self, key: int, entry: int, same: int, then: str, again: int | None) -> None:
+        """A caller sends a key, perhaps twice at once; the request may get far at once."""
         self._count()
         body = 0 if same else 1
         submission = Submission(len(self.submissions), key, body, entry)
         self.submissions.append(submission)
         self._perform(entry, self.journals[entry].claim(submission.claim))
+        if again is not None:
+            self.caller_sends(key, again, same, "wait", None)
+        if then != "wait":
+            self.store_is_well_for_a_while()
+        if then in ("send", "run"):
+            self.attempt_is_sent(len(self._running()) - 1, then == "run")
 
     @rule(pick=st.integers(0, 999))
     def claim_times_out(self, pick: int) -> None:
         self._count()
         waiting = [s for s in self._alive() if s.machine is None and not s.answers]
-        if not waiting:
+        if not waiting or pick % 2:
             return
         submission = waiting[pick % len(waiting)]
         journal = self.journals[submission.entry]
@@ -100,10 +113,20 @@
 
     @rule(
         pick=st.integers(0, 999),
-        end=st.sampled_from(("done", "done", "done", "lost", "landed", "late")),
+        end=st.sampled_from(("lost", "landed", "late")),
     )
-    def store_call_ends(self, pick: int, end: str) -> None:
+    def store_call_fails(self, pick: int, end: str) -> None:
         self._count()
+        self.store_call_ends(pick, end)
+
+    @rule()
+    def store_is_well_for_a_while(self) -> None:
+        self._count()
+        for _ in range(len(self.operations) + 4):
+            self.store_call_ends(0, "done")
+
+    def store_call_ends(self, pick: int, end: str) -> None:
+        """Let one store call end in some way."""
         if not self.operations:
             return
         operation = self.operations.pop(pick % len(self.operations))
@@ -142,15 +165,30 @@
     @rule(
         pick=st.integers(0, 999),
         event=st.sampled_from(
-            ("connect failed", "sending", "refused", "finished", "lost", "deadline", "gone", "late")
+            ("connect failed", "refused", "finished", "lost", "lost", "deadline", "gone", "late")
         ),
     )
-    def attempt_goes_on(self, pick: int, event: str) -> None:
+    def attempt_ends(self, pick: int, event: str) -> None:
         self._count()
-        running = [s for s in self._alive() if s.machine is not None and not s.answers]
+        running = self._running()
         if running:
             self._event(running[pick % len(running)], event)
 
+    @rule(pick=st.integers(0, 999), arrives=st.booleans(), whole=st.booleans())
+    def attempt_is_sent(self, pick: int, arrives: bool, whole: bool = False) -> None:
+        """A target is chosen, the bytes leave, and perhaps they arrive and run."""
+        self._count()
+        running = self._running()
+        if not running:
+            return
+        submission = running[pick % len(running)]
+        self._event(submission, "chosen")
+        self._event(submission, "sending")
+        if arrives and self.deliveries:
+            self._run(self.deliveries.pop().submission)
+            if whole:
+                self._event(submission, "finished")
+
     @rule(pick=st.integers(0, 999), lost=st.booleans())
     def bytes_arrive(self, pick: int, lost: bool) -> None:
         self._count()
@@ -159,9 +197,11 @@
             if not lost:
                 self._run(delivery.submission)
 
-    @rule(entry=st.integers(0, ENTRIES - 1))
-    def entry_restarts(self, entry: int) -> None:
+    @rule(entry=st.integers(0, ENTRIES - 1), seldom=st.integers(0, 2))
+    def entry_restarts(self, entry: int, seldom: int) -> None:
         self._count()
+        if seldom:
+            return
         self.lives[entry] += 1
         self.journals[entry] = self.journal_class()
         for submission in self.submissions:
@@ -205,6 +245,9 @@
 
     # The world
 
+    def _running(self) -> list[Submission]:
+        return [s for s in self._alive() if s.machine is not None]
+
     def _count(self) -> None:
         type(self).steps_run += 1
         self.now += 0.1
--- a/dev/oleanderhill_dev/mutants.py
+++ b/dev/oleanderhill_dev/mutants.py
@@ -98,9 +98,13 @@
         Mutant("age of evidence", [(routing.Router, "may_send", _may_send_old)], domain),
         Mutant("delay of a message", [(skew.ClockOffsets, "sent_at", _arrival)], domain),
         Mutant("settling of a sender's clock", [(skew, "SETTLE_SECONDS", 0.0)], domain),
-        Mutant("wait until a host let go", [(placement, "_let_go", _let_go_at_once)], domain),
-        Mutant("load order on its way", [(ownership, "ORDER_LIFE", 0.0)], domain),
-        Mutant("wait of a taker", [(ownership, "TAKE_OVER_WAIT", 0.0)], domain),
+        Mutant("wait until a host let go", [(placement, "_let_go", _let_go_at_once)], _LET_GO),
+        Mutant(
+            "load order on its way",
+            [(steward.DomainSteward, "_expect_load", _expect_nothing)],
+            _EXPECT,
+        ),
+        Mutant("wait of a taker", [(ownership, "TAKE_OVER_WAIT", 0.0)], _TAKER),
         Mutant("confirmation before an order", [(ownership, "CONFIRM_WINDOW", 1e9)], domain),
         Mutant(
             "leaving list at the router", [(routing.Router, "leaving_hosts", _Nothing())], domain
@@ -141,6 +145,11 @@
 
 
 _LEDGER_RULE = testing("test_placement.LedgerRuleTest.test_ledger_refuses_a_host_in_two_groups")
+_LET_GO = testing(
+    "test_placement.FormingTest.test_host_that_just_let_go_is_not_given_to_another_group"
+)
+_EXPECT = testing("test_steward.StewardTest.test_host_with_a_load_on_its_way_is_not_free")
+_TAKER = testing("test_domain.DomainTest.test_orders_of_two_owners_never_interleave")
 _EPOCHS = testing("test_placement.LedgerRuleTest.test_group_formed_again_never_reuses_an_epoch")
 _PAUSE = testing("test_steward.StewardTest.test_owner_that_wakes_from_a_pause_repairs_nothing")
 _DISPLACED = testing("test_steward.StewardTest.test_displaced_owner_waits_before_it_takes_back")
@@ -209,6 +218,10 @@
     return s.seen_by_host[host].report.state == EngineState.EMPTY
 
 
+def _expect_nothing(machine: Any, host: str, now: float) -> None:
+    return None
+
+
 def _never_closing(view: Any) -> Any:
     return _state_of(view)._replace(accepting=view.whole)
 
--- a/src/oleanderhill/attempts.py
+++ b/src/oleanderhill/attempts.py
@@ -262,7 +262,7 @@
 
     def _again(self, problem: Problem, now: float) -> list[Effect]:
         if self.choice is not None:
-            self.tried = self.tried | {self.choice.group}
+            self.tried = self.tried | {self.choice.target}
         exhausted = self.attempt >= MAX_ATTEMPTS or now >= self.request.deadline
         if exhausted or not self._budget.take(now):
             return self._finish([Fail(problem)])
--- a/src/oleanderhill/placement.py
+++ b/src/oleanderhill/placement.py
@@ -200,23 +200,31 @@
     successors = [w for w in s.wanted if _same_name(w.spec, record)]
     if not successors:
         return [Drain(record.group, "not wanted")]
-    whole = sum(
-        1
-        for r in s.ledger.groups.values()
-        if r.phase == GroupPhase.ACTIVE and _same_name(r.spec, record) and _verdict(s, r).whole
-    )
+    same = [r for r in s.ledger.groups.values() if _same_name(r.spec, record)]
+    whole = sum(1 for r in same if r.phase == GroupPhase.ACTIVE and _verdict(s, r).whole)
     if whole > len(successors):
         return [] if busy else [Drain(record.group, "its successor serves")]
-    forming = any(w.group in s.ledger.groups for w in successors) and whole < len(successors)
-    room = len(free_hosts(s)) >= record.spec.hosts
-    drains = any(r.phase == GroupPhase.DRAINING for r in s.ledger.groups.values())
-    if busy or drains or room or forming or whole < len(successors):
-        return []
-    if all(w.group in s.ledger.groups for w in successors):
+    if busy or whole < len(successors) or not _stuck(s, successors, record.spec.hosts):
         return []
     return [Drain(record.group, "makes room for its successor")]
 
 
+def _stuck(s: Situation, successors: Sequence[WantedGroup], hosts: int) -> bool:
+    """Tell whether no successor forms, none can be formed, and nothing makes room already."""
+    if any(r.phase == GroupPhase.DRAINING for r in s.ledger.groups.values()):
+        return False
+    formed = [s.ledger.groups[w.group] for w in successors if w.group in s.ledger.groups]
+    if any(not _verdict(s, r).whole for r in formed) or len(formed) == len(successors):
+        return False
+    return len(_unheld(s)) < hosts
+
+
+def _unheld(s: Situation) -> list[str]:
+    """Return the hosts that are present and in no group, even if they hold something still."""
+    held = ledgers.holder_by_host(s.ledger)
+    return [h for h in s.seen_by_host if h not in held and _present(s, h)]
+
+
 def _same_name(spec: GroupSpec, record: GroupRecord) -> bool:
     return (spec.team, spec.name) == (record.spec.team, record.spec.name)
 
--- a/src/oleanderhill/routing.py
+++ b/src/oleanderhill/routing.py
@@ -64,6 +64,11 @@
     data_centre: str
     reason: str
 
+    @property
+    def target(self) -> str:
+        """Return the group with its epoch: after a repair it is worth another try."""
+        return target_id(self.group, self.epoch)
+
 
 class NoChoice(NamedTuple):
     """Why no group could be chosen; ``full`` when groups exist but have no room."""
@@ -73,6 +78,11 @@
     known: bool
 
 
+def target_id(group: str, epoch: int) -> str:
+    """Return the name under which an attempt remembers what it tried."""
+    return f"{group}@{epoch}"
+
+
 class Router:
     """The groups that one entry host may send to.
 
@@ -136,13 +146,13 @@
     ) -> Choice | NoChoice:
         """Choose a group for a request.
 
-        :param exclude: groups already tried for it
+        :param exclude: targets already tried for it, see :func:`target_id`
         """
         offering = [e for e in self.by_group.values() if _offers(e.view, wanted)]
         if not offering:
             return NoChoice(f"no group offers {wanted.model}", False, False)
         able = [e for e in offering if self.may_send(e.view.group, e.view.epoch, now)]
-        able = [e for e in able if e.view.group not in exclude]
+        able = [e for e in able if target_id(e.view.group, e.view.epoch) not in exclude]
         able = self._not_ejected(able, now)
         if not able:
             return NoChoice(f"none of {len(offering)} groups is whole", False, True)
--- a/src/oleanderhill/services.py
+++ b/src/oleanderhill/services.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Mapping
 
-from .routing import Choice, NoChoice, Wanted
+from .routing import Choice, NoChoice, Wanted, target_id
 from .schema import PlainService, ServiceTarget
 from .types import Member
 from .waiting import Waiter
@@ -42,7 +42,7 @@
         if found is None:
             return NoChoice(f"no service {service}", False, False)
         target_by_id = {f"{name}/{t['address']}": t for t in found["targets"]}
-        left = {i: t for i, t in target_by_id.items() if i not in exclude}
+        left = {i: t for i, t in target_by_id.items() if target_id(i, 0) not in exclude}
         able = {i: t for i, t in left.items() if self._ejected_until.get(i, 0.0) <= now} or left
         if not able:
             return NoChoice(f"none of {len(target_by_id)} targets took it", False, True)
--- a/src/oleanderhill/steward.py
+++ b/src/oleanderhill/steward.py
@@ -42,6 +42,9 @@
 GAP = 1.5
 """Seconds between ticks that mean this process was paused."""
 
+FIRST_ROUND = 1.3
+"""Seconds in which every host that is there has answered a probe: one tick and a probe's limit."""
+
 IDLE_CONFIRM = 10.0
 """Seconds between reads of the ledger while nothing is to be done."""
 
@@ -254,6 +257,14 @@
             self.domain, data_centre, self.mine.epoch, states, records, self.usable(now)
         )
 
+    def can_tell(self, now: float) -> bool:
+        """Tell whether the hosts have been watched for long enough to say who is missing.
+
+        A new owner, or one that wakes from a pause, has no fresh reports. Its evidence would
+        close every group of the domain at every entry host until its probes are back.
+        """
+        return now - self._watching_since > FIRST_ROUND
+
     def usable(self, now: float) -> int:
         """Return how many of the domain's hosts are present and staying."""
         return sum(
@@ -510,12 +521,16 @@
             return []
         self._order_sent_at[key] = now
         if order.kind == "load":
-            self._load_lands_by[order.host] = now + owners.ORDER_LIFE
-            self._empty_since.pop(order.host, None)
+            self._expect_load(order.host, now)
         self._tickets.pop(key, None)
         text = f"{order.kind} {order.group} epoch {order.epoch} rank {order.rank}"
         return [SendOrder(order), Decided("order", order.host, text, (order.group,))]
 
+    def _expect_load(self, host: str, now: float) -> None:
+        """Don't take a host for empty while a load order may be on its way to it."""
+        self._load_lands_by[host] = now + owners.ORDER_LIFE
+        self._empty_since.pop(host, None)
+
 
 def _note(domain: str, action: placement.Action) -> Decided:
     match action:
--- a/src/oleanderhill/stewards.py
+++ b/src/oleanderhill/stewards.py
@@ -115,7 +115,8 @@
             self._perform(steward, steward.tick(now))
             if steward.owned:
                 self._probe_all(steward)
-                self._publish(domain, steward, now)
+                if steward.can_tell(now):
+                    self._publish(domain, steward, now)
         self._tally(now)
 
     def release(self) -> int:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -39,7 +39,7 @@
         m.start()
         m.handle(attempts.Chosen(choice("g1")), 0.0)
         effects = m.handle(attempts.ConnectFailed(1, "refused"), 0.0)
-        self.assertEqual(effects, [attempts.Select(frozenset({"g1"}))])
+        self.assertEqual(effects, [attempts.Select(frozenset({"g1@1"}))])
 
     def test_refused_before_start_then_no_target_is_told_as_not_run(self):
         m = machine(idempotent=False)
--- /dev/null
+++ b/tests/test_domain.py
@@ -0,0 +1,119 @@
+"""Scripted faults of a domain, over several seeds, against the oracle of the world."""
+
+import unittest
+
+from oleanderhill_dev.domain_world import DomainWorld, wanted_groups
+
+SEEDS = range(6)
+
+
+def owner_of(world):
+    return next(n.name for n in world.nodes.values() if n.alive and n.steward.owned)
+
+
+class DomainTest(unittest.TestCase):
+    def worlds(self, **more):
+        for seed in SEEDS:
+            world = DomainWorld(seed, **more)
+            world.until_all_serve(60.0)
+            yield world
+
+    def test_orders_of_two_owners_never_interleave(self):
+        # The engines ignore fencing numbers. The owner is cut off from its peers, which will
+        # take its domain, and a little later from the store, but not from the engines, which
+        # keep losing what they hold. It goes on ordering for as long as it was confirmed; the
+        # taker waits that time out.
+        for after in range(10):
+            world = DomainWorld(after, fencing=False)
+            world.until_all_serve(60.0)
+            owner = owner_of(world)
+            for name in world.names:
+                if name != owner:
+                    world.cut(owner, name)
+            for tick in range(40):
+                if tick == 8 + after:
+                    world.cut(owner, "store")
+                for engine in world.engines.values():
+                    engine.clear()
+                world.run(0.5)
+            world.recover()
+            world.until_all_serve(120.0)
+
+    def test_member_that_dies_is_replaced_and_the_group_serves_again(self):
+        for world in self.worlds():
+            world.engines["h0"].alive = world.engines["h1"].alive = False
+            world.run(3.0)
+            self.assertLess(world.until_all_serve(15.0), 15.0)
+
+    def test_hollow_host_is_not_believed(self):
+        # A member dies and comes back within the probe interval. It reports its old group,
+        # epoch, rank and "ready", but holds nothing; only its boot id is new.
+        for world in self.worlds():
+            for host in world.engines:
+                world.reboot(host, hollow=True)
+            world.run(20.0)
+            world.until_all_serve(60.0)
+
+    def test_dark_domain_comes_back_without_taking_groups_apart(self):
+        for world in self.worlds():
+            before = dict(world.nodes[owner_of(world)].steward.ledger.groups)
+            for engine in world.engines.values():
+                engine.paused = True
+            world.run(20.0)
+            for engine in world.engines.values():
+                engine.paused = False
+            world.until_all_serve(10.0)
+            self.assertEqual(world.nodes[owner_of(world)].steward.ledger.groups, before)
+
+    def test_group_repairs_during_a_store_outage_where_engines_check_fencing(self):
+        for world in self.worlds(fencing=True):
+            world.store.down = True
+            world.run(5.0)
+            for member in list(world.nodes[owner_of(world)].steward.ledger.groups.values()):
+                world.engines[member.members[0].host].alive = False
+            world.run(4.0)
+            world.until_all_serve(30.0)
+            world.recover()
+            world.run(10.0)
+            self.assertFalse(world.nodes[owner_of(world)].steward.unsaved)
+
+    def test_whole_groups_serve_through_a_store_outage_whatever_the_engines_check(self):
+        for fencing in (True, False):
+            for world in self.worlds(fencing=fencing):
+                world.store.down = True
+                for _ in range(300):
+                    world.step()
+                    self.assertTrue(world.all_serve())
+
+    def test_groups_serve_while_their_domain_has_no_owner(self):
+        # The owner dies. Until another has taken the domain nobody publishes evidence; each
+        # entry host asks the members itself.
+        for world in self.worlds():
+            world.kill_node(owner_of(world))
+            alive = [n for n in world.nodes.values() if n.alive]
+            for _ in range(200):
+                world.step()
+                for node in alive:
+                    self.assertEqual(len(node.router.by_group), 2)
+                    for group, held in node.router.by_group.items():
+                        self.assertTrue(node.router.may_send(group, held.view.epoch, world.now))
+
+    def test_roll_out_never_drops_below_the_wanted_groups_where_there_is_room(self):
+        for world in self.worlds():
+            world.wanted = wanted_groups("v2", 2)
+            for _ in range(600):
+                world.step()
+                for name in world.names:
+                    whole = [s for s in world.sendable() if s.node == name]
+                    self.assertGreaterEqual(len(whole), 2)
+            self.assertTrue(world.all_serve())
+
+    def test_two_entry_hosts_that_do_not_see_each_other_do_not_fight_for_a_domain(self):
+        for world in self.worlds():
+            for a in world.names:
+                for b in world.names:
+                    if a != b:
+                        world.cut(a, b)
+            before = world.store.writes
+            world.run(300.0)
+            self.assertLess(world.store.writes - before, 20)
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,304 @@
+"""The edge over real HTTP on loopback: bad input, and each final answer."""
+
+import asyncio
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from oleanderhill_dev import engine_standin, service_standin
+from oleanderhill_dev.bench_site import free_address
+
+from oleanderhill import dispatch, httpcall, outcomes
+from oleanderhill.checking import load_boot
+from oleanderhill.decisions import Decisions
+from oleanderhill.documents import Document
+from oleanderhill.edge import MAX_BODY, Edge
+from oleanderhill.entry import make_kernel
+from oleanderhill.exceptions import BootFileError
+from oleanderhill.fleet import hash_of
+from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.messages import DomainEvidence, GroupState
+from oleanderhill.relay import DocumentsTask
+from oleanderhill.settings import Subtree, encode_subtree, msgspec
+from oleanderhill.types import GroupRecord, Member
+
+BOOT = {
+    "host": "entry-t",
+    "data_centre": "hall",
+    "listen": {},
+    "platform": "127.0.0.1:9",
+    "peers": [],
+    "operator_key_hash": hash_of("op"),
+}
+
+
+def yard(service):
+    return {
+        "models": {"m": {"versions": {"v1": {"weights_gb": 1}}}, "secret": {"versions": {}}},
+        "groups": {"g": {"model": "m", "version": "v1", "hosts": 1, "replicas": {"hall": 1}}},
+        "services": {
+            "desk": {
+                "targets": [{"address": service, "data_centre": "hall"}],
+                "not_repeatable": ["/pay"],
+            }
+        },
+        "accounts": {
+            "a": {
+                "key_hashes": [hash_of("key")],
+                "models": ["m"],
+                "services": ["desk"],
+                "requests_per_second": 1000,
+            },
+            "slow": {
+                "key_hashes": [hash_of("slow")],
+                "models": ["m"],
+                "requests_per_second": 0.5,
+            },
+        },
+    }
+
+
+class Collector(Observer):
+    def __init__(self):
+        self.body = b""
+
+    def data(self, chunk):
+        self.body += chunk
+
+
+class EdgeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.servers = []
+        self.engine = engine_standin.Engine("h1", True, 0.0, 0.0, 8, 100.0, "")
+        self.engine_address = self.listen(engine_standin.make_application(self.engine))
+        self.service_delay = [0.0]
+        arguments = {"record": "", "delay": self.service_delay}
+        handler = [(r"/(.*)", service_standin.CallHandler, arguments)]
+        self.service = self.listen(engine_standin.Application(handler, log_function=lambda h: None))
+        boot = dict(BOOT)
+        boot["listen"] = {n: free_address() for n in ("callers", "operators", "peers")}
+        self.kernel = make_kernel(boot, Decisions("entry-t"))
+        await self.kernel.start()
+        self.callers = boot["listen"]["callers"]
+        self.edge = self.kernel.find("edge", Edge)
+        self.caller = HttpCaller()
+        self.give_settings()
+        self.serve_group()
+        await asyncio.sleep(0)
+
+    async def asyncTearDown(self):
+        await self.kernel.stop()
+        for server in self.servers:
+            server.stop()
+
+    def listen(self, application):
+        address = free_address()
+        ip, port = address.rsplit(":", 1)
+        self.servers.append(application.listen(int(port), ip))
+        return address
+
+    def give_settings(self):
+        documents = self.kernel.find("documents", DocumentsTask)
+        tree = msgspec.Raw(json.dumps(yard(self.service)).encode())
+        documents.offer(Document("settings/yard", 1, encode_subtree(Subtree(1, tree, ()))), "test")
+        documents.loaded = True
+        self.edge.fleet = documents.fleet
+        self.edge.services.service_by_name = documents.fleet.service_by_name
+        self.kernel.find("limits", object).limits.configure(
+            {a.account: a.requests_per_second for a in documents.fleet.account_by_key.values()}
+        )
+        self.kernel.find("limits", object).limits.fleet = 1
+
+    def serve_group(self, epoch=1):
+        (wanted,) = self.kernel.find("documents", DocumentsTask).fleet.wanted_by_data_centre["hall"]
+        self.engine.group, self.engine.epoch = wanted.group, epoch
+        self.engine.state = "ready"
+        member = Member("h1", self.engine_address, self.engine.boot_id)
+        record = GroupRecord(wanted.group, epoch, wanted.spec, (member,))
+        state = (wanted.group, epoch, True, True, 0, 0, 0, 8)
+        evidence = DomainEvidence("d", "hall", 1, (GroupState(*state),), (record,), 1)
+        self.edge.router.book.learn(evidence, (record,), asyncio.get_running_loop().time())
+
+    async def ask(
+        self, method="POST", path="/v1/chat/completions", body=None, key="key", **headers
+    ):
+        body = body if isinstance(body, bytes) else json.dumps(body or chat()).encode()
+        sent = {"Authorization": f"Bearer {key}"}
+        sent.update({k.replace("_", "-"): v for k, v in headers.items()})
+        collector = Collector()
+        call = Call(self.callers, method, path, sent, body if method != "GET" else b"", 10.0)
+        reply = (await self.caller.call(call, collector)).value_or(None)
+        self.assertIsNotNone(reply)
+        self.reply = reply
+        return reply.status, collector.body
+
+    async def refused(self, status, kind, ran="no", **arguments):
+        found, body = await self.ask(**arguments)
+        problem = json.loads(body)
+        self.assertEqual((found, problem["type"]), (status, outcomes.PROBLEM_BASE + kind))
+        self.assertEqual((problem["ran"], self.reply.headers["X-Request-Ran"]), (ran, ran))
+        return problem
+
+    async def test_whole_answer_plain_and_streamed(self):
+        status, body = await self.ask(body=chat(max_tokens=5))
+        self.assertEqual(status, 200)
+        content = json.loads(body)["choices"][0]["message"]["content"]
+        self.assertEqual(content, engine_standin.answer("hello", 5))
+        status, body = await self.ask(body=chat(max_tokens=5, stream=True))
+        self.assertEqual(body.count(b"\n\n"), 6)
+        self.assertTrue(body.endswith(b"data: [DONE]\n\n"))
+
+    async def test_malformed_bodies_are_refused(self):
+        for body in (b"{", b"[]", b'{"model": 1}', b'{"model": "m", "messages": [1]}'):
+            await self.refused(400, "bad-request", body=body)
+
+    async def test_oversized_body_is_refused_unread(self):
+        await self.refused(413, "too-large", body=b"x" * (MAX_BODY + 1))
+
+    async def test_wrong_key_unknown_and_forbidden_models_are_told_apart(self):
+        await self.refused(401, "unauthenticated", key="wrong")
+        await self.refused(404, "unknown-model", body=chat(model="none"))
+        await self.refused(403, "forbidden", body=chat(model="secret"))
+        await self.refused(403, "forbidden", key="slow", method="GET", path="/services/desk/x")
+
+    async def test_account_over_its_rate_is_told_when_to_come_back(self):
+        await self.ask(key="slow")
+        problem = await self.refused(429, "over-limit", key="slow")
+        self.assertGreater(problem["retry_after"], 0)
+        self.assertGreaterEqual(int(self.reply.headers["Retry-After"]), 1)
+
+    async def test_expired_or_malformed_deadline_is_not_run(self):
+        await self.refused(504, "deadline-passed", X_Request_Timeout="0")
+        await self.refused(400, "bad-request", X_Request_Timeout="soon")
+
+    async def test_deadline_during_the_run_is_unknown_and_the_engine_is_told(self):
+        self.engine.pace = 0.2
+        await self.refused(504, "deadline-passed", ran="unknown", X_Request_Timeout="0.5")
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.engine.running, {})
+
+    async def test_no_whole_group_is_not_run_with_a_time_to_come_back(self):
+        self.edge.router.router.by_group.clear()
+        problem = await self.refused(503, "no-capacity")
+        self.assertGreater(problem["retry_after"], 0)
+
+    async def test_target_that_refuses_before_the_start_is_not_run(self):
+        self.engine.epoch = 7
+        with mock.patch.object(dispatch, "PATIENCE", 0.3):
+            await self.refused(503, "no-capacity")
+
+    async def test_cut_stream_of_the_only_group_ends_with_a_typed_error_and_no_done(self):
+        # The engine's connection breaks after three tokens and no other group can go on. The
+        # caller has three tokens and then an error event; "[DONE]" never comes.
+        self.engine.faults["cut_after"] = 3
+        status, body = await self.ask(body=chat(max_tokens=9, stream=True), X_Request_Timeout="2")
+        self.assertEqual(status, 200)
+        self.assertIn(b"event: error", body)
+        self.assertNotIn(b"[DONE]", body)
+
+    async def test_caller_that_leaves_cancels_the_engines_stream(self):
+        self.engine.pace = 0.05
+        body = json.dumps(chat(max_tokens=1000, stream=True)).encode()
+        headers = {"Authorization": "Bearer key"}
+        call = Call(self.callers, "POST", "/v1/chat/completions", headers, body, None)
+        task = asyncio.create_task(self.caller.call(call, Collector()))
+        await until(lambda: self.engine.running)
+        task.cancel()
+        await until(lambda: not self.engine.running)
+        await until(lambda: self.edge.in_flight == 0)
+
+    async def test_slow_reader_holds_back_its_own_stream(self):
+        # The caller reads nothing. What the engine writes stays within the sockets' buffers
+        # and the edge's one chunk; it is not gathered in memory.
+        self.engine.faults["padding"] = 64 * 1024
+        ip, port = self.callers.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port), limit=1024)
+        body = json.dumps(chat(max_tokens=10_000, stream=True)).encode()
+        head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        reader._transport.pause_reading()
+        await until(lambda: self.edge.in_flight == 1)
+        seen = -1
+        while seen != self.engine.tokens:
+            seen = self.engine.tokens
+            await asyncio.sleep(0.5)
+        self.assertLess(seen, 1000)
+        self.assertEqual((len(self.engine.running), self.edge.in_flight), (1, 1))
+        writer.transport.abort()
+        await until(lambda: self.edge.in_flight == 0)
+
+    async def test_call_that_may_not_be_repeated_needs_a_key(self):
+        await self.refused(400, "bad-request", path="/services/desk/pay")
+        await self.refused(400, "bad-request", X_Not_Repeatable="true")
+
+    async def test_call_that_cannot_be_claimed_is_not_run(self):
+        # The store can't be reached, so the key can't be recorded: refused, not run on hope.
+        problem = await self.refused(
+            503, "journal-unavailable", path="/services/desk/pay", Idempotency_Key="k"
+        )
+        self.assertGreater(problem["retry_after"], 0)
+
+    async def test_plain_service_is_forwarded_with_query_and_status(self):
+        status, body = await self.ask("GET", "/services/desk/scan?x=1")
+        self.assertEqual((status, json.loads(body)["path"]), (200, "scan"))
+
+    async def test_draining_host_refuses_new_requests_as_not_run(self):
+        self.edge.draining = self.edge.withdrawn = True
+        await self.refused(503, "draining")
+        status, _ = await self.ask("GET", "/readyz")
+        self.assertEqual(status, 503)
+
+
+class BootTest(unittest.TestCase):
+    def test_broken_boot_file_names_path_value_and_what_was_expected(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "boot.json")
+            for text in ("{", json.dumps({**BOOT, "hots": 1})):
+                Path(path).write_text(text)
+                with self.assertRaises(BootFileError) as caught:
+                    load_boot(path)
+            self.assertIn("'host'", str(caught.exception))
+            with self.assertRaises(BootFileError):
+                load_boot(path + ".none")
+
+
+class HttpCallTest(unittest.IsolatedAsyncioTestCase):
+    async def fails(self, reply, timeout=2.0):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply)
+            writer.close()
+
+        address = free_address()
+        ip, port = address.rsplit(":", 1)
+        server = await asyncio.start_server(serve, ip, int(port))
+        result = await HttpCaller().call(Call(address, "GET", "/", timeout=timeout))
+        server.close()
+        return result.failure()
+
+    async def test_truncated_reply_is_lost_not_whole(self):
+        failure = await self.fails(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+        self.assertEqual((failure.kind, failure.sent), (httpcall.FailureKind.LOST, True))
+
+    async def test_reply_that_ends_with_its_connection_is_never_whole(self):
+        failure = await self.fails(b"HTTP/1.1 200 OK\r\n\r\nmaybe all")
+        self.assertTrue(failure.sent)
+
+    async def test_refused_connection_sent_nothing(self):
+        result = await HttpCaller().call(Call(free_address(), "GET", "/"))
+        self.assertFalse(result.failure().sent)
+
+
+def chat(**more):
+    return {"model": "m", "messages": [{"role": "user", "content": "hello"}], **more}
+
+
+async def until(condition):
+    for _ in range(300):
+        if condition():
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError("it did not come about")
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from oleanderhill import placement
 from oleanderhill import steward as machine
 from oleanderhill.orders import due
 from oleanderhill.placement import Policy
@@ -72,16 +73,16 @@
         self.assertTrue(swaps(effects))
 
     def test_owner_that_wakes_from_a_pause_repairs_nothing(self):
-        # The process is stopped for a minute. On waking all its reports are old and every
+        # The process is stopped for long. On waking all its reports are old and every
         # member looks dead; it must look again before it takes groups apart.
         steward = make_steward()
         own(steward, 100.0, [record()])
         whole = [serving("a", 0), serving("b", 1), report("c")]
         _, now = run(steward, 100.0, 10.0, whole)
         steward.store(machine.LedgerAnswer(encode_ledger(steward.ledger), 2), now)
-        effects = steward.tick(now + 60.0)
+        effects = steward.tick(now + 100.0)
         self.assertFalse(swaps(effects))
-        effects, _ = run(steward, now + 60.0, 5.0, whole)
+        effects, _ = run(steward, now + 100.0, 5.0, whole)
         self.assertFalse(swaps(effects))
 
     def test_displaced_owner_waits_before_it_takes_back(self):
@@ -151,6 +152,21 @@
             self.assertEqual(hosts, ["a", "c"] if fencing else ["a", "b"])
             self.assertEqual(steward.unsaved, fencing)
 
+    def test_host_with_a_load_on_its_way_is_not_free(self):
+        # A load order is under way to a host whose group is then taken apart. The host still
+        # reports that it is empty; given to another group, it would get two loads that cross.
+        steward = make_steward()
+        own(steward, 100.0, [record()])
+        reports = [serving("a", 0), report("b"), report("c")]
+        _, now = run(steward, 100.0, 3.0, reports)
+        steward.ticket(machine.OrderKey("load", "b", GROUP, 1), 0.0, now)
+        effects, now = run(steward, now, 0.5, reports)
+        self.assertEqual([o.host for o in orders(effects)], ["b"])
+        steward.ledger = steward.ledger._replace(groups={})
+        feed(steward, reports, now)
+        free = [f.report.host for f in placement.free_hosts(steward.situation(now))]
+        self.assertEqual(free, ["c"])
+
     def test_malformed_ledger_is_reported_and_changes_nothing(self):
         steward = make_steward()
         steward.tick(100.0)
