Bound what an entry host knows and says at the size to come

Cause: with 105 entry hosts in a data centre, evidence for 24 domains in full names was 18 KB/s a node, and gossip of 20 full rows left hosts looking dead; a build of the fleet's view for each change costs 3.2 us an entry of all subtrees.

Ruled out: beats drawn at random (83% of hosts seen live at 105) and fan-out 3 (93%, 1.9 KB/s); suspicion at 5 s for any size (80%). SWIM probing with a ring of monitors would cut the time to suspicion; not needed while entry hosts ask members themselves when an owner is gone.

--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,10 @@
 
 bench: dist/oleanderhill
 	$(BIN)/python -m oleanderhill_dev.bench
+
+slopes: $(VENV)/ready build/bench.json
+	$(BIN)/python -m oleanderhill_dev.slopes
+	$(BIN)/python -m oleanderhill_dev.capacity
+
+build/bench.json: dist/oleanderhill
+	$(BIN)/python -m oleanderhill_dev.bench
--- a/dev/oleanderhill_dev/bench.py
+++ b/dev/oleanderhill_dev/bench.py
@@ -13,7 +13,7 @@
 from oleanderhill.fleet import hash_of
 from oleanderhill.httpcall import Call, HttpCaller, Observer
 
-from .bench_site import Shape, Site
+from .bench_site import EntryAddress, Shape, Site
 from .measuring import (
     cpu_seconds,
     histogram,
@@ -148,24 +148,36 @@
             "of_size_to_come": round(relayed / used / NEEDED_TOKENS, 2),
         }
 
-    async def idle(self, seconds: float) -> dict[str, Any]:
-        """Measure control alone: no requests."""
-        before = (await self.site.ask(self.entry.operators, "GET", "/v1/status"))["cost"]
-        cpu = cpu_seconds(self.pid())
+    async def control(self, seconds: float) -> dict[str, Any]:
+        """Measure control alone, without requests, at the owner of the domain and at another."""
+        costs = [await self._idle(e, seconds) for e in self.site.entries]
+        owner = max(costs, key=lambda c: c["probes_a_second"])
+        other = min(costs, key=lambda c: c["probes_a_second"])
+        probing = owner["core_part"] - other["core_part"]
+        return {
+            "other": other,
+            "owner": owner,
+            "us_a_probe": round(1e6 * probing / max(owner["probes_a_second"], 0.01), 1),
+        }
+
+    async def _idle(self, entry: EntryAddress, seconds: float) -> dict[str, Any]:
+        pid = self.site.process_by_name[entry.host].pid
+        before = (await self.site.ask(entry.operators, "GET", "/v1/status"))["cost"]
+        cpu = cpu_seconds(pid)
         await asyncio.sleep(seconds)
-        used = cpu_seconds(self.pid()) - cpu
-        after = (await self.site.ask(self.entry.operators, "GET", "/v1/status"))["cost"]
+        used = cpu_seconds(pid) - cpu
+        after = (await self.site.ask(entry.operators, "GET", "/v1/status"))["cost"]
         sent = (after["peer_bytes_sent"] - before["peer_bytes_sent"]) / seconds
         return {
             "core_part": round(used / seconds, 4),
-            "resident_mb": round(resident_mb(self.pid()), 1),
+            "resident_mb": round(resident_mb(pid), 1),
             "peer_bytes_sent_a_second": round(sent, 1),
             "store_reads_a_second": round(
                 (after["store_reads"] - before["store_reads"]) / seconds, 3
             ),
             "probes_a_second": round((after["probes"] - before["probes"]) / seconds, 2),
             "core_part_of_budget": round(used / seconds / SIZE_TO_COME["core_part"], 2),
-            "memory_of_budget": round(resident_mb(self.pid()) / SIZE_TO_COME["resident_mb"], 2),
+            "memory_of_budget": round(resident_mb(pid) / SIZE_TO_COME["resident_mb"], 2),
             "bytes_of_budget": round(sent / SIZE_TO_COME["bytes_a_second"], 3),
         }
 
@@ -192,7 +204,7 @@
         await site.until_serving(4, 60)
         bench = Bench(site)
         return {
-            "idle": await bench.idle(5.0 if quick else 15.0),
+            "control": await bench.control(5.0 if quick else 15.0),
             "latency": await bench.latency(200 if quick else 1000),
             "requests": await bench.requests(3.0 if quick else 8.0, 16),
             "tokens": await bench.tokens(STREAMS, 200 if quick else 500),
--- a/dev/oleanderhill_dev/domain_world.py
+++ b/dev/oleanderhill_dev/domain_world.py
@@ -172,7 +172,7 @@
         self.membership = Membership(row, [n for n in world.names if n != name], rng, world.now)
         self.last_gossip = world.now
         self.probing: set[str] = set()
-        self.records_at = -100.0
+        self.told_version = (0, 0)
 
 
 class Accepted(NamedTuple):
@@ -426,11 +426,11 @@
         self._to_node(node, 0.3, done)
 
     def _publish(self, node: Node) -> None:
-        full = self.now - node.records_at > 2.0
-        if full:
-            node.records_at = self.now
-        evidence = node.steward.evidence(CENTRE, self.now, True)
-        node.book.learn(evidence, evidence.records, self.now)
+        full = node.steward.evidence(CENTRE, self.now, True)
+        node.book.learn(full, self.now)
+        version = (node.steward.mine.epoch, node.steward.ledger.version)
+        evidence = full if node.told_version != version else full._replace(records=())
+        node.told_version = version
         for name in self.names:
             if name != node.name:
                 self._to_peer(node, name, evidence)
@@ -444,11 +444,24 @@
             if isinstance(body, Gossip):
                 peer.membership.receive(self.now, body)
             else:
-                peer.book.receive(body, received)
+                self._hear(peer, body, received)
 
         if self.linked(node.name, name):
             self._to_node(peer, LATENCY, arrive)
 
+    def _hear(self, peer: Node, body: DomainEvidence, received: Received) -> None:
+        if not peer.book.receive(body, received):
+            return
+        owner = self.nodes[received.sender]
+
+        def asked() -> None:
+            if owner.steward.owned and owner.steward.can_tell(self.now):
+                full = owner.steward.evidence(CENTRE, self.now, True)
+                self._to_peer(owner, peer.name, full)
+
+        if self.linked(peer.name, owner.name):
+            self._to_node(owner, LATENCY, asked)
+
     # The oracle
 
     def _note_members(self) -> None:
--- a/dev/oleanderhill_dev/mutants.py
+++ b/dev/oleanderhill_dev/mutants.py
@@ -112,7 +112,7 @@
         Mutant("leaving members close a group", [(steward, "state_of", _never_closing)], domain),
         Mutant("life of an owner", [(steward.DomainSteward, "_owner_acts", _named_acts)], domain),
         Mutant(
-            "rank of records by owner", [(evidence.EvidenceBook, "_keep", _keep_by_epoch)], domain
+            "rank of records by owner", [(evidence.EvidenceBook, "_keep", _keep_by_version)], domain
         ),
         Mutant("orders mend other groups", [(placement, "MENDED_BY_ORDERS", frozenset())], domain),
         Mutant("rule of the ledger", [(ledger, "_put", _put_unchecked)], _LEDGER_RULE),
@@ -223,18 +223,19 @@
 
 
 def _never_closing(view: Any) -> Any:
-    return _state_of(view)._replace(accepting=view.whole)
+    return _state_of(view)._replace(flags=3 * view.whole)
 
 
 def _named_acts(machine: Any, found: Any, now: float) -> bool:
     return found.owner != machine.me and found.owner in machine.life_by_live
 
 
-def _keep_by_epoch(book: Any, owner_epoch: int, records: Any) -> None:
-    for record in records:
-        held = book.record_by_group.get(record.group)
-        if held is None or record.epoch >= held.epoch:
-            book.record_by_group[record.group] = record
+def _keep_by_version(book: Any, body: Any) -> None:
+    held = book.records_by_domain.get(body.domain)
+    if len(body.records) == len(body.states) and (held is None or body.version > held.version):
+        book.records_by_domain[body.domain] = evidence.DomainRecords(
+            body.owner_epoch, body.version, body.records
+        )
 
 
 def _put_unchecked(book: Any, group: str, spec: Any, members: Any) -> Any:
--- a/src/oleanderhill/claims.py
+++ b/src/oleanderhill/claims.py
@@ -1,8 +1,9 @@
 """The task that runs the journal of non-idempotent requests (:mod:`.once`).
 
-A shard's *home*, by rendezvous hash over the live entry hosts, appends for all of them, so that one
-store write covers many claims. The home is an economy, not a safeguard: while it can't be reached,
-an entry host appends itself, and the journal's create-only batches keep each key to one claim.
+A shard's *home*, by rendezvous hash over the live entry hosts of a data centre, appends for them,
+so that one store write covers many claims. The home is an economy, not a safeguard: while it can't
+be reached, an entry host appends itself, and the journal's create-only batches keep each key to one
+claim.
 """
 
 from __future__ import annotations
@@ -36,9 +37,17 @@
     name = "claims"
     interval = RETRY_EVERY
 
-    def __init__(self, kernel: Kernel, host: str, store: StoreClient, decisions: Decisions) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        host: str,
+        data_centre: str,
+        store: StoreClient,
+        decisions: Decisions,
+    ) -> None:
         super().__init__(kernel)
         self._host = host
+        self._data_centre = data_centre
         self._store = store
         self._decisions = decisions
         self._journals = [Journal() for _ in range(once.SHARDS)]
@@ -100,7 +109,7 @@
 
     def _home(self, shard: int) -> str | None:
         """Return the address of a shard's home, ``None`` if that is this entry host."""
-        live = self.kernel.find("membership", MembershipTask).live()
+        live = self.kernel.find("membership", MembershipTask).live(self._data_centre)
         names = rendezvous(f"once/{shard}", live)
         if not names or names[0] == self._host:
             return None
--- a/src/oleanderhill/dispatch.py
+++ b/src/oleanderhill/dispatch.py
@@ -15,7 +15,14 @@
 from .evidence import EvidenceBook
 from .fleet import Fleet
 from .kernel import Kernel, Received, Task
-from .messages import DomainEvidence, FleetChanged, HostsChanged, LocalEvidence
+from .messages import (
+    DomainEvidence,
+    FleetChanged,
+    HostsChanged,
+    LocalEvidence,
+    RecordsWanted,
+    SendTo,
+)
 from .routing import Choice, Evidence, NoChoice, Router, Wanted
 from .targets import TargetClient
 from .types import GroupRecord, HostState, SeenReport
@@ -148,7 +155,7 @@
 
     @handle.register
     def _(self, message: LocalEvidence) -> None:
-        self.book.learn(message.evidence, message.records, message.at)
+        self.book.learn(message.evidence, message.at)
 
     @handle.register
     def _(self, message: FleetChanged) -> None:
@@ -165,7 +172,8 @@
 
     @receive.register
     def _(self, body: DomainEvidence, envelope: Received) -> None:
-        self.book.receive(body, envelope)
+        if self.book.receive(body, envelope):
+            self.kernel.post("peers", SendTo(envelope.address, RecordsWanted(body.domain)))
 
     async def tick(self) -> None:
         """Check requests in flight, look for stale evidence, wake queues."""
@@ -188,7 +196,6 @@
                 self._decisions.note("group", group, f"{text}, epoch {evidence.view.epoch}")
         for group in self._accepting.keys() - self.router.by_group.keys():
             del self._accepting[group]
-            self.book.forget(group)
             self._decisions.note("group", group, "gone")
 
     def _probe_stale(self, evidence: Evidence, record: GroupRecord, now: float) -> None:
--- a/src/oleanderhill/entry.py
+++ b/src/oleanderhill/entry.py
@@ -61,7 +61,7 @@
     kernel.register(router)
     kernel.register(Stewards(kernel, host, life, data_centre, store, targets, metrics, decisions))
     kernel.register(PlanningTask(kernel, host, data_centre, decisions))
-    kernel.register(Claims(kernel, host, store, decisions))
+    kernel.register(Claims(kernel, host, data_centre, store, decisions))
     kernel.register(
         Edge(
             kernel,
--- a/src/oleanderhill/evidence.py
+++ b/src/oleanderhill/evidence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from .kernel import Received
 from .messages import DomainEvidence, GroupState
@@ -18,10 +19,21 @@
 SELF_PROBE_AFTER = 1.2
 """Age of evidence at which an entry host asks the members itself: their owner may be gone."""
 
+WHOLE = 2
+ACCEPTING = 1
+
 FORGET_AFTER = 300.0
 """Age of evidence at which a group is forgotten."""
 
 
+class DomainRecords(NamedTuple):
+    """The groups of a domain as its owner listed them."""
+
+    owner_epoch: int
+    version: int
+    records: tuple[GroupRecord, ...]
+
+
 class EvidenceBook:
     """Keeps the router's view up to date.
 
@@ -30,43 +42,52 @@
 
     def __init__(self, router: Router) -> None:
         self.router = router
-        self.record_by_group: dict[str, GroupRecord] = {}
-        self._kept_rank: dict[str, tuple[int, int]] = {}
+        self.records_by_domain: dict[str, DomainRecords] = {}
         self.owner_by_domain: dict[str, str] = {}
         self.heard_at_by_domain: dict[str, float] = {}
         self._offsets = ClockOffsets()
 
-    def receive(self, body: DomainEvidence, envelope: Received) -> None:
-        """Take in what a peer found at a domain that it owns."""
+    def receive(self, body: DomainEvidence, envelope: Received) -> bool:
+        """Take in what a peer found at a domain that it owns.
+
+        Return whether its records are needed to understand it.
+        """
         self.owner_by_domain[body.domain] = envelope.sender
         self.heard_at_by_domain[body.domain] = envelope.arrived
         sent_at = self._offsets.sent_at(
             envelope.sender, envelope.incarnation, envelope.stamp, envelope.arrived
         )
+        self._keep(body)
         # Until the sender's clock is known, its message may have lain in a socket for long.
         if sent_at is None:
-            self._keep(body.owner_epoch, body.records)
-        else:
-            self.learn(body, body.records, sent_at)
-
-    def learn(self, body: DomainEvidence, records: tuple[GroupRecord, ...], sent_at: float) -> None:
-        """Take in evidence whose ages refer to the local time ``sent_at``."""
-        self._keep(body.owner_epoch, records)
-        for state in body.states:
-            record = self.record_by_group.get(state.group)
-            if record is not None and record.epoch == state.epoch:
-                self._learn_one(body, record, state, sent_at)
-        self.router.forget_absent(body.domain, body.owner_epoch, [s.group for s in body.states])
+            return False
+        return not self.learn(body, sent_at)
+
+    def learn(self, body: DomainEvidence, sent_at: float) -> bool:
+        """Take in evidence whose ages refer to the local time ``sent_at``.
+
+        Return whether its states could be understood.
+        """
+        self._keep(body)
+        held = self.records_by_domain.get(body.domain)
+        if held is None or (held.owner_epoch, held.version) < (body.owner_epoch, body.version):
+            return False
+        if (held.owner_epoch, held.version) > (body.owner_epoch, body.version):
+            return True
+        for record, state in zip(held.records, body.states, strict=True):
+            self._learn_one(body, record, state, sent_at)
+        self.router.forget_absent(body.domain, body.owner_epoch, [r.group for r in held.records])
+        return True
 
     def to_probe(self, now: float) -> list[tuple[Evidence, GroupRecord]]:
         """Return the groups whose evidence is growing stale, with their records."""
         found = []
         for evidence in self.router.stale(now, SELF_PROBE_AFTER):
-            group = evidence.view.group
+            view = evidence.view
             if now - evidence.proven_at > FORGET_AFTER:
-                self.router.by_group.pop(group, None)
-            elif group in self.record_by_group:
-                found.append((evidence, self.record_by_group[group]))
+                self.router.by_group.pop(view.group, None)
+            else:
+                found.append((evidence, _record(view)))
         return found
 
     def probed(
@@ -86,21 +107,17 @@
         view = view._replace(accepting=view.accepting and not closing)
         self.router.learn(evidence._replace(view=view, proven_at=sent_at))
 
-    def forget(self, group: str) -> None:
-        """Drop the record of a group that is gone."""
-        self.record_by_group.pop(group, None)
-        self._kept_rank.pop(group, None)
+    def _keep(self, body: DomainEvidence) -> None:
+        """Keep the newest records of a domain, by its owner first.
 
-    def _keep(self, owner_epoch: int, records: tuple[GroupRecord, ...]) -> None:
-        """Keep the newest record of each group, by its owner first.
-
-        An owner that went on unsaved may have used group epochs above those of its successor.
+        An owner that went on unsaved may have counted versions above those of its successor.
         """
-        for record in records:
-            rank = (owner_epoch, record.epoch)
-            if rank >= self._kept_rank.get(record.group, (0, 0)):
-                self._kept_rank[record.group] = rank
-                self.record_by_group[record.group] = record
+        if len(body.records) != len(body.states):
+            return
+        held = self.records_by_domain.get(body.domain)
+        if held is None or (body.owner_epoch, body.version) > (held.owner_epoch, held.version):
+            records = DomainRecords(body.owner_epoch, body.version, body.records)
+            self.records_by_domain[body.domain] = records
 
     def _learn_one(
         self, body: DomainEvidence, record: GroupRecord, state: GroupState, sent_at: float
@@ -118,16 +135,8 @@
 
 def state_of(view: GroupView) -> GroupState:
     """Return the part of a view that changes often."""
-    return GroupState(
-        view.group,
-        view.epoch,
-        view.whole,
-        view.accepting,
-        view.age_ms,
-        view.running,
-        view.waiting,
-        view.capacity,
-    )
+    flags = WHOLE * view.whole + ACCEPTING * view.accepting
+    return GroupState(flags, view.age_ms, view.running, view.waiting, view.capacity)
 
 
 def _view(record: GroupRecord, state: GroupState) -> GroupView:
@@ -136,10 +145,14 @@
         record.epoch,
         record.spec,
         record.members,
-        state.whole,
-        state.accepting,
+        bool(state.flags & WHOLE),
+        bool(state.flags & ACCEPTING),
         state.age_ms,
         state.running,
         state.waiting,
         state.capacity,
     )
+
+
+def _record(view: GroupView) -> GroupRecord:
+    return GroupRecord(view.group, view.epoch, view.spec, view.members)
--- a/src/oleanderhill/membership.py
+++ b/src/oleanderhill/membership.py
@@ -15,10 +15,30 @@
 
 GOSSIP_INTERVAL = 1.0
 FANOUT = 2
-ROWS_PER_MESSAGE = 20
-"""Rows in one message; with two messages a second and 40 bytes a row, about 1.7 KB/s."""
+ROWS_PER_MESSAGE = 4
+"""Full rows in one message, of about 55 bytes; they introduce hosts."""
+
+BEATS_PER_MESSAGE = 32
+"""Heartbeats in one message, of about 16 bytes; they keep known hosts alive.
+
+Two messages a second cost 1.3 KB/s at most, however many hosts a data centre has; what grows
+instead is the time after which a silent host is suspected.
+"""
+
+FAR_CONTACTS = 9
+"""Hosts remembered of each other data centre, so that rows don't grow with the fleet."""
+
+FAR_SUSPECT_AFTER = 30.0
+FAR_EVERY = 5
+"""Messages to another data centre: one in so many intervals."""
 
 SUSPECT_AFTER = 5.0
+"""Seconds of silence after which a host is suspected, in data centres up to :data:`QUICK_SIZE`."""
+
+QUICK_SIZE = 25
+"""Hosts of a data centre whose beats all go round within :data:`SUSPECT_AFTER`, as measured."""
+
+TAG_MASK = 0xFFFF
 FORGET_AFTER = 60.0
 
 
@@ -48,10 +68,22 @@
     life: str = ""
 
 
+class Beat(NamedTuple):
+    """The heartbeat of a host whose row the receiver knows.
+
+    :param tag: lowest 16 bits of the incarnation; of another one the beat is ignored
+    """
+
+    host: str
+    tag: int
+    heartbeat: int
+
+
 class Gossip(NamedTuple):
-    """A message: the sender's own row first, then rows it heard of lately."""
+    """A message: the sender's own row first, then a few rows, and beats it heard of lately."""
 
     rows: tuple[Row, ...]
+    beats: tuple[Beat, ...] = ()
 
 
 class Known(NamedTuple):
@@ -79,6 +111,7 @@
         self._seeds = tuple(s for s in seeds if s != me.address)
         self._rng = rng
         self.by_host: dict[str, Known] = {}
+        self._passed_on: dict[str, int] = {}
         self._started = now
 
     def tick(self, now: float) -> list[Send]:
@@ -86,7 +119,7 @@
         self.me = self.me._replace(heartbeat=self.me.heartbeat + 1)
         self._forget(now)
         targets = self._targets(now)
-        message = Gossip((self.me, *self._fresh_rows()))
+        message = Gossip((self.me, *self._some_rows()), self._fresh_beats())
         return [Send(address, message) for address in targets]
 
     def receive(self, now: float, message: Gossip) -> list[Row]:
@@ -97,6 +130,8 @@
                 self._refute(row)
             elif self._take(now, row):
                 news.append(row)
+        for beat in message.beats:
+            self._take_beat(now, beat)
         return news
 
     def leave(self) -> list[Send]:
@@ -112,7 +147,17 @@
         known = self.by_host.get(host)
         if known is None or known.row.left:
             return PeerState.LEFT
-        return PeerState.LIVE if now - known.risen_at <= SUSPECT_AFTER else PeerState.SUSPECT
+        limit = self.suspect_after() if self._is_near(known.row) else FAR_SUSPECT_AFTER
+        return PeerState.LIVE if now - known.risen_at <= limit else PeerState.SUSPECT
+
+    def suspect_after(self) -> float:
+        """Return the seconds of silence after which a host of this data centre is suspected.
+
+        A message holds a bounded number of beats, so they take longer to go round in a large data
+        centre. Suspected too early, live hosts would lose their domains to others for nothing.
+        """
+        near = sum(1 for k in self.by_host.values() if self._is_near(k.row))
+        return SUSPECT_AFTER * max(1.0, (near + 1) / QUICK_SIZE)
 
     def live(self, now: float, data_centre: str | None = None) -> dict[str, Row]:
         """Return the live entry hosts by name, this one included unless it left."""
@@ -136,6 +181,8 @@
     def _take(self, now: float, row: Row) -> bool:
         known = self.by_host.get(row.host)
         if known is None:
+            if not self._has_room(row):
+                return False
             self.by_host[row.host] = Known(row, now)
             return not row.left
         old = (known.row.incarnation, known.row.left, known.row.heartbeat)
@@ -147,23 +194,56 @@
         self.by_host[row.host] = Known(row, now)
         return not was_live and not row.left
 
+    def _take_beat(self, now: float, beat: Beat) -> None:
+        known = self.by_host.get(beat.host)
+        if known is None or known.row.left or known.row.incarnation & TAG_MASK != beat.tag:
+            return
+        if beat.heartbeat > known.row.heartbeat:
+            self._passed_on[beat.host] = 0
+            self.by_host[beat.host] = Known(known.row._replace(heartbeat=beat.heartbeat), now)
+
+    def _is_near(self, row: Row) -> bool:
+        return row.data_centre == self.me.data_centre
+
+    def _has_room(self, row: Row) -> bool:
+        if self._is_near(row):
+            return True
+        known = sum(1 for k in self.by_host.values() if k.row.data_centre == row.data_centre)
+        return known < FAR_CONTACTS
+
     def _forget(self, now: float) -> None:
         gone = [h for h, k in self.by_host.items() if now - k.risen_at > FORGET_AFTER]
         for host in gone:
             del self.by_host[host]
+            self._passed_on.pop(host, None)
 
     def _targets(self, now: float) -> list[str]:
-        addresses = [k.row.address for k in self.by_host.values() if not k.row.left]
-        chosen = self._rng.sample(addresses, min(FANOUT, len(addresses)))
+        rows = [k.row for k in self.by_host.values() if not k.row.left]
+        near = [r.address for r in rows if self._is_near(r)]
+        far = [r.address for r in rows if not self._is_near(r)]
+        chosen = self._rng.sample(near, min(FANOUT, len(near)))
+        if far and self.me.heartbeat % FAR_EVERY == 0:
+            chosen.append(self._rng.choice(far))
         # A seed now and then joins two halves that forgot each other during a long partition.
-        spare_seed = self._seeds and (not chosen or self.me.heartbeat % 10 == 0)
-        if spare_seed:
+        if self._seeds and (not rows or self.me.heartbeat % (2 * FAR_EVERY) == 0):
             chosen.append(self._rng.choice(self._seeds))
         return list(dict.fromkeys(chosen))
 
-    def _fresh_rows(self) -> list[Row]:
-        newest = sorted(self.by_host.values(), key=lambda k: -k.risen_at)
-        half = ROWS_PER_MESSAGE // 2
-        rest = newest[half:]
-        picked = newest[:half] + self._rng.sample(rest, min(half, len(rest)))
-        return [k.row for k in picked]
+    def _some_rows(self) -> list[Row]:
+        known = [k.row for k in self.by_host.values()]
+        return self._rng.sample(known, min(ROWS_PER_MESSAGE, len(known)))
+
+    def _fresh_beats(self) -> tuple[Beat, ...]:
+        """Return the beats that were passed on least since they rose, the newest first.
+
+        Each beat is news to most hosts at first and to few after some rounds. Drawn at random,
+        most of a message would be old news, and hosts of a large data centre would look dead.
+        """
+        known = [k for h, k in self.by_host.items() if not k.row.left]
+        known.sort(key=lambda k: (self._passed_on.get(k.row.host, 0), -k.risen_at))
+        picked = known[:BEATS_PER_MESSAGE]
+        for k in picked:
+            self._passed_on[k.row.host] = self._passed_on.get(k.row.host, 0) + 1
+        return tuple(
+            Beat(k.row.host, k.row.incarnation & TAG_MASK, k.row.heartbeat) for k in picked
+        )
--- a/src/oleanderhill/messages.py
+++ b/src/oleanderhill/messages.py
@@ -20,12 +20,14 @@
 
 
 class GroupState(NamedTuple):
-    """The part of a :class:`~.types.GroupView` that changes often; 40 bytes on the wire."""
+    """The part of a :class:`~.types.GroupView` that changes often; about 8 bytes on the wire.
 
-    group: str
-    epoch: int
-    whole: bool
-    accepting: bool
+    States come in the order of the records of the same version, so they need no names.
+
+    :param flags: 2 for whole, 1 for accepting
+    """
+
+    flags: int
     age_ms: int
     running: int
     waiting: int
@@ -35,17 +37,27 @@
 class DomainEvidence(NamedTuple):
     """What the owner of a domain found at its hosts.
 
-    :param records: full records, sent when they changed and now and then; else empty
+    :param version: of the ledger whose groups the states are about
+    :param records: the groups in the order of the states, sent when they changed and to those who
+        ask; else empty
+    :param usable: hosts of the domain that are present and staying
     """
 
     domain: str
     data_centre: str
     owner_epoch: int
+    version: int
     states: tuple[GroupState, ...]
     records: tuple[GroupRecord, ...]
     usable: int
 
 
+class RecordsWanted(NamedTuple):
+    """Ask the owner of a domain for the records that its states are about."""
+
+    domain: str
+
+
 class ClaimAsk(NamedTuple):
     """Ask the home of a journal shard to record a row."""
 
@@ -102,13 +114,12 @@
 
 
 class LocalEvidence(NamedTuple):
-    """Evidence of this entry host's own stewards.
+    """Evidence of this entry host's own stewards, with its records.
 
     :param at: local monotonic time to which the ages refer
     """
 
     evidence: DomainEvidence
-    records: tuple[GroupRecord, ...]
     at: float
 
 
@@ -119,6 +130,7 @@
     Have: "documents",
     Demand: "limits",
     DomainEvidence: "router",
+    RecordsWanted: "stewards",
     ClaimAsk: "claims",
     ClaimAnswer: "claims",
 }
--- a/src/oleanderhill/relay.py
+++ b/src/oleanderhill/relay.py
@@ -32,6 +32,9 @@
 WRITE_PATIENCE = 10.0
 RETRY_AFTER = 0.3
 POLL_AFTER_FAILURE = 1.0
+BUILD_EVERY = 3.0
+"""Least seconds between two builds of the fleet's view; small against the 18 s that are allowed."""
+
 FLEET_LISTENERS = ("stewards", "planner", "router", "limits", "edge")
 
 
@@ -79,6 +82,8 @@
         self.in_force = SettingsInForce()
         self.fleet = Fleet()
         self.loaded = False
+        self._unbuilt = False
+        self._built_at = float("-inf")
         self.store_ok_at = 0.0
 
     async def start(self) -> None:
@@ -90,6 +95,7 @@
 
     async def tick(self) -> None:
         """Tell a peer what is held; it asks for what it lacks."""
+        self._build()
         members = self.kernel.find("membership", MembershipTask).live()
         others = [r for h, r in members.items() if h != self._host]
         if not others:
@@ -280,6 +286,19 @@
             return
         text = f"revision {document.revision} in force, from {source}"
         self._decisions.note("settings", team, text)
+        self._unbuilt = True
+        self._build()
+
+    def _build(self) -> None:
+        """Build the fleet's view from all subtrees, now or, while they change often, in a tick.
+
+        A build takes 3 us an entry of all subtrees; at 33,000 changes a day in a tree of 10,000
+        entries one for each change would take most of the processor time that control may use.
+        """
+        now = time.monotonic()
+        if not self._unbuilt or now - self._built_at < BUILD_EVERY:
+            return
+        self._unbuilt, self._built_at = False, now
         self.fleet = build(self.in_force.tree_by_team)
         for name in FLEET_LISTENERS:
             self.kernel.post(name, FleetChanged(self.fleet))
--- a/src/oleanderhill/steward.py
+++ b/src/oleanderhill/steward.py
@@ -251,10 +251,14 @@
 
         :param full: with the full records, not only the states
         """
-        states = tuple(state_of(v) for v in self.views(now))
-        records = tuple(self.ledger.groups.values()) if full else ()
         return DomainEvidence(
-            self.domain, data_centre, self.mine.epoch, states, records, self.usable(now)
+            self.domain,
+            data_centre,
+            self.mine.epoch,
+            self.ledger.version,
+            tuple(state_of(v) for v in self.views(now)),
+            tuple(self.ledger.groups.values()) if full else (),
+            self.usable(now),
         )
 
     def can_tell(self, now: float) -> bool:
--- a/src/oleanderhill/stewards.py
+++ b/src/oleanderhill/stewards.py
@@ -13,7 +13,7 @@
 from .decisions import Decisions
 from .dispatch import RouterTask
 from .fleet import Fleet
-from .kernel import Kernel, Task
+from .kernel import Kernel, Received, Task
 from .ledger import ledger_key
 from .members import MembershipTask
 from .messages import (
@@ -21,6 +21,7 @@
     HostsChanged,
     LocalEvidence,
     PlanChanged,
+    RecordsWanted,
     SendTo,
 )
 from .metrics import Metrics
@@ -31,12 +32,9 @@
 from .store import StoreClient
 from .tally import Gauges, Sums, added, measure
 from .targets import TargetClient
-from .types import GroupRecord, HostEntry, Order, SeenReport, WantedGroup
+from .types import HostEntry, Order, SeenReport, WantedGroup
 
-RECORDS_EVERY = 5.0
-"""Seconds between full records to peers; the states in between are small."""
-
-VIEW_DOMAINS = 24
+VIEW_DOMAINS = 8
 """Domains of one data centre that an entry host hears of; bounds its view at any fleet size."""
 
 
@@ -66,7 +64,7 @@
         self._decisions = decisions
         self._fleet = Fleet()
         self._wanted: dict[str, tuple[WantedGroup, ...]] = {}
-        self._sent_records: dict[str, tuple[tuple[GroupRecord, ...], float]] = {}
+        self._told_version: dict[str, tuple[int, int]] = {}
         self._probing: set[str] = set()
         self._metrics = metrics
         self._tallied_at = time.monotonic()
@@ -102,6 +100,18 @@
         for domain, steward in self.by_domain.items():
             steward.wanted = self._wanted.get(domain, ())
 
+    @singledispatchmethod
+    def receive(self, body: Any, envelope: Received) -> None:
+        """Handle a peer's message."""
+
+    @receive.register
+    def _(self, body: RecordsWanted, envelope: Received) -> None:
+        steward = self.by_domain.get(body.domain)
+        now = time.monotonic()
+        if steward is not None and steward.owned and steward.can_tell(now):
+            evidence = steward.evidence(self._data_centre, now, True)
+            self.kernel.post("peers", SendTo(envelope.address, evidence))
+
     async def tick(self) -> None:
         """Tick every steward, probe the hosts of owned domains, publish evidence."""
         now = time.monotonic()
@@ -210,14 +220,13 @@
             steward.saw(SeenReport(result.unwrap(), sent_at))
 
     def _publish(self, domain: str, steward: DomainSteward, now: float) -> None:
-        records = tuple(steward.ledger.groups.values())
-        last, at = self._sent_records.get(domain, ((), -RECORDS_EVERY))
-        full = records != last or now - at >= RECORDS_EVERY
-        if full:
-            self._sent_records[domain] = (records, now)
-        evidence = steward.evidence(self._data_centre, now, full)
+        version = (steward.mine.epoch, steward.ledger.version)
+        full = steward.evidence(self._data_centre, now, True)
+        changed = self._told_version.get(domain) != version
+        self._told_version[domain] = version
         for name in ("router", "planner"):
-            self.kernel.post(name, LocalEvidence(evidence, records, now))
+            self.kernel.post(name, LocalEvidence(full, now))
+        evidence = full if changed else full._replace(records=())
         for address in self._audience(domain):
             self.kernel.post("peers", SendTo(address, evidence))
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -118,9 +118,9 @@
         self.engine.state = "ready"
         member = Member("h1", self.engine_address, self.engine.boot_id)
         record = GroupRecord(wanted.group, epoch, wanted.spec, (member,))
-        state = (wanted.group, epoch, True, True, 0, 0, 0, 8)
-        evidence = DomainEvidence("d", "hall", 1, (GroupState(*state),), (record,), 1)
-        self.edge.router.book.learn(evidence, (record,), asyncio.get_running_loop().time())
+        states = (GroupState(3, 0, 0, 0, 8),)
+        evidence = DomainEvidence("d", "hall", 1, 1, states, (record,), 1)
+        self.edge.router.book.learn(evidence, asyncio.get_running_loop().time())
 
     async def ask(
         self, method="POST", path="/v1/chat/completions", body=None, key="key", **headers
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from oleanderhill.membership import SUSPECT_AFTER, Gossip, Membership, PeerState, Row
+from oleanderhill.membership import SUSPECT_AFTER, Beat, Gossip, Membership, PeerState, Row
 
 
 def member(name, seeds=("a", "b")):
@@ -68,4 +68,27 @@
         m = member("a")
         for n in range(500):
             m.receive(0.0, Gossip((Row(f"x{n}", f"x{n}", "dc", 1, 1),)))
-        self.assertLessEqual(len(m.tick(1.0)[0].message.rows), 21)
+        message = m.tick(1.0)[0].message
+        self.assertLessEqual((len(message.rows), len(message.beats)), (5, 32))
+
+    def test_other_data_centres_are_known_by_a_few_contacts(self):
+        m = member("a")
+        for n in range(500):
+            m.receive(0.0, Gossip((Row(f"x{n}", f"x{n}", f"far-{n % 20}", 1, 1),)))
+        self.assertEqual(len(m.by_host), 20 * 9)
+
+    def test_beat_of_an_earlier_life_proves_nothing(self):
+        m = member("a")
+        m.receive(0.0, Gossip((Row("b", "b", "dc", 7, 1),)))
+        m.receive(9.0, Gossip((), (Beat("b", 6, 50),)))
+        self.assertEqual(m.state("b", 9.0), PeerState.SUSPECT)
+        m.receive(9.0, Gossip((), (Beat("b", 7, 50),)))
+        self.assertEqual(m.state("b", 9.0), PeerState.LIVE)
+
+    def test_many_hosts_of_a_data_centre_are_all_seen_as_live(self):
+        names = [f"n{i}" for i in range(50)]
+        members = {n: member(n, names[:3]) for n in names}
+        for second in range(90):
+            talk(members, float(second))
+        seen = sum(len(m.live(90.0)) for m in members.values())
+        self.assertGreater(seen / len(names) ** 2, 0.995)
