Split the two largest modules by job, and join the two HTTP listeners

Now: edge (admission, readiness), handlers (HTTP), sink (the caller's answer) and listener (one server); steward (decisions), stewardship (its effects and events) and hostwatch (reports, probes due, since when a host holds nothing). ProblemError is part of the one exception tree.

Ruled out: splitting the steward's ownership from its placement; both need the ledger, the store call in flight and the confirmation at each step.

--- a/dev/oleanderhill_dev/domain_world.py
+++ b/dev/oleanderhill_dev/domain_world.py
@@ -14,7 +14,7 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from oleanderhill import steward as machine
+from oleanderhill import ownership, stewardship
 from oleanderhill.evidence import EvidenceBook
 from oleanderhill.kernel import Received
 from oleanderhill.ledger import holder_by_host
@@ -23,7 +23,8 @@
 from oleanderhill.orders import OrderKey
 from oleanderhill.placement import Policy
 from oleanderhill.routing import Router
-from oleanderhill.steward import DomainSteward, decode_ledger
+from oleanderhill.steward import TICK, DomainSteward
+from oleanderhill.stewardship import decode_ledger
 from oleanderhill.types import (
     EngineState,
     GroupSpec,
@@ -321,8 +322,8 @@
             for send in node.membership.tick(self.now):
                 self._to_peer(node, send.address, send.message)
         steward = node.steward
-        if (self.steps + node.number) % round(machine.TICK / self.step_seconds) == 0:
-            steward.hosts(
+        if (self.steps + node.number) % round(TICK / self.step_seconds) == 0:
+            steward.watch.hosts(
                 HostEntry(h, h, DOMAIN, CENTRE, state) for h, state in self.listed.items()
             )
             leaving = (h for h, s in self.listed.items() if s == HostState.LEAVING)
@@ -341,27 +342,27 @@
             if record.group not in node.probing:
                 self._self_probe(node, evidence, record)
 
-    def _perform(self, node: Node, effects: list[machine.Effect]) -> None:
+    def _perform(self, node: Node, effects: list[stewardship.Effect]) -> None:
         for effect in effects:
             match effect:
-                case machine.ReadLedger():
+                case stewardship.ReadLedger():
                     self._call_store(node, None)
-                case machine.SwapLedger():
+                case stewardship.SwapLedger():
                     self._call_store(node, effect)
-                case machine.SendOrder(order):
+                case stewardship.SendOrder(order):
                     self._send_order(node, order)
-                case machine.AskTicket(key, _):
+                case stewardship.AskTicket(key, _):
                     wait = self.rng.choice((0.0, 0.0, 0.5))
                     self._to_node(node, LATENCY, partial(self._ticket, node, key, wait))
 
     def _ticket(self, node: Node, key: OrderKey, wait: float) -> None:
         node.steward.ticket(key, wait, self.now)
 
-    def _call_store(self, node: Node, swap: machine.SwapLedger | None) -> None:
+    def _call_store(self, node: Node, swap: stewardship.SwapLedger | None) -> None:
         store = self.store
-        failed = machine.StoreFailed(swap is not None)
+        failed = stewardship.StoreFailed(swap is not None)
 
-        def answer(event: machine.StoreEvent, delay: float) -> None:
+        def answer(event: stewardship.StoreEvent, delay: float) -> None:
             self._to_node(
                 node, delay, lambda: self._perform(node, node.steward.store(event, self.now))
             )
@@ -372,14 +373,14 @@
                 return
             if swap is None:
                 store.reads += 1
-                answer(machine.LedgerAnswer(store.value, store.index), store.delay)
+                answer(stewardship.LedgerAnswer(store.value, store.index), store.delay)
                 return
             done = store.swap(swap.value, swap.modify_index)
             self._check_ledger()
             if store.lose == "answer":
                 answer(failed, 2.0)
             else:
-                answer(machine.SwapAnswer(done), store.delay)
+                answer(stewardship.SwapAnswer(done), store.delay)
 
         if store.lose == "late" and swap is not None:
             # The caller gives up, and the write lands much later.
@@ -388,7 +389,7 @@
             return
         self.at(store.delay, arrive)
 
-    def _land(self, swap: machine.SwapLedger) -> None:
+    def _land(self, swap: stewardship.SwapLedger) -> None:
         self.store.swap(swap.value, swap.modify_index)
         self._check_ledger()
 
@@ -401,7 +402,7 @@
             if engine.alive and not engine.paused:
                 engine.take(order, self.now, self.rng.choice(self.load_seconds))
 
-        self.at(self.rng.uniform(LATENCY, machine.owners.ORDER_LIFE - 0.1), arrive)
+        self.at(self.rng.uniform(LATENCY, ownership.ORDER_LIFE - 0.1), arrive)
 
     def _probe(self, node: Node, host: str, done: Callable[[SeenReport], None]) -> None:
         sent_at = self.now
@@ -416,8 +417,8 @@
             self.at(LATENCY, arrive)
 
     def _probe_all(self, node: Node) -> None:
-        for entry in node.steward.to_probe(self.now):
-            self._probe(node, entry.host, node.steward.saw)
+        for entry in node.steward.watch.to_probe(self.now):
+            self._probe(node, entry.host, node.steward.watch.saw)
 
     def _self_probe(self, node: Node, evidence: Any, record: Any) -> None:
         node.probing.add(record.group)
--- a/dev/oleanderhill_dev/mutants.py
+++ b/dev/oleanderhill_dev/mutants.py
@@ -21,6 +21,7 @@
     attempts,
     documents,
     evidence,
+    hostwatch,
     ledger,
     limits,
     membership,
@@ -101,7 +102,7 @@
         Mutant("wait until a host let go", [(placement, "_let_go", _let_go_at_once)], _LET_GO),
         Mutant(
             "load order on its way",
-            [(steward.DomainSteward, "_expect_load", _expect_nothing)],
+            [(hostwatch.HostWatch, "expect_load", _expect_nothing)],
             _EXPECT,
         ),
         Mutant("wait of a taker", [(ownership, "TAKE_OVER_WAIT", 0.0)], _TAKER),
--- a/dev/oleanderhill_dev/slopes.py
+++ b/dev/oleanderhill_dev/slopes.py
@@ -134,8 +134,8 @@
                 0,
                 16,
             )
-            steward.saw(SeenReport(report, 1000.0))
-    steward.hosts(entries)
+            steward.watch.saw(SeenReport(report, 1000.0))
+    steward.watch.hosts(entries)
     return steward
 
 
--- a/src/oleanderhill/edge.py
+++ b/src/oleanderhill/edge.py
@@ -1,77 +1,30 @@
-"""The HTTP server towards callers: authentication, bounds, and one final answer a request."""
+"""The server towards callers: admission, readiness, and what the handlers share."""
 
 from __future__ import annotations
 
-import asyncio
-import json
-import secrets
-import time
-from collections.abc import Awaitable
 from functools import singledispatchmethod
-from typing import Any, NamedTuple
+from typing import Any
 
-from tornado.httpserver import HTTPServer
-from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler, stream_request_body
+from tornado.web import Application
 
 from . import outcomes
-from .attempts import Request, RetryBudget
-from .claims import Claims
+from .attempts import RetryBudget
 from .decisions import Decisions
 from .dispatch import RouterTask
-from .exchange import Exchange, Finder, StallClocks, Work
-from .fleet import AccountView, Fleet, find_by_key
-from .httpcall import HttpCaller, Reply
+from .exchange import StallClocks
+from .fleet import AccountView, Fleet
+from .handlers import MAX_BODY, MissingHandler, routes
+from .httpcall import HttpCaller
 from .kernel import Kernel, Task
 from .limiting import LimitsTask
+from .listener import HttpListener
 from .messages import FleetChanged
 from .metrics import Metrics
-from .once import Decided, Row, Verdict, closing_row, hash_body, hash_key
-from .outcomes import Problem, Ran
+from .outcomes import ProblemError
 from .relay import DocumentsTask
-from .routing import Wanted
-from .schema import PlainService
 from .services import ServiceFinder
 from .targets import TargetClient
 
-MAX_BODY = 4 * 1024 * 1024
-DEFAULT_TIMEOUT = 60.0
-MAX_TIMEOUT = 600.0
-MAX_KEY = 255
-SLOW_READER_SECONDS = 30.0
-PREFIX_LENGTH = 256
-RUNNING_FOR = MAX_TIMEOUT + 60.0
-
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
-PASSED_HEADERS = ("Content-Type", "Accept")
-TIMEOUT_HEADER = "X-Request-Timeout"
-MARK_HEADER = "X-Not-Repeatable"
-KEY_HEADER = "Idempotency-Key"
-ID_HEADER = "X-Request-Id"
-
-
-class ProblemError(Exception):
-    """Carries a problem to the place that answers the caller."""
-
-    def __init__(self, problem: Problem) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
-
-
-class ModelName(NamedTuple):
-    """A caller's ``model[@version][:adapter]``, taken apart."""
-
-    model: str
-    version: str
-    adapter: str
-
-
-def parse_model(text: str) -> ModelName:
-    """Take a caller's model name apart."""
-    rest, _, adapter = text.partition(":")
-    model, _, version = rest.partition("@")
-    return ModelName(model, version, adapter)
-
 
 class Edge(Task):
     """Owns the server towards callers and the requests in flight."""
@@ -92,7 +45,7 @@
     ) -> None:
         super().__init__(kernel)
         self.host = host
-        self._address = address
+        self._listener = HttpListener(address)
         self.router = router
         self.services = services
         self.caller = caller
@@ -105,37 +58,21 @@
         self.in_flight = 0
         self.withdrawn = False
         self.draining = False
-        self._server: HTTPServer | None = None
 
     async def start(self) -> None:
         """Listen."""
         await super().start()
         application = Application(
-            [
-                (r"/healthz", HealthHandler, {"edge": self}),
-                (r"/readyz", ReadyHandler, {"edge": self}),
-                (r"/v1/models", ModelsHandler, {"edge": self}),
-                (r"/v1/chat/completions", ChatHandler, {"edge": self}),
-                (r"/services/([a-z0-9.-]+)(/.*)", ServiceHandler, {"edge": self}),
-            ],
+            routes(self),
             default_handler_class=MissingHandler,
             default_handler_args={"edge": self},
             log_function=lambda handler: None,
         )
-        self._server = HTTPServer(
-            application,
-            max_header_size=32 * 1024,
-            max_body_size=MAX_BODY,
-            idle_connection_timeout=60,
-        )
-        ip, port = self._address.rsplit(":", 1)
-        self._server.listen(int(port), ip)
+        self._listener.listen(application, max_body_size=MAX_BODY)
 
     async def stop(self) -> None:
         """Close the server."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+        await self._listener.stop()
         await super().stop()
 
     @property
@@ -164,399 +101,3 @@
             self.decisions.note("limit", account.account, f"refused, come back in {wait:.1f} s")
             raise ProblemError(outcomes.over_limit(wait))
         self.budget.request()
-
-
-@stream_request_body
-class _Handler(RequestHandler):
-    """What all handlers share: the body with its bound, errors as problem details."""
-
-    def initialize(self, edge: Edge) -> None:
-        self.edge = edge
-        self.request_id = secrets.token_hex(8)
-        self._chunks: list[bytes] = []
-        self._size = 0
-        self.exchange: Exchange | None = None
-
-    def prepare(self) -> None:
-        self.set_header(ID_HEADER, self.request_id)
-        length = self.request.headers.get("Content-Length", "0")
-        if not length.isdigit() or int(length) > MAX_BODY:
-            # The body is not read; the connection can't be used again.
-            self.set_header("Connection", "close")
-            self.answer_problem(outcomes.too_large(MAX_BODY))
-
-    def data_received(self, chunk: bytes) -> None:
-        self._size += len(chunk)
-        if self._size <= MAX_BODY:
-            self._chunks.append(chunk)
-
-    def whole_body(self) -> bytes:
-        """Return the body.
-
-        :raises ProblemError: if it was over the bound
-        """
-        if self._size > MAX_BODY:
-            raise ProblemError(outcomes.too_large(MAX_BODY))
-        return b"".join(self._chunks)
-
-    def answer_problem(self, problem: Problem) -> None:
-        """Give the caller a problem as its final answer."""
-        self.set_status(problem.status)
-        for name, value in problem.headers().items():
-            self.set_header(name, value)
-        self.set_header("Content-Type", "application/problem+json")
-        self.edge.metrics.count(f"answers.{problem.kind}")
-        self.finish(json.dumps(problem.as_body(self.request_id)))
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        detail = str(kwargs.get("exc_info", ("", ""))[1])[:200]
-        ran = Ran.UNKNOWN if self.exchange is not None else Ran.NO
-        problem = Problem(
-            "internal" if status_code >= 500 else "bad-request", status_code, ran, detail
-        )
-        if not self._finished:
-            self.answer_problem(problem)
-
-    def on_connection_close(self) -> None:
-        if self.exchange is not None:
-            self.exchange.caller_gone()
-
-    def account(self) -> AccountView:
-        """Return the client account of the bearer key.
-
-        :raises ProblemError: if it is missing or unknown
-        """
-        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
-        found = find_by_key(self.edge.fleet.account_by_key, key.strip())
-        if scheme.lower() != "bearer" or found is None:
-            raise ProblemError(outcomes.unauthenticated())
-        return found
-
-    def deadline(self) -> float:
-        """Return the local time at which the request must have its answer.
-
-        :raises ProblemError: if the header is malformed or names a time that has passed
-        """
-        text = self.request.headers.get(TIMEOUT_HEADER, str(DEFAULT_TIMEOUT))
-        try:
-            seconds = float(text)
-        except ValueError as error:
-            detail = f"{TIMEOUT_HEADER} is not a number of seconds"
-            raise ProblemError(outcomes.bad_request(detail)) from error
-        if not seconds > 0:
-            raise ProblemError(outcomes.deadline_passed(Ran.NO))
-        return time.monotonic() + min(seconds, MAX_TIMEOUT)
-
-    def key(self, needed: bool) -> str:
-        """Return the idempotency key, empty for none.
-
-        :raises ProblemError: if it is needed and missing, or too long
-        """
-        key = self.request.headers.get(KEY_HEADER, "")
-        if len(key) > MAX_KEY:
-            raise ProblemError(outcomes.bad_request(f"{KEY_HEADER} is over {MAX_KEY} characters"))
-        if needed and not key:
-            detail = f"a request that may not be repeated needs an {KEY_HEADER}"
-            raise ProblemError(outcomes.bad_request(detail))
-        return key
-
-    def marked(self) -> bool:
-        """Tell whether the caller marked the request as not repeatable."""
-        return self.request.headers.get(MARK_HEADER, "").lower() in ("1", "true", "yes")
-
-    async def serve(self, work: Work, finder: Finder, key: str) -> None:
-        """Run a request to its one final answer, through the journal if it has a key."""
-        self.edge.in_flight += 1
-        began = time.monotonic()
-        try:
-            if key:
-                await self._serve_once(work, finder, key)
-            else:
-                await self._run(work, finder)
-        finally:
-            self.edge.in_flight -= 1
-            self.edge.metrics.timing("request", (time.monotonic() - began) * 1000)
-
-    async def _run(self, work: Work, finder: Finder) -> _Sink:
-        edge = self.edge
-        sink = _Sink(self)
-        self.exchange = Exchange(
-            work,
-            sink,
-            finder,
-            edge.caller,
-            edge.targets,
-            edge.budget,
-            edge.clocks,
-            edge.decisions,
-        )
-        await self.exchange.run()
-        return sink
-
-    async def _serve_once(self, work: Work, finder: Finder, key: str) -> None:
-        claims = self.edge.kernel.find("claims", Claims)
-        hashed = hash_key(work.account, key)
-        body = hash_body(work.method, work.path, work.body)
-        row, decided = await claims.claim(hashed, body)
-        if decided.verdict != Verdict.GRANTED:
-            self._answer_repeated(decided)
-            return
-        sink = None
-        try:
-            sink = await self._run(work, finder)
-        finally:
-            self._record(claims, row, sink)
-
-    def _record(self, claims: Claims, claim: Row, sink: _Sink | None) -> None:
-        """Record how a claimed request ended; an unknown end leaves the claim as it is."""
-        if sink is None or self.exchange is None:
-            return
-        if sink.answered is not None:
-            answer = None if sink.streamed else sink.answered.body
-            row = closing_row(claim, Ran.YES, sink.answered.status, answer)
-        else:
-            row = closing_row(claim, self.exchange.machine.ran())
-        if row is not None:
-            claims.finish(row)
-
-    def _answer_repeated(self, decided: Decided) -> None:
-        row = decided.row
-        match decided.verdict:
-            case Verdict.DONE if row is not None and row.answer_kept:
-                self.set_status(row.status)
-                self.set_header("X-Idempotent-Replay", "true")
-                self.set_header("X-Request-Ran", Ran.YES.value)
-                self.set_header("Content-Type", "application/json")
-                self.finish(row.answer)
-            case Verdict.DONE:
-                self.answer_problem(outcomes.duplicate_done())
-            case Verdict.KEY_REUSED:
-                self.answer_problem(outcomes.key_reused())
-            case Verdict.RUNNING if row is not None and time.time() - row.at < RUNNING_FOR:
-                self.answer_problem(outcomes.duplicate_running())
-            case Verdict.RUNNING:
-                self.answer_problem(outcomes.duplicate_unknown())
-            case _:
-                self.answer_problem(outcomes.journal_unavailable())
-
-
-class _Sink:
-    """Gives the caller of one handler its answer."""
-
-    def __init__(self, handler: _Handler) -> None:
-        self._handler = handler
-        self.streamed = False
-        self.answered: Reply | None = None
-        self.problem: Problem | None = None
-
-    async def reply(self, reply: Reply) -> None:
-        handler = self._handler
-        handler.set_status(reply.status)
-        handler.set_header("X-Request-Ran", Ran.YES.value)
-        handler.set_header("Content-Type", reply.headers.get("Content-Type", "application/json"))
-        self.answered = reply
-        handler.edge.metrics.count("answers.whole")
-        handler.finish(reply.body)
-
-    def piece(self, chunk: bytes) -> Awaitable[None] | None:
-        handler = self._handler
-        connection = handler.request.connection
-        if self.streamed and connection is not None:
-            # Past the head a handler's own write only adds buffers and copies.
-            flushed = connection.write(chunk)
-        else:
-            self.streamed = True
-            handler.set_header("Content-Type", "text/event-stream")
-            handler.set_header("Cache-Control", "no-store")
-            handler.write(chunk)
-            flushed = handler.flush()
-        if flushed.done() and flushed.exception() is None:
-            return None
-        return self._until_taken(flushed)
-
-    async def _until_taken(self, flushed: asyncio.Future[None]) -> None:
-        """Wait until the socket took it all.
-
-        A slow reader holds back its own stream in this way, and not this host's memory. One that
-        takes nothing for long is cut.
-        """
-        try:
-            async with asyncio.timeout(SLOW_READER_SECONDS):
-                await flushed
-        except (StreamClosedError, TimeoutError):
-            if self._handler.exchange is not None:
-                self._handler.exchange.caller_gone()
-
-    async def end(self) -> None:
-        self.answered = Reply(200, self._handler.request.headers, b"")
-        self._handler.edge.metrics.count("answers.whole")
-        if not self._handler._finished:
-            self._handler.finish()
-
-    async def fail(self, problem: Problem) -> None:
-        self.problem = problem
-        handler = self._handler
-        if not self.streamed:
-            handler.answer_problem(problem)
-            return
-        # The stream has begun, so the status is gone. The error is the last event, and there
-        # is no [DONE]: a cut stream never looks like a whole one.
-        body = json.dumps(problem.as_body(handler.request_id))
-        handler.write(f"event: error\ndata: {body}\n\n")
-        handler.edge.metrics.count(f"answers.{problem.kind}")
-        handler.finish()
-
-
-class HealthHandler(_Handler):
-    """Alive."""
-
-    async def get(self) -> None:
-        self.finish({"alive": True})
-
-
-class ReadyHandler(_Handler):
-    """Whether the balancer should send callers here."""
-
-    async def get(self) -> None:
-        self.set_status(200 if self.edge.ready else 503)
-        self.finish({"ready": self.edge.ready, "draining": self.edge.withdrawn})
-
-
-class MissingHandler(_Handler):
-    """No such path."""
-
-    async def prepare(self) -> None:  # type: ignore[override]
-        self.set_header(ID_HEADER, self.request_id)
-        self.answer_problem(Problem("not-found", 404, Ran.NO, "there is no such path"))
-
-
-class ModelsHandler(_Handler):
-    """The models that the caller's account may use."""
-
-    async def get(self) -> None:
-        try:
-            account = self.account()
-        except ProblemError as error:
-            self.answer_problem(error.problem)
-            return
-        models = [{"id": m, "object": "model", "owned_by": account.team} for m in account.models]
-        self.finish({"object": "list", "data": sorted(models, key=lambda m: m["id"])})
-
-
-class ChatHandler(_Handler):
-    """Chat completions, plain and streamed."""
-
-    async def post(self) -> None:
-        try:
-            work, key = self._work()
-        except ProblemError as error:
-            self.answer_problem(error.problem)
-            return
-        await self.serve(work, self.edge.router, key)
-
-    def _work(self) -> tuple[Work, str]:
-        account = self.account()
-        body = self.whole_body()
-        parsed = self._parse(body)
-        name = parse_model(parsed["model"])
-        self._check_model(account, name)
-        deadline = self.deadline()
-        key = self.key(self.marked())
-        self.edge.admit(account)
-        stream = parsed.get("stream") is True
-        wanted = Wanted(
-            f"{account.team}/{name.model}", name.version, name.adapter, self._prefix(parsed)
-        )
-        request = Request(self.request_id, not key, stream, deadline)
-        work = Work(
-            request,
-            account.account,
-            wanted,
-            account.priority,
-            "POST",
-            "/v1/chat/completions",
-            {"Content-Type": "application/json"},
-            body,
-        )
-        return work, key
-
-    def _parse(self, body: bytes) -> dict[str, Any]:
-        try:
-            parsed = json.loads(body)
-        except ValueError as error:
-            raise ProblemError(outcomes.bad_request("the body is not JSON")) from error
-        if not isinstance(parsed, dict) or not isinstance(parsed.get("model"), str):
-            raise ProblemError(outcomes.bad_request("the body needs a model name"))
-        messages = parsed.get("messages")
-        if not isinstance(messages, list) or not all(isinstance(m, dict) for m in messages):
-            raise ProblemError(outcomes.bad_request("the body needs a list of messages"))
-        return parsed
-
-    def _check_model(self, account: AccountView, name: ModelName) -> None:
-        if name.model not in self.edge.fleet.models_by_team.get(account.team, frozenset()):
-            raise ProblemError(outcomes.unknown_model(name.model))
-        if name.model not in account.models:
-            raise ProblemError(outcomes.forbidden(name.model))
-
-    def _prefix(self, parsed: dict[str, Any]) -> str:
-        """Return the start of the first message: what engines' prefix caches most often share."""
-        messages = parsed["messages"]
-        content = messages[0].get("content") if messages else ""
-        return content[:PREFIX_LENGTH] if isinstance(content, str) else ""
-
-
-class ServiceHandler(_Handler):
-    """Calls to plain services."""
-
-    async def get(self, service: str, path: str) -> None:
-        await self._forward(service, path)
-
-    async def post(self, service: str, path: str) -> None:
-        await self._forward(service, path)
-
-    async def put(self, service: str, path: str) -> None:
-        await self._forward(service, path)
-
-    async def delete(self, service: str, path: str) -> None:
-        await self._forward(service, path)
-
-    async def _forward(self, service: str, path: str) -> None:
-        try:
-            work, key = self._work(service, path)
-        except ProblemError as error:
-            self.answer_problem(error.problem)
-            return
-        await self.serve(work, self.edge.services, key)
-
-    def _work(self, name: str, path: str) -> tuple[Work, str]:
-        account = self.account()
-        service = self.edge.fleet.service_by_name.get((account.team, name))
-        if service is None:
-            raise ProblemError(outcomes.unknown_model(name))
-        if name not in account.services:
-            raise ProblemError(outcomes.forbidden(name))
-        body = self.whole_body()
-        deadline = self.deadline()
-        key = self.key(self.marked() or self._needs_key(service, path))
-        self.edge.admit(account)
-        method = self.request.method or "GET"
-        idempotent = not key and method in IDEMPOTENT_METHODS
-        query = f"?{self.request.query}" if self.request.query else ""
-        headers = {h: self.request.headers[h] for h in PASSED_HEADERS if h in self.request.headers}
-        work = Work(
-            Request(self.request_id, idempotent, False, deadline),
-            account.account,
-            Wanted(f"{account.team}/{name}"),
-            account.priority,
-            method,
-            path + query,
-            headers,
-            body,
-            errors_are_answers=True,
-        )
-        return work, key
-
-    def _needs_key(self, service: PlainService, path: str) -> bool:
-        if self.request.method in ("GET", "HEAD", "OPTIONS"):
-            return False
-        return any(path.startswith(p) for p in service.get("not_repeatable", []))
--- a/src/oleanderhill/operators.py
+++ b/src/oleanderhill/operators.py
@@ -7,7 +7,6 @@
 import time
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from .checking import check_subtree
@@ -18,6 +17,7 @@
 from .exceptions import SettingsInvalidError
 from .fleet import OperatorView, find_by_key
 from .kernel import Kernel
+from .listener import HttpListener
 from .members import MembershipTask
 from .peers import Peers
 from .planning import PlanningTask
@@ -46,9 +46,8 @@
     def __init__(self, kernel: Kernel, address: str, key_hash: str, decisions: Decisions) -> None:
         self.kernel = kernel
         self.decisions = decisions
-        self._address = address
+        self._listener = HttpListener(address)
         self._key_hash = key_hash
-        self._server: HTTPServer | None = None
 
     async def start(self) -> None:
         """Listen."""
@@ -61,15 +60,11 @@
             ],
             log_function=lambda handler: None,
         )
-        self._server = HTTPServer(application, max_body_size=MAX_BODY)
-        ip, port = self._address.rsplit(":", 1)
-        self._server.listen(int(port), ip)
+        self._listener.listen(application, max_body_size=MAX_BODY)
 
     async def stop(self) -> None:
         """Close the server."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+        await self._listener.stop()
 
     def operator(self, key: str) -> OperatorView | None:
         """Return the operator of a bearer key."""
@@ -151,9 +146,9 @@
                 "owner": s.ledger.owner if s.owned else owner_by_domain.get(d, ""),
                 "owner_epoch": s.ledger.owner_epoch,
                 "unsaved": s.unsaved,
-                "hosts": len(s.entry_by_host),
-                "usable": s.usable(now) if s.owned else None,
-                "stranded": sorted(stranded_hosts(s.ledger, s.views(now), s.seen_by_host)),
+                "hosts": len(s.watch.entry_by_host),
+                "usable": s.watch.usable(now) if s.owned else None,
+                "stranded": sorted(stranded_hosts(s.ledger, s.views(now), s.watch.seen_by_host)),
                 "wanted": [w.group for w in s.wanted],
                 "confirmed_age": round(now - s.mine.confirmed_at, 1) if s.owned else None,
             }
--- a/src/oleanderhill/outcomes.py
+++ b/src/oleanderhill/outcomes.py
@@ -11,6 +11,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from .exceptions import OleanderhillError
+
 PROBLEM_BASE = "urn:oleanderhill:problem:"
 
 
@@ -60,6 +62,14 @@
         return headers
 
 
+class ProblemError(OleanderhillError):
+    """Carries a problem to the place that answers the caller."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
 def bad_request(detail: str) -> Problem:
     """Return the problem of a request that can't be understood."""
     return Problem("bad-request", 400, Ran.NO, detail)
--- a/src/oleanderhill/steward.py
+++ b/src/oleanderhill/steward.py
@@ -12,8 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Mapping
 
 import msgspec
 
@@ -21,26 +20,35 @@
 from . import ownership as owners
 from . import placement
 from .evidence import state_of
+from .hostwatch import HostWatch
 from .messages import DomainEvidence
 from .orders import Due, OrderKey, due, order_key
 from .ownership import Ownership, Standing
 from .placement import Policy, Situation
+from .stewardship import (
+    AskTicket,
+    Decided,
+    Effect,
+    LedgerAnswer,
+    ReadLedger,
+    SendOrder,
+    StoreEvent,
+    StoreFailed,
+    SwapAnswer,
+    SwapLedger,
+    decode_ledger,
+    encode_ledger,
+)
 from .types import (
     DomainLedger,
-    EngineState,
     GroupPhase,
     GroupView,
-    HostEntry,
-    HostState,
     Order,
-    SeenReport,
     WantedGroup,
 )
 from .wholeness import EVIDENCE_MAX_AGE, view_of
 
 TICK = 0.5
-PROBE_EVERY = 0.9
-PROBE_AGAIN = 0.4
 GAP = 1.5
 """Seconds between ticks that mean this process was paused."""
 
@@ -61,80 +69,6 @@
 DISPLACED_MAX = 480.0
 
 
-class ReadLedger(NamedTuple):
-    """Effect: read the domain's ledger."""
-
-    domain: str
-
-
-class SwapLedger(NamedTuple):
-    """Effect: write the ledger if it is still at ``modify_index``."""
-
-    domain: str
-    value: bytes
-    modify_index: int
-
-
-class SendOrder(NamedTuple):
-    """Effect: send an order, after asking :meth:`DomainSteward.may_send` once more."""
-
-    order: Order
-
-
-class AskTicket(NamedTuple):
-    """Effect: ask the weight store for leave to load."""
-
-    key: OrderKey
-    gigabytes: float
-
-
-class Decided(NamedTuple):
-    """Effect: log a decision."""
-
-    part: str
-    subject: str
-    text: str
-    also: tuple[str, ...] = ()
-
-
-class LedgerAnswer(NamedTuple):
-    """The ledger as read; ``value`` is empty where there is none yet."""
-
-    value: bytes
-    modify_index: int
-
-
-class SwapAnswer(NamedTuple):
-    """The store said whether the ledger was written."""
-
-    done: bool
-
-
-class StoreFailed(NamedTuple):
-    """The store call failed; a write may have landed."""
-
-    wrote: bool
-
-
-StoreEvent = LedgerAnswer | SwapAnswer | StoreFailed
-Effect = ReadLedger | SwapLedger | SendOrder | AskTicket | Decided
-
-
-def encode_ledger(ledger: DomainLedger) -> bytes:
-    """Return a ledger as stored."""
-    return msgspec.json.encode(ledger)
-
-
-def decode_ledger(value: bytes, domain: str) -> DomainLedger:
-    """Return the ledger of a stored value, an empty one for no value.
-
-    :raises msgspec.DecodeError: if the value is not a ledger
-    """
-    if not value:
-        return DomainLedger(domain)
-    return msgspec.json.decode(value, type=DomainLedger)
-
-
 class DomainSteward:
     """What one entry host knows and does about one domain.
 
@@ -150,12 +84,11 @@
         self.domain = domain
         self.policy = policy
         self.fencing = fencing
-        self.entry_by_host: dict[str, HostEntry] = {}
+        self.watch = HostWatch()
         self.wanted: tuple[WantedGroup, ...] = ()
         self.life_by_live: Mapping[str, str] = {}
         self.settled = False
         self.owner_heard_at = float("-inf")
-        self.seen_by_host: dict[str, SeenReport] = {}
         self.ledger = DomainLedger(domain)
         self.mine = Ownership(domain)
         self.unsaved = False
@@ -172,36 +105,15 @@
         self._takes = 0
         self._last_tick: float | None = None
         self._watching_since = 0.0
-        self._empty_since: dict[str, float] = {}
-        self._load_lands_by: dict[str, float] = {}
         self._broken_since: dict[str, float] = {}
         self._draining_since: dict[str, float] = {}
         self._order_sent_at: dict[OrderKey, float] = {}
         self._tickets: dict[OrderKey, float] = {}
         self._failures = 0
         self._held_order = False
-        self._asked_at: dict[str, float] = {}
 
     # Inputs
 
-    def hosts(self, entries: Iterable[HostEntry]) -> None:
-        """Set the platform's list for this domain."""
-        self.entry_by_host = {e.host: e for e in entries}
-
-    def saw(self, seen: SeenReport) -> None:
-        """Take in a report; one from an earlier probe than the one held is ignored."""
-        held = self.seen_by_host.get(seen.report.host)
-        if held is not None and held.sent_at > seen.sent_at:
-            return
-        self.seen_by_host[seen.report.host] = seen
-        same_boot = held is not None and held.report.boot_id == seen.report.boot_id
-        if seen.report.state != EngineState.EMPTY:
-            self._empty_since.pop(seen.report.host, None)
-        elif not same_boot or seen.report.host not in self._empty_since:
-            # A load order may still be on its way to a host that reports that it is empty.
-            lands_by = self._load_lands_by.get(seen.report.host, seen.sent_at)
-            self._empty_since[seen.report.host] = max(seen.sent_at, lands_by)
-
     def ticket(self, key: OrderKey, wait: float, now: float) -> None:
         """Take in the weight store's answer: load now, or ask again after ``wait`` seconds."""
         self._tickets[key] = now + wait if wait > 0 else -1.0
@@ -241,11 +153,9 @@
 
     def views(self, now: float) -> list[GroupView]:
         """Return what to tell entry hosts about the domain's groups."""
-        leaving = frozenset(
-            h for h, e in self.entry_by_host.items() if e.state == HostState.LEAVING
-        )
+        leaving = self.watch.leaving()
         return [
-            view_of(record, self.seen_by_host, leaving, now)
+            view_of(record, self.watch.seen_by_host, leaving, now)
             for record in self.ledger.groups.values()
         ]
 
@@ -261,25 +171,9 @@
             self.ledger.version,
             tuple(state_of(v) for v in self.views(now)),
             tuple(self.ledger.groups.values()) if full else (),
-            self.usable(now),
+            self.watch.usable(now),
         )
 
-    def to_probe(self, now: float) -> list[HostEntry]:
-        """Return the hosts to probe now.
-
-        A host that answered rests for :data:`PROBE_EVERY`; one that did not is asked again at the
-        next tick, so that a single lost probe does not close its group.
-        """
-        due = []
-        for host, entry in self.entry_by_host.items():
-            asked_at = self._asked_at.get(host, float("-inf"))
-            seen = self.seen_by_host.get(host)
-            answered = seen is not None and seen.sent_at >= asked_at
-            if now - asked_at >= (PROBE_EVERY if answered else PROBE_AGAIN):
-                self._asked_at[host] = now
-                due.append(entry)
-        return due
-
     def can_tell(self, now: float) -> bool:
         """Tell whether the hosts have been watched for long enough to say who is missing.
 
@@ -288,17 +182,6 @@
         """
         return now - self._watching_since > FIRST_ROUND
 
-    def usable(self, now: float) -> int:
-        """Return how many of the domain's hosts are present and staying."""
-        return sum(
-            1
-            for host, seen in self.seen_by_host.items()
-            if now - seen.sent_at <= EVIDENCE_MAX_AGE
-            and not seen.report.leaving
-            and host in self.entry_by_host
-            and self.entry_by_host[host].state == HostState.LIVE
-        )
-
     def tick(self, now: float) -> list[Effect]:
         """Do what is due."""
         self._notice_pause(now)
@@ -493,9 +376,9 @@
             now,
             self.ledger,
             self.wanted,
-            self.entry_by_host,
-            self.seen_by_host,
-            self._empty_since,
+            self.watch.entry_by_host,
+            self.watch.seen_by_host,
+            self.watch.empty_since,
             self._broken_since,
             self._draining_since,
             self.policy,
@@ -524,7 +407,9 @@
         if self._writing is not None and not self.unsaved:
             return []
         self._held_order = False
-        found = due(self.ledger, self.entry_by_host, self.seen_by_host, self._order_sent_at, now)
+        found = due(
+            self.ledger, self.watch.entry_by_host, self.watch.seen_by_host, self._order_sent_at, now
+        )
         effects: list[Effect] = []
         for item in found:
             effects.extend(self._order_one(item, now))
@@ -544,16 +429,11 @@
             return []
         self._order_sent_at[key] = now
         if order.kind == "load":
-            self._expect_load(order.host, now)
+            self.watch.expect_load(order.host, now)
         self._tickets.pop(key, None)
         text = f"{order.kind} {order.group} epoch {order.epoch} rank {order.rank}"
         return [SendOrder(order), Decided("order", order.host, text, (order.group,))]
 
-    def _expect_load(self, host: str, now: float) -> None:
-        """Don't take a host for empty while a load order may be on its way to it."""
-        self._load_lands_by[host] = now + owners.ORDER_LIFE
-        self._empty_since.pop(host, None)
-
 
 def _note(domain: str, action: placement.Action) -> Decided:
     match action:
--- a/src/oleanderhill/stewards.py
+++ b/src/oleanderhill/stewards.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Success
 
-from . import steward as machine
+from . import stewardship
 from .decisions import Decisions
 from .dispatch import RouterTask
 from .fleet import Fleet
@@ -28,7 +28,7 @@
 from .orders import OrderKey
 from .ownership import rendezvous
 from .placement import Policy
-from .steward import DomainSteward
+from .steward import TICK, DomainSteward
 from .store import StoreClient
 from .tally import Gauges, Sums, added, measure
 from .targets import TargetClient
@@ -42,7 +42,7 @@
     """Owns the stewards of the domains of this data centre."""
 
     name = "stewards"
-    interval = machine.TICK
+    interval = TICK
 
     def __init__(
         self,
@@ -84,7 +84,7 @@
         for domain in by_domain.keys() - self.by_domain.keys():
             self.by_domain[domain] = self._make(domain)
         for domain, steward in self.by_domain.items():
-            steward.hosts(by_domain.get(domain, []))
+            steward.watch.hosts(by_domain.get(domain, []))
 
     @handle.register
     def _(self, message: FleetChanged) -> None:
@@ -123,7 +123,7 @@
             steward.settled = members.settled()
             self._perform(steward, steward.tick(now))
             if steward.owned:
-                for entry in steward.to_probe(now):
+                for entry in steward.watch.to_probe(now):
                     self.spawn(self._probe(steward, entry))
                 if steward.can_tell(now):
                     self._publish(domain, steward, now)
@@ -139,7 +139,7 @@
     def _tally(self, now: float) -> None:
         seconds, self._tallied_at = now - self._tallied_at, now
         self.gauges_by_domain = {
-            d: measure(s.ledger, s.wanted, s.views(now), s.seen_by_host)
+            d: measure(s.ledger, s.wanted, s.views(now), s.watch.seen_by_host)
             for d, s in self.by_domain.items()
             if s.owned
         }
@@ -156,34 +156,36 @@
         steward.wanted = self._wanted.get(domain, ())
         return steward
 
-    def _perform(self, steward: DomainSteward, effects: list[machine.Effect]) -> None:
+    def _perform(self, steward: DomainSteward, effects: list[stewardship.Effect]) -> None:
         for effect in effects:
             match effect:
-                case machine.Decided(part, subject, text, also):
+                case stewardship.Decided(part, subject, text, also):
                     self._decisions.note(part, subject, text, also)
-                case machine.ReadLedger() | machine.SwapLedger():
+                case stewardship.ReadLedger() | stewardship.SwapLedger():
                     self.spawn(self._call_store(steward, effect))
-                case machine.SendOrder(order):
+                case stewardship.SendOrder(order):
                     self.spawn(self._send(steward, order))
-                case machine.AskTicket(key, gigabytes):
+                case stewardship.AskTicket(key, gigabytes):
                     self.spawn(self._ask_ticket(steward, key, gigabytes))
 
     async def _call_store(
-        self, steward: DomainSteward, effect: machine.ReadLedger | machine.SwapLedger
+        self, steward: DomainSteward, effect: stewardship.ReadLedger | stewardship.SwapLedger
     ) -> None:
         key = ledger_key(self._data_centre, steward.domain)
-        event: machine.StoreEvent
-        if isinstance(effect, machine.ReadLedger):
+        event: stewardship.StoreEvent
+        if isinstance(effect, stewardship.ReadLedger):
             read = await self._store.read(key)
-            event = machine.StoreFailed(False)
+            event = stewardship.StoreFailed(False)
             if is_successful(read):
                 found = read.unwrap()
-                event = machine.LedgerAnswer(*found) if found else machine.LedgerAnswer(b"", 0)
+                event = (
+                    stewardship.LedgerAnswer(*found) if found else stewardship.LedgerAnswer(b"", 0)
+                )
         else:
             swapped = await self._store.swap(key, effect.value, effect.modify_index)
-            event = machine.StoreFailed(True)
+            event = stewardship.StoreFailed(True)
             if is_successful(swapped):
-                event = machine.SwapAnswer(swapped.unwrap())
+                event = stewardship.SwapAnswer(swapped.unwrap())
         self._perform(steward, steward.store(event, time.monotonic()))
 
     async def _send(self, steward: DomainSteward, order: Order) -> None:
@@ -208,7 +210,7 @@
         sent_at = time.monotonic()
         result = await self._targets.probe(entry.address)
         if is_successful(result) and result.unwrap().host == entry.host:
-            steward.saw(SeenReport(result.unwrap(), sent_at))
+            steward.watch.saw(SeenReport(result.unwrap(), sent_at))
 
     def _publish(self, domain: str, steward: DomainSteward, now: float) -> None:
         version = (steward.mine.epoch, steward.ledger.version)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,10 +15,11 @@
 from oleanderhill.checking import load_boot
 from oleanderhill.decisions import Decisions
 from oleanderhill.documents import Document
-from oleanderhill.edge import MAX_BODY, Edge
+from oleanderhill.edge import Edge
 from oleanderhill.entry import make_kernel
 from oleanderhill.exceptions import BootFileError
 from oleanderhill.fleet import hash_of
+from oleanderhill.handlers import MAX_BODY
 from oleanderhill.httpcall import Call, HttpCaller, Observer
 from oleanderhill.messages import DomainEvidence, GroupState
 from oleanderhill.relay import DocumentsTask
