Mend what a new user met on the tour

Cause: walking the README's tour: schema took no argument by position, a conflict named revision 0 instead of the one asked for, a hint read 'expected did you mean', and status gave epoch 0 for domains that another host owns.

Ruled out: nothing else failed on the tour; settings put, status, explain, a chat, a payment sent twice (one run, one replay), diff, history and the exit codes 4, 5, 7 and 8 were tried as written.

--- a/src/oleanderhill/checking.py
+++ b/src/oleanderhill/checking.py
@@ -103,7 +103,7 @@
         if key in known:
             continue
         near = difflib.get_close_matches(key, known, n=1)
-        hint = f"did you mean {near[0]!r}?" if near else f"one of {', '.join(sorted(known))}"
+        hint = f"a known key, perhaps {near[0]!r}" if near else f"one of {', '.join(sorted(known))}"
         yield Finding(f"{error.json_path}.{key}", "an unknown key", hint)
 
 
@@ -132,7 +132,9 @@
 def _near(name: str, known: Iterable[str]) -> str:
     names = sorted(known)
     near = difflib.get_close_matches(name, names, n=1)
-    return f"did you mean {near[0]!r}?" if near else f"one of {', '.join(names) or '(none)'}"
+    return (
+        f"a known name, perhaps {near[0]!r}" if near else f"one of {', '.join(names) or '(none)'}"
+    )
 
 
 def _meaning(tree: TeamSettings) -> Iterator[Finding]:
--- a/src/oleanderhill/cli.py
+++ b/src/oleanderhill/cli.py
@@ -176,9 +176,11 @@
     print(dumps(found) if json else show_decisions(subject, found))
 
 
-def schema(kind: str = "team") -> None:
+def schema(kind: str) -> None:
     """Print the JSON Schema of the settings, for editors.
 
+    Example: ``oleanderhill schema team``
+
     :param kind: ``team``, ``fleet`` or ``boot``
     """
     types = {"team": TeamSettings, "fleet": FleetSettings, "boot": Boot}
@@ -283,13 +285,14 @@
 def _judged(path: str, status_code: int, found: dict[str, Any]) -> dict[str, Any]:
     if status_code == 200:
         return found
-    team = path.rsplit("/", 1)[-1].partition("?")[0]
+    team, _, query = path.rsplit("/", 1)[-1].partition("?")
     if status_code in (401, 403):
         raise AccessError(f"{found.get('detail')} (the key is read from {KEY_VARIABLE})")
     if status_code == 422:
         raise SettingsInvalidError(team, tuple(Finding(**f) for f in found["findings"]))
     if status_code == 409:
-        raise SettingsConflictError(team, 0, found["revision"])
+        base = query.removeprefix("base=")
+        raise SettingsConflictError(team, int(base) if base.isdigit() else 0, found["revision"])
     if status_code == 504:
         raise OutcomeUnknownError(f"settings of {team}: ask again with settings history")
     if status_code == 503:
--- a/src/oleanderhill/operators.py
+++ b/src/oleanderhill/operators.py
@@ -137,14 +137,16 @@
 
     def _domains(self) -> list[dict[str, Any]]:
         stewards = self.kernel.find("stewards", Stewards)
-        owner_by_domain = self.kernel.find("router", RouterTask).book.owner_by_domain
+        book = self.kernel.find("router", RouterTask).book
+        owner_by_domain = book.owner_by_domain
+        epoch_by_domain = {d: r.owner_epoch for d, r in book.records_by_domain.items()}
         now = time.monotonic()
         return [
             {
                 "domain": d,
                 "owned_here": s.owned,
                 "owner": s.ledger.owner if s.owned else owner_by_domain.get(d, ""),
-                "owner_epoch": s.ledger.owner_epoch,
+                "owner_epoch": s.ledger.owner_epoch if s.owned else epoch_by_domain.get(d, 0),
                 "unsaved": s.unsaved,
                 "hosts": len(s.watch.entry_by_host),
                 "usable": s.watch.usable(now) if s.owned else None,
