Forget orders and senders long past; give tests addresses that nothing else uses

Cause: maps of sent orders, tickets, senders and ejections kept an entry for each epoch, start or group for ever.

Changed: the maps are pruned; tests listen on IP numbers of a net of their own.

--- a/dev/oleanderhill_dev/bench_site.py
+++ b/dev/oleanderhill_dev/bench_site.py
@@ -7,11 +7,11 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -22,6 +22,7 @@
 from oleanderhill.httpcall import Call, HttpCaller
 
 OPERATOR_KEY = "operator-key"
+_addresses = itertools.count()
 MODEL_HOSTS = 4
 
 
@@ -233,10 +234,13 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing else uses.
+
+    Each call gives another IP number of a net of its own. A free port of 127.0.0.1 would not do:
+    an outgoing connection of any process may take it before it is listened on.
+    """
+    number = next(_addresses)
+    return f"127.8.{number // 250}.{1 + number % 250}:7100"
 
 
 def new_key() -> str:
--- a/src/oleanderhill/routing.py
+++ b/src/oleanderhill/routing.py
@@ -116,6 +116,8 @@
         for group, held in list(self.by_group.items()):
             if held.domain == domain and group not in listed and held.owner_epoch <= owner_epoch:
                 del self.by_group[group]
+                self._starts.pop(group, None)
+                self._ejected_until.pop(group, None)
 
     def stale(self, now: float, after: float) -> list[Evidence]:
         """Return the groups whose evidence is older than ``after`` seconds."""
--- a/src/oleanderhill/skew.py
+++ b/src/oleanderhill/skew.py
@@ -41,6 +41,7 @@
         sample = now - stamp
         old = self._by_sender.get(key)
         if old is None:
+            self.forget(sender)
             self._by_sender[key] = Offset(sample, now, now)
             return None
         crept = old.least + DRIFT * (now - old.updated)
@@ -52,6 +53,6 @@
         return stamp + self._by_sender[key].least
 
     def forget(self, sender: str) -> None:
-        """Drop what is known of a sender."""
+        """Drop what is known of a sender, such as its earlier starts."""
         for key in [k for k in self._by_sender if k[0] == sender]:
             del self._by_sender[key]
--- a/src/oleanderhill/steward.py
+++ b/src/oleanderhill/steward.py
@@ -67,6 +67,8 @@
 """Seconds without evidence from a live owner after which another takes the domain."""
 
 DISPLACED_MAX = 480.0
+ORDERS_KEPT = 30.0
+"""Seconds for which the sending of an order is remembered; well over the resend interval."""
 
 
 class DomainSteward:
@@ -407,6 +409,7 @@
         if self._writing is not None and not self.unsaved:
             return []
         self._held_order = False
+        self._forget_orders(now)
         found = due(
             self.ledger, self.watch.entry_by_host, self.watch.seen_by_host, self._order_sent_at, now
         )
@@ -415,6 +418,16 @@
             effects.extend(self._order_one(item, now))
         return effects
 
+    def _forget_orders(self, now: float) -> None:
+        """Drop what is kept of orders long past; each epoch of a group leaves some behind."""
+        self._order_sent_at = {
+            k: at for k, at in self._order_sent_at.items() if now - at < ORDERS_KEPT
+        }
+        epoch_by_group = {g: r.epoch for g, r in self.ledger.groups.items()}
+        self._tickets = {
+            k: at for k, at in self._tickets.items() if epoch_by_group.get(k.group) == k.epoch
+        }
+
     def _order_one(self, item: Due, now: float) -> list[Effect]:
         key = order_key(item.order)
         if item.needs_weights > 0 and self._tickets.get(key) != -1.0:
