Ask the router which groups are whole instead of keeping them twice

Cause: the planner kept groups and whole groups by domain from the same evidence that the router's book takes in, with a weaker check: by the number of states only, not by owner epoch and version. Evidence for the planner goes through the router as well.

Ruled out: sharing the book; the planner needs only what the router holds.

Conclusion: one piece of state less, and the stricter check for both.

--- a/src/oleanderhill/planning.py
+++ b/src/oleanderhill/planning.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from .decisions import Decisions
+from .dispatch import RouterTask
 from .documents import Document
-from .evidence import WHOLE
 from .fleet import Fleet
 from .kernel import Kernel, Task
 from .members import MembershipTask
@@ -56,8 +56,6 @@
         self._fleet = Fleet()
         self._hosts: dict[str, list[HostEntry]] = {}
         self._usable: dict[str, tuple[int, float]] = {}
-        self._groups_by_domain: dict[str, tuple[str, ...]] = {}
-        self._whole_by_domain: dict[str, set[str]] = {}
         self._needed: dict[str, int] = {}
         self._dark_since: dict[str, float] = {}
         self.plan = Plan(0, {})
@@ -80,16 +78,8 @@
     @handle.register
     def _(self, message: LocalEvidence) -> None:
         evidence = message.evidence
-        if evidence.data_centre != self._data_centre:
-            return
-        self._usable[evidence.domain] = (evidence.usable, message.at)
-        held = self._groups_by_domain.get(evidence.domain, ())
-        if evidence.records or not evidence.states:
-            held = tuple(r.group for r in evidence.records)
-            self._groups_by_domain[evidence.domain] = held
-        if len(held) == len(evidence.states):
-            flags = zip(held, evidence.states, strict=True)
-            self._whole_by_domain[evidence.domain] = {g for g, s in flags if s.flags & WHOLE}
+        if evidence.data_centre == self._data_centre:
+            self._usable[evidence.domain] = (evidence.usable, message.at)
 
     @handle.register
     def _(self, message: Document) -> None:
@@ -106,7 +96,8 @@
         if not members.settled() or planner_of(self._data_centre, live) != self._host:
             return
         wanted = self.wanted()
-        whole = frozenset(g for groups in self._whole_by_domain.values() for g in groups)
+        held = self.kernel.find("router", RouterTask).router.by_group
+        whole = frozenset(g for g, e in held.items() if e.view.whole)
         rate = self._fleet.exchange_rate
         plan = make_plan(now, self.plan, wanted, self._states(now), rate, whole)
         if plan is self.plan:
