--- a/src/oleanderhill/attempts.py
+++ b/src/oleanderhill/attempts.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from . import outcomes
 from .outcomes import Problem, Ran
@@ -34,12 +34,14 @@
 
     :param idempotent: it may be run again when its outcome is unknown
     :param deadline: local monotonic time
+    :param max_attempts: targets that it may reach
     """
 
     request_id: str
     idempotent: bool
     stream: bool
     deadline: float
+    max_attempts: int = MAX_ATTEMPTS
 
 
 # Events. ``attempt`` counts from 1.
@@ -143,6 +145,16 @@
 Effect = Select | Dispatch | Cancel | Deliver | Fail
 
 
+class Budget(Protocol):
+    """Bounds the attempts after the first."""
+
+    def left(self, now: float) -> float:
+        """Return how many retries are left."""
+
+    def take(self, now: float) -> bool:
+        """Take one retry; return whether there was one."""
+
+
 class RetryBudget:
     """Attempts beyond the first, bounded to a part of the requests.
 
@@ -165,11 +177,15 @@
         """Count a new request."""
         self._tokens = min(self.CAP, self._tokens + self._ratio)
 
-    def take(self, now: float) -> bool:
-        """Take one retry; return whether there was one."""
+    def left(self, now: float) -> float:
+        """Return how many retries are left."""
         self._tokens = min(self.CAP, self._tokens + self._floor * max(0.0, now - self._at))
         self._at = now
-        if self._tokens < 1.0:
+        return self._tokens
+
+    def take(self, now: float) -> bool:
+        """Take one retry; return whether there was one."""
+        if self.left(now) < 1.0:
             return False
         self._tokens -= 1.0
         return True
@@ -181,13 +197,14 @@
     :param budget: bounds the attempts after the first
     """
 
-    def __init__(self, request: Request, budget: RetryBudget) -> None:
+    def __init__(self, request: Request, budget: Budget) -> None:
         self.request = request
         self.phase = Phase.CHOOSING
         self.attempt = 0
         self.offset = 0
         self.sent = False
         self.maybe_ran = False
+        self.arrived = 0
         self.choice: Choice | None = None
         self.tried: frozenset[str] = frozenset()
         self._budget = budget
@@ -207,6 +224,7 @@
                 return self._chosen(result)
             case Sending():
                 self.sent = True
+                self.arrived += 1
                 self.phase = Phase.SENT
                 return []
             case Piece(_, events):
@@ -229,6 +247,19 @@
         """Return what is known of the run if it ended now without an answer."""
         return Ran.UNKNOWN if self.sent or self.maybe_ran else Ran.NO
 
+    def may_move(self, now: float) -> bool:
+        """Tell whether the request, now at a target that seems stuck, may go to another."""
+        if self.phase == Phase.DONE or self._used_up(now):
+            return False
+        again = self.request.idempotent or not self.sent
+        return again and (self.arrived == 0 or self._budget.left(now) >= 1.0)
+
+    def _used_up(self, now: float) -> bool:
+        """Tell whether no further attempt is allowed. One that sent nothing reached no target."""
+        if self.attempt >= MAX_ATTEMPTS or now >= self.request.deadline:
+            return True
+        return self.arrived >= self.request.max_attempts
+
     def _is_late(self, event: Event) -> bool:
         attempt = getattr(event, "attempt", None)
         return attempt is not None and attempt != self.attempt
@@ -263,8 +294,7 @@
     def _again(self, problem: Problem, now: float) -> list[Effect]:
         if self.choice is not None:
             self.tried = self.tried | {self.choice.target}
-        exhausted = self.attempt >= MAX_ATTEMPTS or now >= self.request.deadline
-        if exhausted or not self._budget.take(now):
+        if self._used_up(now) or (self.arrived > 0 and not self._budget.take(now)):
             return self._finish([Fail(problem)])
         self.phase = Phase.CHOOSING
         self.choice = None
--- /dev/null
+++ b/src/oleanderhill/groups/forming.py
@@ -0,0 +1,433 @@
+"""What the owner of a fabric domain does next: form, open, mend and dissolve groups.
+
+:class:`DomainKeeper` is pure: it looks at the plan and at what the hosts report and returns
+actions. The rules it keeps, whatever order things happen in:
+
+- a head is told to open only when every member has reported ready under this group and epoch;
+- a host is given to another group only when the head of its last one is known not to serve: it
+  left, it is another process by now, or it has been without a member for longer than a head goes
+  on (``stall``). A head that can't be asked may be alive and serving for those that reach it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from .composing import FreeHost, ModelNeed, loads_to_order, next_model
+from .inventory import MemberState, TargetHost
+from .pacing import LoadPacer
+from .plans import DomainPlan, PlannedGroup
+
+ORDER_AGAIN = 1.2
+"""Seconds before an order is repeated. An order takes a few ms; what has not shown in the host
+list within two of its readings was lost, refused or is carried out late."""
+
+LEAVING_GRACE = 1.6
+"""Seconds in which the work of a group with a leaving member may end. Most answers take less, and
+a leaving host goes on for at least two."""
+
+STALL_MARGIN = 0.6
+"""Seconds beyond the stall bound: an order takes some ms, the moment at which it ended is known."""
+
+SILENT_PROBES = 2
+"""Probes in a row without an answer after which a member counts as lost. Its entry stays in the
+list for three heartbeats more; requests sent meanwhile stall."""
+
+REACHED_WITHIN = 1.5
+"""Seconds within which another host of the domain must have answered this entry host: where none
+does, it is this host that is cut off, and its silence proves nothing."""
+
+AVOID_SECONDS = 3.0
+"""Seconds for which a host that did not answer an order or probe is given to no group: it is dead
+and still listed, or it carries its orders out late."""
+
+STAGING_PATIENCE = 3.0
+"""Times its load time after which a host that still lacks the weights is ordered to load again:
+several loads at once slow each other down."""
+
+FORM_PATIENCE = 12.0
+"""Seconds beyond its load time that a group may take to form before its hosts are used anew."""
+
+
+class Join(NamedTuple):
+    """Order a host into a group."""
+
+    group: PlannedGroup
+    instance: str
+
+
+class Open(NamedTuple):
+    """Order a head to serve."""
+
+    group: PlannedGroup
+    instance: str
+
+
+class Leave(NamedTuple):
+    """Order a host out of a group, at once."""
+
+    group: str
+    epoch: int
+    instance: str
+
+
+class Stage(NamedTuple):
+    """Order a host to load a model's weights, to have them at hand."""
+
+    model: str
+    instance: str
+
+
+class Replan(NamedTuple):
+    """Write a new plan before anything else is done."""
+
+    plan: DomainPlan
+    reason: str
+
+
+Order = Join | Open | Leave | Stage
+Action = Order | Replan
+
+
+class OrderEnd(StrEnum):
+    """How an order ended."""
+
+    DONE = "done"
+    UNFIT = "unfit"
+    FENCED = "fenced"
+    GONE = "gone"
+    SILENT = "silent"
+
+
+class Fault(StrEnum):
+    """Why a group has to go."""
+
+    MEMBER_SILENT = "member silent"
+    MEMBER_GONE = "member gone"
+    MEMBER_LEAVING = "member leaving"
+    MEMBER_OUT = "member out"
+    BROKEN = "broken"
+    NOT_FORMED = "not formed in time"
+
+
+class DomainKeeper:
+    """Keeps one domain.
+
+    :param stall: seconds after which a head that lost a member is broken by itself
+    """
+
+    def __init__(self, stall: float, pacer: LoadPacer) -> None:
+        self._stall = stall
+        self._pacer = pacer
+        self._ordered_at: dict[Order, float] = {}
+        self._since: dict[str, float] = {}
+        self._fault_since: dict[str, float] = {}
+        self._whole_once: set[str] = set()
+        self._let_go: set[tuple[str, str]] = set()
+        self._silent_since: dict[tuple[str, str], float] = {}
+        self._probes_missed: dict[str, int] = {}
+        self._answered_at = float("-inf")
+        self._avoid_until: dict[str, float] = {}
+        self._staging: dict[str, tuple[str, float]] = {}
+
+    def ended(self, order: Order, end: OrderEnd, now: float) -> None:
+        """Take note of how an order ended."""
+        if end == OrderEnd.SILENT:
+            self._avoid_until[order.instance] = now + AVOID_SECONDS
+        else:
+            self._answered_at = now
+        if not isinstance(order, Leave):
+            return
+        if end in (OrderEnd.DONE, OrderEnd.UNFIT, OrderEnd.GONE):
+            self._let_go.add((order.group, order.instance))
+        elif end == OrderEnd.SILENT:
+            self._silent_since.setdefault((order.group, order.instance), now)
+
+    def probed(self, instance: str, answered: bool, now: float) -> None:
+        """Take note of whether a host answered a probe."""
+        if answered:
+            self._answered_at = now
+            self._probes_missed.pop(instance, None)
+            return
+        self._probes_missed[instance] = self._probes_missed.get(instance, 0) + 1
+        self._avoid_until[instance] = now + AVOID_SECONDS
+
+    def forming(self, plan: DomainPlan) -> bool:
+        """Tell whether a group is being formed or taken apart."""
+        return any(
+            g.name not in self._whole_once or g.name in self._fault_since for g in plan.groups
+        )
+
+    def decide(
+        self,
+        now: float,
+        plan: DomainPlan,
+        host_by_instance: Mapping[str, TargetHost],
+        needs: Sequence[ModelNeed],
+        loads_free: bool,
+    ) -> list[Action]:
+        """Return what to do now.
+
+        :param host_by_instance: the hosts of the domain that the list shows
+        :param loads_free: loads don't count against the bound yet
+        """
+        self._forget(plan, host_by_instance)
+        actions: list[Action] = []
+        dissolved: list[str] = []
+        for group in plan.groups:
+            self._since.setdefault(group.name, now)
+            fault = self._fault(now, group, host_by_instance, needs)
+            if fault is None:
+                self._fault_since.pop(group.name, None)
+                actions.extend(self._form_on(now, group, host_by_instance, loads_free))
+                continue
+            self._fault_since.setdefault(group.name, now)
+            if self._may_dissolve(now, group, fault, host_by_instance):
+                dissolved.append(f"{group.name} {fault.value}")
+                plan = plan.without_group(group.name)
+            else:
+                actions.extend(self._break_up(now, group, fault, host_by_instance))
+        formed = self._form_new(now, plan, host_by_instance, needs, loads_free)
+        if formed is not None or dissolved:
+            reasons = [f"dissolved {d}" for d in dissolved]
+            if formed is not None:
+                plan, reason = formed
+                reasons.append(reason)
+            return [*actions, Replan(plan, "; ".join(reasons))]
+        actions.extend(self._stage_spares(now, plan, host_by_instance, needs, loads_free))
+        return actions
+
+    def _forget(self, plan: DomainPlan, hosts: Mapping[str, TargetHost]) -> None:
+        names = {g.name for g in plan.groups}
+        self._probes_missed = {i: n for i, n in self._probes_missed.items() if i in hosts}
+        self._avoid_until = {i: t for i, t in self._avoid_until.items() if i in hosts}
+        for table in (self._since, self._fault_since):
+            for name in [n for n in table if n not in names]:
+                del table[name]
+        self._whole_once &= names
+        self._let_go = {m for m in self._let_go if m[0] in names}
+        self._silent_since = {m: t for m, t in self._silent_since.items() if m[0] in names}
+        self._ordered_at = {o: t for o, t in self._ordered_at.items() if _concerns(o, names)}
+
+    def _fault(
+        self,
+        now: float,
+        group: PlannedGroup,
+        hosts: Mapping[str, TargetHost],
+        needs: Sequence[ModelNeed],
+    ) -> Fault | None:
+        members = [hosts.get(i) for i in group.members]
+        if any(m is None for m in members):
+            return Fault.MEMBER_GONE
+        present = [m for m in members if m is not None]
+        if any(_in(group, m) and _state(m) == MemberState.BROKEN for m in present):
+            return Fault.BROKEN
+        if all(_in(group, m) and _state(m) != MemberState.JOINING for m in present):
+            self._whole_once.add(group.name)
+        elif group.name in self._whole_once and any(not _in(group, m) for m in present):
+            return Fault.MEMBER_OUT
+        if self._lost(now, group):
+            return Fault.MEMBER_SILENT
+        if any(m.leaving for m in present):
+            return Fault.MEMBER_LEAVING
+        load = max((n.load_seconds for n in needs if n.model == group.model), default=0.0)
+        late = now - self._since[group.name] > FORM_PATIENCE + 2 * load
+        return Fault.NOT_FORMED if late and group.name not in self._whole_once else None
+
+    def _lost(self, now: float, group: PlannedGroup) -> bool:
+        if now - self._answered_at > REACHED_WITHIN:
+            return False
+        return any(self._probes_missed.get(i, 0) >= SILENT_PROBES for i in group.members)
+
+    def _form_on(
+        self,
+        now: float,
+        group: PlannedGroup,
+        hosts: Mapping[str, TargetHost],
+        loads_free: bool,
+    ) -> list[Action]:
+        members = [hosts[i] for i in group.members]
+        outside = [m for m in members if not _in(group, m)]
+        if outside:
+            return [
+                order
+                for m in outside
+                if (order := self._join(now, group, m, loads_free)) is not None
+            ]
+        if all(_state(m) == MemberState.READY for m in members):
+            return self._once(now, Open(group, group.head))
+        return []
+
+    def _join(
+        self, now: float, group: PlannedGroup, host: TargetHost, loads_free: bool
+    ) -> Join | None:
+        order = Join(group, host.instance)
+        if not self._due(now, order):
+            return None
+        if group.model not in host.staged and not loads_free and not self._pacer.take(now):
+            return None
+        self._ordered_at[order] = now
+        return order
+
+    def _may_dissolve(
+        self, now: float, group: PlannedGroup, fault: Fault, hosts: Mapping[str, TargetHost]
+    ) -> bool:
+        if fault == Fault.MEMBER_LEAVING and now - self._fault_since[group.name] < LEAVING_GRACE:
+            return False
+        if (group.name, group.head) in self._let_go:
+            return True
+        head = hosts.get(group.head)
+        if head is not None and group.name in self._whole_once and not _in(group, head):
+            return True
+        silent = self._silent_since.get((group.name, group.head))
+        if silent is None:
+            return False
+        others = [i for i in group.members[1:] if i in hosts]
+        let_go = [i for i in others if (group.name, i) in self._let_go]
+        return bool(let_go or not others) and now - silent > self._stall + STALL_MARGIN
+
+    def _break_up(
+        self, now: float, group: PlannedGroup, fault: Fault, hosts: Mapping[str, TargetHost]
+    ) -> list[Action]:
+        if fault == Fault.MEMBER_LEAVING and now - self._fault_since[group.name] < LEAVING_GRACE:
+            return []
+        orders = [Leave(group.name, group.epoch, group.head)]
+        head_missed = self._probes_missed.get(group.head, 0) >= SILENT_PROBES
+        if head_missed or (group.name, group.head) in self._silent_since:
+            orders += [
+                Leave(group.name, group.epoch, i)
+                for i in group.members[1:]
+                if i in hosts and (group.name, i) not in self._let_go
+            ]
+        return [action for order in orders for action in self._once(now, order)]
+
+    def _once(self, now: float, order: Order) -> list[Action]:
+        if not self._due(now, order):
+            return []
+        self._ordered_at[order] = now
+        return [order]
+
+    def _due(self, now: float, order: Order) -> bool:
+        return now - self._ordered_at.get(order, float("-inf")) >= ORDER_AGAIN
+
+    def _form_new(
+        self,
+        now: float,
+        plan: DomainPlan,
+        hosts: Mapping[str, TargetHost],
+        needs: Sequence[ModelNeed],
+        loads_free: bool,
+    ) -> tuple[DomainPlan, str] | None:
+        free = self._free(now, plan, hosts)
+        sound = plan._replace(
+            groups=tuple(g for g in plan.groups if g.name not in self._fault_since)
+        )
+        reasons = []
+        while True:
+            staged = Counter(m for h in free for m in h.staged)
+            need = next_model(sound, staged, len(free), needs, loads_free)
+            if need is None:
+                break
+            chosen = sorted(free, key=lambda h: (need.model not in h.staged, h.instance))
+            members = tuple(h.instance for h in chosen[: need.hosts])
+            plan = plan.with_group(need.model, members)
+            sound = sound._replace(groups=(*sound.groups, plan.groups[-1]))
+            free = [h for h in free if h.instance not in members]
+            reasons.append(f"formed {plan.groups[-1].name} of {need.model}")
+        return (plan, "; ".join(reasons)) if reasons else None
+
+    def _free(
+        self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
+    ) -> list[TargetHost]:
+        return [h for h in free_hosts(plan, hosts) if now >= self._avoid_until.get(h.instance, 0.0)]
+
+    def _stage_spares(
+        self,
+        now: float,
+        plan: DomainPlan,
+        hosts: Mapping[str, TargetHost],
+        needs: Sequence[ModelNeed],
+        loads_free: bool,
+    ) -> list[Action]:
+        """Load weights onto free hosts that have none.
+
+        A load takes many seconds. Done ahead, it lets a group that loses a host be whole again
+        within two; done within a group's forming, it would hold up all its other hosts.
+        """
+        patience = {n.model: n.load_seconds * STAGING_PATIENCE for n in needs}
+        self._staging = {
+            i: (model, at)
+            for i, (model, at) in self._staging.items()
+            if i in hosts and model not in hosts[i].staged and now - at < patience.get(model, 0.0)
+        }
+        sound = plan._replace(
+            groups=tuple(g for g in plan.groups if g.name not in self._fault_since)
+        )
+        actions: list[Action] = []
+        for instance, model in loads_to_order(sound, self._left_over(now, plan, hosts), needs):
+            if instance in self._staging:
+                continue
+            if not (loads_free or self._pacer.take(now)):
+                break
+            self._staging[instance] = (model, now)
+            actions.append(Stage(model, instance))
+        return actions
+
+    def _left_over(
+        self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
+    ) -> list[FreeHost]:
+        """Return the hosts in no sound group, those that will be free in a moment among them."""
+        free = [
+            FreeHost(h.instance, self._weights(h), h.membership is None or h.model != "")
+            for h in self._free(now, plan, hosts)
+        ]
+        faulty = [g for g in plan.groups if g.name in self._fault_since]
+        soon = [
+            FreeHost(i, g.model, False)
+            for g in faulty
+            for i in g.members
+            if i in hosts and not hosts[i].leaving and now >= self._avoid_until.get(i, 0.0)
+        ]
+        return [*free, *soon]
+
+    def _weights(self, host: TargetHost) -> str:
+        ordered = self._staging.get(host.instance)
+        if ordered is not None:
+            return ordered[0]
+        return host.staged[0] if host.staged else ""
+
+
+def free_hosts(plan: DomainPlan, hosts: Mapping[str, TargetHost]) -> list[TargetHost]:
+    """Return the hosts that may be given to a group: staying, in no plan, and serving nothing."""
+    held = {i for g in plan.groups for i in g.members}
+    return [
+        h
+        for h in hosts.values()
+        if h.instance not in held
+        and not h.leaving
+        and (h.membership is None or h.membership.state != MemberState.OPEN)
+    ]
+
+
+def _concerns(order: Order, groups: set[str]) -> bool:
+    match order:
+        case Join(group, _) | Open(group, _):
+            return group.name in groups
+        case Leave(group, _, _):
+            return group in groups
+    return True
+
+
+def _in(group: PlannedGroup, host: TargetHost) -> bool:
+    membership = host.membership
+    return membership is not None and (membership.group, membership.epoch) == (
+        group.name,
+        group.epoch,
+    )
+
+
+def _state(host: TargetHost) -> MemberState | None:
+    return None if host.membership is None else host.membership.state
--- /dev/null
+++ b/src/oleanderhill/groups/owner.py
@@ -0,0 +1,261 @@
+"""The task that owns fabric domains: takes them, writes their plans, orders their hosts about."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple, Protocol
+
+from returns.pipeline import is_successful
+
+from ..clock import awake_or_not
+from ..kernel import Kernel, Task
+from ..mirror import KeyedCopy, Mirror
+from ..records import Records
+from ..serving.catalog import Catalog
+from ..storage import Storage, StoreConflictError, Write
+from .composing import ModelNeed
+from .forming import Action, DomainKeeper, Order, OrderEnd, Replan
+from .inventory import Inventory
+from .ownership import Presence, owns, should_take, taken
+from .pacing import LoadPacer
+from .plans import DomainPlan, PlannedGroup, encode_plan, plan_key
+
+SETTLE = 1.5
+"""Seconds after the store's return in which no domain is taken: leases may have run out meanwhile,
+and the hosts behind them need a moment to be present again."""
+
+PROBE_PAUSE = 0.1
+"""Seconds between two probes of a group under suspicion."""
+
+
+class Orders(Protocol):
+    """Gives orders to engine hosts."""
+
+    async def give(self, order: Order, address: str, term: int) -> OrderEnd:
+        """Give an order and return how it ended."""
+
+    async def answers(self, instance: str, address: str) -> bool:
+        """Tell whether a host answers."""
+
+
+class Limits(NamedTuple):
+    """Bounds that the owner keeps.
+
+    :param stall: seconds after which a head that lost a member is broken by itself
+    :param load_window: seconds in which ``load_factor`` times the allowed rate of loads, plus
+        ``load_extra``, may begin
+    """
+
+    stall: float
+    load_window: float
+    load_factor: float
+    load_extra: float = 3.0
+
+
+class OwnerTask(Task):
+    """Owns the domains that fall to this entry host.
+
+    :param first_loads_free: tells whether loads don't count against the bound yet
+    :param is_suspect: tells whether a group was seen to stall, by this or another entry host
+    :param demand: returns how many groups of a model the load would fill
+    """
+
+    name = "owner"
+    interval = 0.2
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        me: Presence,
+        storage: Storage,
+        mirror: Mirror,
+        plans: KeyedCopy[DomainPlan],
+        alive: Callable[[], Mapping[str, Presence]],
+        inventory: Inventory,
+        catalog: Callable[[], Catalog | None],
+        orders: Orders,
+        limits: Limits,
+        first_loads_free: Callable[[], bool],
+        is_suspect: Callable[[str], bool],
+        demand: Callable[[str], float],
+        records: Records,
+    ) -> None:
+        super().__init__(kernel)
+        self._me = me
+        self._storage = storage
+        self._mirror = mirror
+        self._plans = plans
+        self._alive = alive
+        self._inventory = inventory
+        self._catalog = catalog
+        self._orders = orders
+        self._limits = limits
+        self._first_loads_free = first_loads_free
+        self._is_suspect = is_suspect
+        self._demand = demand
+        self._records = records
+        self._keeper_by_domain: dict[str, DomainKeeper] = {}
+        self._writing: set[str] = set()
+        self._probing: set[str] = set()
+        self._address_by_instance: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Start to look after domains."""
+        self.spawn(self._tick_loop())
+
+    async def tick(self) -> None:
+        """Look at each domain once."""
+        now = awake_or_not()
+        catalog = self._catalog()
+        # A copy that is old is no base for orders: the plan may have another owner by now.
+        if catalog is None or not self._mirror.fresh(now):
+            return
+        alive = self._alive()
+        for domain in sorted(self._inventory.domains()):
+            if domain not in self._writing:
+                self._look(now, domain, alive, catalog)
+
+    def _look(
+        self, now: float, domain: str, alive: Mapping[str, Presence], catalog: Catalog
+    ) -> None:
+        held = self._plans.get(plan_key(domain))
+        plan, revision = held if held is not None else (DomainPlan(domain), 0)
+        if owns(plan, self._me):
+            self._keep(now, plan, revision, catalog)
+            return
+        self._keeper_by_domain.pop(domain, None)
+        settled = now - self._mirror.connected_since > SETTLE or held is None
+        if settled and should_take(plan, self._me, alive):
+            self._write(plan, revision, taken(plan, self._me), f"owner {plan.owner!r} is gone")
+
+    def _keep(self, now: float, plan: DomainPlan, revision: int, catalog: Catalog) -> None:
+        hosts = {h.instance: h for h in self._inventory.of_domain(plan.domain)}
+        for host in hosts.values():
+            self._address_by_instance[host.instance] = host.address
+        needs = self._needs(plan.domain, catalog, {h.service for h in hosts.values()})
+        keeper = self._keeper_by_domain.get(plan.domain)
+        if keeper is None:
+            keeper = DomainKeeper(self._limits.stall, self._pacer(catalog, needs))
+            self._keeper_by_domain[plan.domain] = keeper
+        for group in plan.groups:
+            if group.name not in self._probing and self._is_suspect(group.name):
+                self._probing.add(group.name)
+                self.spawn(self._probe(group, keeper))
+        if keeper.forming(plan):
+            self._mirror.hurry()
+        for action in keeper.decide(now, plan, hosts, needs, self._first_loads_free()):
+            self._carry_out(action, plan, revision, keeper)
+
+    async def _probe(self, group: PlannedGroup, keeper: DomainKeeper) -> None:
+        """Ask all members of a group that was seen to stall whether they are there.
+
+        One that is lost shows in the host list only after three heartbeats, and at the head after
+        a stall; asking finds it in a second. Each member is asked: those that answer show that it
+        is not this entry host that is cut off.
+        """
+        try:
+            known = [i for i in group.members if i in self._address_by_instance]
+            asked = [self._orders.answers(i, self._address_by_instance[i]) for i in known]
+            for instance, answered in zip(known, await asyncio.gather(*asked), strict=True):
+                keeper.probed(instance, answered, awake_or_not())
+                if not answered:
+                    self._records.note("probe", "silent", instance=instance, group=group.name)
+            await asyncio.sleep(PROBE_PAUSE)
+        finally:
+            self._probing.discard(group.name)
+
+    def _pacer(self, catalog: Catalog, needs: Sequence[ModelNeed]) -> LoadPacer:
+        rates = [
+            s.engine.loads_per_second
+            for s in catalog.service_by_name.values()
+            if s.engine is not None and any(n.model in s.engine.model_by_name for n in needs)
+        ]
+        rate = min(rates, default=1.0)
+        limits = self._limits
+        per_window = rate * limits.load_window * limits.load_factor + limits.load_extra
+        return LoadPacer(per_window, limits.load_window, len(self._inventory.domains()))
+
+    def _needs(self, domain: str, catalog: Catalog, services: set[str]) -> list[ModelNeed]:
+        """Return the models of the services that have hosts in a domain."""
+        others = [p for p in self._plans.by_key.values() if p.domain != domain]
+        planned = Counter(g.model for p in others for g in p.groups)
+        shapes = [s for n in sorted(services) if (s := catalog.service_by_name.get(n)) is not None]
+        return [
+            ModelNeed(
+                model.name,
+                model.hosts,
+                self._demand(model.name),
+                model.load_seconds,
+                planned[model.name] / max(1, len(others)),
+            )
+            for service in shapes
+            if service.engine is not None
+            for model in service.engine.model_by_name.values()
+        ]
+
+    def _carry_out(
+        self, action: Action, plan: DomainPlan, revision: int, keeper: DomainKeeper
+    ) -> None:
+        if isinstance(action, Replan):
+            self._write(plan, revision, action.plan, action.reason)
+            return
+        address = self._address_by_instance.get(action.instance)
+        if address is None:
+            keeper.ended(action, OrderEnd.SILENT, awake_or_not())
+            return
+        self.spawn(self._give(action, address, plan, keeper))
+
+    async def _give(
+        self, order: Order, address: str, plan: DomainPlan, keeper: DomainKeeper
+    ) -> None:
+        end = await self._orders.give(order, address, plan.term)
+        now = awake_or_not()
+        self._records.note(
+            "order",
+            end.value,
+            order=type(order).__name__.lower(),
+            domain=plan.domain,
+            term=plan.term,
+            instance=order.instance,
+            about=getattr(order, "model", None) or _group_name(order),
+            list_age_s=round(self._mirror.age(now), 2),
+        )
+        keeper.ended(order, end, now)
+
+    def _write(self, plan: DomainPlan, revision: int, new: DomainPlan, reason: str) -> None:
+        self._writing.add(plan.domain)
+        self.spawn(self._commit(revision, new._replace(write_id=secrets.token_hex(6)), reason))
+
+    async def _commit(self, revision: int, plan: DomainPlan, reason: str) -> None:
+        """Write a plan. Without an answer nothing is done: the next reading shows what holds."""
+        key = plan_key(plan.domain)
+        try:
+            written = await self._storage.commit({key: revision}, [Write(key, encode_plan(plan))])
+            outcome = "written"
+            if is_successful(written):
+                self._plans.put(key, encode_plan(plan), written.unwrap())
+            else:
+                error = written.failure()
+                outcome = str(error)
+                if isinstance(error, StoreConflictError):
+                    for item in error.held.values():
+                        self._plans.put(item.key, item.value, item.revision)
+            self._records.note(
+                "plan",
+                outcome,
+                domain=plan.domain,
+                term=plan.term,
+                after_revision=revision,
+                reason=reason,
+                groups=len(plan.groups),
+            )
+        finally:
+            self._writing.discard(plan.domain)
+
+
+def _group_name(order: Order) -> str:
+    group = getattr(order, "group", "")
+    return group if isinstance(group, str) else group.name
--- /dev/null
+++ b/src/oleanderhill/groups/ownership.py
@@ -0,0 +1,67 @@
+"""Who gives orders in which fabric domain: spread over the entry hosts that are alive."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from .plans import DomainPlan
+
+PRESENCE_PREFIX = "oleanderhill/entry/"
+
+
+class Presence(NamedTuple):
+    """An entry host that is alive: its key lies in the store under a lease.
+
+    :param life: names this start of its process
+    :param address: ``ip:port`` at which it takes datagrams from its peers
+    """
+
+    name: str
+    life: str
+    address: str
+    data_centre: str
+
+
+def presence_key(name: str) -> str:
+    """Return the key of an entry host's presence."""
+    return PRESENCE_PREFIX + name
+
+
+def encode_presence(presence: Presence) -> bytes:
+    """Return a presence as bytes."""
+    return msgspec.json.encode(presence)
+
+
+def decode_presence(data: bytes) -> Presence:
+    """Return a presence from bytes.
+
+    :raises msgspec.DecodeError: if they are malformed
+    """
+    return msgspec.json.decode(data, type=Presence)
+
+
+def preferred_owner(domain: str, names: Mapping[str, Presence]) -> str:
+    """Return the entry host that takes a domain without an owner, by rendezvous hashing."""
+    return max(names, key=lambda name: (xxhash.xxh64_intdigest(f"{domain}/{name}".encode()), name))
+
+
+def owns(plan: DomainPlan, me: Presence) -> bool:
+    """Tell whether this life of this entry host may give orders in a domain."""
+    return (plan.owner, plan.owner_life) == (me.name, me.life)
+
+
+def should_take(plan: DomainPlan, me: Presence, alive: Mapping[str, Presence]) -> bool:
+    """Tell whether this entry host is to take a domain: its owner is gone, and it is next."""
+    owner = alive.get(plan.owner)
+    if owner is not None and owner.life == plan.owner_life:
+        return False
+    return me.name in alive and preferred_owner(plan.domain, alive) == me.name
+
+
+def taken(plan: DomainPlan, me: Presence) -> DomainPlan:
+    """Return the plan as its new owner writes it; the higher term shuts out the last owner."""
+    return plan._replace(owner=me.name, owner_life=me.life, term=plan.term + 1)
--- /dev/null
+++ b/src/oleanderhill/groups/pacing.py
@@ -0,0 +1,37 @@
+"""How fast loads from the weight store may begin.
+
+The store's bound holds for all domains together, and their owners don't ask each other: each has
+its part of the bound as a bucket. The buckets together, full, plus what flows in during a window
+stay under what the bound allows in a window.
+"""
+
+from __future__ import annotations
+
+PART_USED = 0.9
+"""Part of the bound that is used: an order that is carried out late begins its load later."""
+
+
+class LoadPacer:
+    """One domain's part.
+
+    :param per_window: loads that may begin in a window, over all domains
+    :param window: seconds
+    :param domains: number of domains that share the bound
+    """
+
+    def __init__(self, per_window: float, window: float, domains: int) -> None:
+        share = per_window * PART_USED / max(1, domains)
+        self._cap = max(1.0, share * 0.65)
+        self._rate = max(0.02, (share - self._cap) / window)
+        self._tokens = self._cap
+        self._at: float | None = None
+
+    def take(self, now: float) -> bool:
+        """Take one load; return whether it may begin."""
+        if self._at is not None:
+            self._tokens = min(self._cap, self._tokens + (now - self._at) * self._rate)
+        self._at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/src/oleanderhill/kernel.py
+++ b/src/oleanderhill/kernel.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 from typing import Any, NamedTuple, Protocol, TypeVar
 
+import eliot
+
 from .exceptions import OleanderhillError
 
 _Kind = TypeVar("_Kind")
 
+LONGEST_TRACE = 2000
+"""Characters of a traceback in the log; its end shows where it happened."""
+
 
 class ServiceMissingError(OleanderhillError):
     """No service of this name and type is registered."""
@@ -135,7 +141,11 @@
         """Do the periodic work of the task."""
 
     def failed(self, error: BaseException) -> None:
-        """Take note of an unexpected failure of a piece of this task's work."""
+        """Log an unexpected failure of a piece of this task's work; the task goes on."""
+        trace = "".join(traceback.format_exception(error))[-LONGEST_TRACE:]
+        eliot.log_message(
+            message_type="oleanderhill:fault", task=self.name, error=repr(error), trace=trace
+        )
 
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._running.discard(task)
--- /dev/null
+++ b/src/oleanderhill/platform/decoding.py
@@ -0,0 +1,203 @@
+"""The operators' configuration and the entries of target hosts, decoded into our types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..groups.inventory import Membership, MemberState, TargetHost
+from ..serving.catalog import (
+    Account,
+    Backend,
+    Catalog,
+    EngineShape,
+    ModelShape,
+    Repeatable,
+    Route,
+    Service,
+    make_catalog,
+)
+
+CONFIGURATION_KEY = "op/config"
+HOSTS_PREFIX = "servers/"
+
+_REPEATABLE_BY_KIND = {
+    "idempotent": Repeatable.IDEMPOTENT,
+    "non_idempotent": Repeatable.ONCE,
+    "streaming": Repeatable.STREAM,
+}
+
+_DEFAULT_TIMEOUT_MS = 60_000
+"""Milliseconds for a route that names no time-out, as the product's own interface has it."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float = _DEFAULT_TIMEOUT_MS
+    goal_ms: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    service: str = ""
+    backends: list[_Split] = []
+    # Named for where requests should go, "sticky" marks the routes of an engine service.
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Model(msgspec.Struct):
+    name: str
+    size: int = 1
+    traffic_share: float = 1.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    max_batch: int = 1
+    loads_per_s: float = 1.0
+    loads_at_once: int = 1
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 0
+    runtime: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_body_bytes: int = 4 * 1024 * 1024
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+class _Group(msgspec.Struct):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _ModelHeld(msgspec.Struct):
+    name: str
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    max_batch: int = 1
+    state: str = "ready"
+    domain: str = ""
+    staged: list[str] = []
+    models: list[_ModelHeld] = []
+    group: _Group | None = None
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_ENTRY = msgspec.json.Decoder(_Entry)
+
+
+def decode_configuration(data: bytes) -> Catalog:
+    """Return a configuration as a catalog.
+
+    :raises msgspec.DecodeError: if it is malformed
+    """
+    found = _CONFIGURATION.decode(data)
+    tenants = found.tenants or []
+    accounts = {key: Account(t.name, t.priority) for t in tenants for key in t.api_keys}
+    return make_catalog(
+        found.version,
+        [_route(r) for r in found.routes],
+        [_service(s) for s in found.services],
+        accounts,
+        found.tenants is not None,
+        found.limits.max_body_bytes,
+    )
+
+
+def decode_host(key: str, data: bytes) -> TargetHost:
+    """Return the entry of a target host.
+
+    :raises msgspec.DecodeError: if it is malformed
+    """
+    found = _ENTRY.decode(data)
+    group = found.group
+    membership = None
+    if group is not None:
+        membership = Membership(group.name, group.epoch, group.rank, _member_state(group.state))
+    return TargetHost(
+        key.removeprefix(HOSTS_PREFIX),
+        found.service,
+        found.address,
+        found.zone,
+        found.state != "ready",
+        found.max_batch,
+        found.domain,
+        tuple(found.staged),
+        found.models[0].name if found.models else "",
+        membership,
+    )
+
+
+def _member_state(text: str) -> MemberState:
+    try:
+        return MemberState(text)
+    except ValueError as error:
+        raise msgspec.ValidationError(f"unknown state of a member: {text}") from error
+
+
+def _route(found: _Route) -> Route:
+    kind = _REPEATABLE_BY_KIND.get(found.kind)
+    if kind is None:
+        raise msgspec.ValidationError(f"unknown kind of route: {found.kind}")
+    backends = tuple(Backend(b.service, b.weight) for b in found.backends if b.weight > 0)
+    return Route(
+        found.name,
+        found.host.lower(),
+        found.prefix,
+        kind,
+        found.timeout_ms / 1000,
+        found.goal_ms / 1000,
+        max(1, found.max_attempts),
+        found.priority,
+        found.public,
+        backends or (Backend(found.service, 1.0),),
+        found.resumable,
+        found.gap_target_ms / 1000,
+        found.sticky,
+    )
+
+
+def _service(found: _Service) -> Service:
+    if found.runtime is None:
+        return Service(found.name, found.max_connections)
+    engine = found.runtime
+    models = {
+        m.name: ModelShape(m.name, m.size, m.traffic_share, m.pace, m.load_s, m.warm_s)
+        for m in engine.models
+    }
+    shape = EngineShape(engine.max_batch, engine.loads_per_s, engine.loads_at_once, models)
+    return Service(found.name, found.max_connections, shape)
--- /dev/null
+++ b/src/oleanderhill/platform/entry.py
@@ -0,0 +1,304 @@
+"""Puts an entry host on the platform together, runs it, and drains it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import os
+import random
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Sequence
+
+from ..clock import awake_or_not
+from ..exceptions import OleanderhillError
+from ..exposition import Exposition
+from ..groups.inventory import Inventory
+from ..groups.owner import Limits, OwnerTask
+from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
+from ..groups.plans import PLAN_PREFIX, decode_plan
+from ..httpcall import HttpCaller
+from ..kernel import Kernel
+from ..mirror import Follower, KeyedCopy, Mirror
+from ..outcomes import Problem
+from ..presence import PresenceTask
+from ..records import Records, keep_flushing, log_bounded
+from ..serving.admission import admit
+from ..serving.catalog import Catalog, pick_backend
+from ..serving.currency import Currency
+from ..serving.driver import Exchange, Incoming, Tools
+from ..serving.front import CallerSink, Front, Serve
+from ..serving.gossip import GossipTask
+from ..serving.placing import LoadBook
+from ..serving.retries import SharedRetryBudget
+from ..serving.view import ServingView
+from ..storage import Item
+from .decoding import CONFIGURATION_KEY, HOSTS_PREFIX, decode_configuration, decode_host
+from .headers import HeaderCodec
+from .orders import EngineOrders
+from .settings import EntrySettings, read_settings
+from .store import PlatformStore
+
+GC_THRESHOLD = (20_000, 20, 50)
+"""Cyclic garbage is rare here; by default the heap is walked every few milliseconds of relaying."""
+
+ENTRY_RETURN = 2.2
+"""Seconds after the store's return in which hosts that live have their entries again."""
+
+FREE_LOADS_FOR = 9.0
+"""Seconds after the first start of all in which loads don't count: traffic comes after twelve."""
+
+METRICS_PORT = 9464
+"""Port of the metrics; the deploy file names it too."""
+
+
+class EntryHost:
+    """One entry host on the platform.
+
+    :param descriptor: of the file that takes the log
+    """
+
+    def __init__(self, settings: EntrySettings, descriptor: int) -> None:
+        self._settings = settings
+        self._rng = random.Random(secrets.randbits(64))
+        self._records = Records(settings.host)
+        self._output = log_bounded(descriptor)
+        self._started = awake_or_not()
+        self._catalog: Catalog | None = None
+        self._catalog_revision = 0
+        self._budget_by_service: dict[str, SharedRetryBudget] = {}
+        self._most_hosts = 1
+        self.exposition = Exposition()
+        self._assemble()
+
+    def _assemble(self) -> None:
+        s, records, rng = self._settings, self._records, self._rng
+        self.kernel = Kernel()
+        self._caller = HttpCaller()
+        self._store = PlatformStore(s.store, HttpCaller())
+        self._currency = Currency(s.key_removal)
+        self._inventory = Inventory(ENTRY_RETURN)
+        self._plans = KeyedCopy(decode_plan, records)
+        self._entries = KeyedCopy(decode_presence, records)
+        self._view = ServingView(self._inventory, self._plans, rng)
+        self._book = LoadBook(s.data_centre, rng)
+        me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre)
+        self._mirror = Mirror(
+            self.kernel, self._store, self._currency, self._followers(), records, rng
+        )
+        self._mirror.returned.append(self._inventory.store_returned)
+        self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
+        self._orders = EngineOrders(HttpCaller())
+        limits = Limits(s.stall, s.load_window, s.load_factor)
+        owner = OwnerTask(
+            self.kernel,
+            me,
+            self._store,
+            self._mirror,
+            self._plans,
+            self._presence.alive,
+            self._inventory,
+            lambda: self._catalog,
+            self._orders,
+            limits,
+            self._first_loads_free,
+            lambda group: self._book.is_suspect(group, time.monotonic()),
+            self._view.demand,
+            records,
+        )
+        self._codec = HeaderCodec()
+        self._tools = Tools(
+            self._codec,
+            self._caller,
+            self._book,
+            records,
+            self._view.candidates,
+            self._view.come_back,
+            self.exposition.request,
+        )
+        serving = Serve(self._serve, self._ready, self._max_body)
+        self.front = Front(
+            self.kernel, s.callers, s.balancer, s.grace, self._codec, serving, records
+        )
+        gossip = GossipTask(self.kernel, me, self._book, self._presence.alive)
+        for service in (self.front, self._mirror, self._presence, gossip, owner):
+            self.kernel.register(service)
+        self._show_gauges()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then drain."""
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        flushing = asyncio.create_task(keep_flushing(self._output))
+        s = self._settings
+        self._records.note(
+            "process",
+            "start",
+            data_centre=s.data_centre,
+            first_start=s.first_start,
+            cpu_s=round(time.process_time(), 3),
+        )
+        with contextlib.suppress(OSError):
+            self.exposition.listen(s.ip, METRICS_PORT)
+        await self.kernel.start()
+        await stop.wait()
+        await self.front.drain()
+        await self._presence.withdraw()
+        await self.kernel.stop()
+        self._caller.close()
+        self._records.note("process", "stop")
+        flushing.cancel()
+        self._output.flush()
+
+    def _followers(self) -> Sequence[Follower]:
+        return (
+            Follower(CONFIGURATION_KEY, self._replace_catalog, self._change_catalog, self._settled),
+            Follower(HOSTS_PREFIX, self._replace_hosts, self._change_host, self._settled),
+            Follower(PLAN_PREFIX, self._plans.replace, self._plans.change, self._settled),
+            Follower(PRESENCE_PREFIX, self._entries.replace, self._entries.change, self._count),
+        )
+
+    def _replace_catalog(self, items: Sequence[Item], now: float) -> None:
+        for item in items:
+            self._change_catalog(item.key, item.value, item.revision, now)
+
+    def _change_catalog(self, key: str, value: bytes | None, revision: int, now: float) -> None:
+        """Take a configuration unless it is older than the one held; one never goes back."""
+        if key != CONFIGURATION_KEY or value is None or revision <= self._catalog_revision:
+            return
+        try:
+            self._catalog = decode_configuration(value)
+        except ValueError as error:
+            self._records.note("settings", "malformed", revision=revision, reason=str(error))
+            return
+        self._catalog_revision = revision
+        self._records.note("settings", "in force", version=self._catalog.version, revision=revision)
+
+    def _replace_hosts(self, items: Sequence[Item], now: float) -> None:
+        hosts = []
+        for item in items:
+            try:
+                hosts.append(decode_host(item.key, item.value))
+            except ValueError as error:
+                self._records.note("hosts", "malformed", key=item.key, reason=str(error))
+        for instance in self._inventory.replace(hosts, now):
+            self._records.note("hosts", "gone", instance=instance)
+
+    def _change_host(self, key: str, value: bytes | None, revision: int, now: float) -> None:
+        instance = key.removeprefix(HOSTS_PREFIX)
+        if value is None:
+            known = self._inventory.by_instance.get(instance)
+            gone = self._inventory.remove(instance, now)
+            if known is not None and gone:
+                self._caller.forget(known.address)
+            self._records.note("hosts", "gone" if gone else "doubtful", instance=instance)
+            return
+        try:
+            host = decode_host(key, value)
+        except ValueError as error:
+            self._records.note("hosts", "malformed", key=key, reason=str(error))
+            return
+        before = self._inventory.put(host)
+        if before is None or before != host:
+            self._records.note(
+                "hosts",
+                "seen",
+                instance=instance,
+                leaving=host.leaving,
+                membership=host.membership,
+                staged=host.staged,
+            )
+
+    def _settled(self, now: float) -> None:
+        for instance in self._inventory.expire(now):
+            self._records.note("hosts", "gone", instance=instance)
+        self._view.refresh(self._catalog)
+        at = time.monotonic()
+        self._view.measure(
+            lambda target: self._book.load(target, at),
+            lambda model: self._book.turned_away(model, at),
+        )
+
+    def _count(self, now: float) -> None:
+        self._most_hosts = max(self._most_hosts, len(self._presence.alive()))
+        for budget in self._budget_by_service.values():
+            budget.hosts = self._most_hosts
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            s = self._settings
+            budget = SharedRetryBudget(s.retry_ratio, s.retry_slack, s.retry_window)
+            budget.hosts = self._most_hosts
+            self._budget_by_service[service] = budget
+        return budget
+
+    def _first_loads_free(self) -> bool:
+        young = awake_or_not() - self._started < FREE_LOADS_FOR
+        return self._settings.first_start and young
+
+    def _ready(self) -> bool:
+        return self._catalog is not None and self._currency.holds(awake_or_not())
+
+    def _max_body(self) -> int:
+        return self._catalog.max_body if self._catalog is not None else 4 * 1024 * 1024
+
+    async def _serve(self, incoming: Incoming, host: str, path: str, sink: CallerSink) -> None:
+        now = awake_or_not()
+        current = self._currency.holds(now)
+        accepted = admit(self._catalog, current, incoming.facts, host, path)
+        if isinstance(accepted, Problem):
+            sink.refuse(accepted)
+            self._records.request(
+                incoming.facts.request_id,
+                accepted.kind,
+                False,
+                status=accepted.status,
+                reason=accepted.detail,
+                path=path,
+                version=self._catalog.version if self._catalog else None,
+                proof_age_s=round(self._currency.age(now), 2),
+            )
+            self.exposition.request("", accepted.kind, 0.0)
+            return
+        service = pick_backend(accepted.route, self._rng)
+        budget = self._budget(service)
+        budget.request(time.monotonic())
+        await Exchange(self._tools, incoming, accepted, service, budget, sink).run()
+
+    def _reload(self) -> None:
+        try:
+            read_settings()
+        except OleanderhillError as error:
+            self._records.note("process", "reload refused", reason=str(error))
+            return
+        self._records.note("process", "reload")
+
+    def _show_gauges(self) -> None:
+        show = self.exposition.gauge
+        show("requests_in_flight", "Requests in flight", lambda: self.front.in_flight)
+        show("store_calls", "Calls to the store", lambda: sum(self._store.calls_by_kind.values()))
+        show("orders", "Orders to engine hosts", lambda: self._orders.given)
+        show("proof_age_seconds", "Age of the proof", lambda: self._currency.age(awake_or_not()))
+        show("store_copy_age_seconds", "Age of the copy", lambda: self._mirror.age(awake_or_not()))
+        show("connections_opened", "Connections to targets", lambda: self._caller.opened)
+        show("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
+
+
+def main() -> None:
+    """Run an entry host on the platform."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    gc.set_threshold(*GC_THRESHOLD)
+    try:
+        settings = read_settings()
+    except OleanderhillError as error:
+        print(f"oleanderhill: {error.show()}", file=sys.stderr)
+        sys.exit(error.exit_code)
+    asyncio.run(EntryHost(settings, descriptor).run())
--- /dev/null
+++ b/src/oleanderhill/platform/headers.py
@@ -0,0 +1,124 @@
+"""Headers of requests and replies, decoded into typed facts and written from them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from tornado.httputil import HTTPHeaders
+
+from ..serving.forwarding import Facts, Reading
+
+REQUEST_ID = "Attempt-Id"
+DEADLINE = "Deadline-Ms"
+LAST_EVENT = "Last-Event-Id"
+MODEL = "Model"
+# Despite the name two numbers: prompt tokens, and the most tokens of the answer.
+SIZES = "Token-Counts"
+EXPECT_INSTANCE = "Expect-Instance"
+ACCOUNT = "Tenant"
+PRIORITY = "Request-Priority"
+NOT_RUN = "Not-Executed"
+SEAL = "Response-Seal"
+# In a failure: the host because of which it came about, which need not be the one that answered.
+AT_FAULT = "At-Server"
+AUTHORIZATION = "Authorization"
+RETRY_AFTER = "Retry-After"
+
+_CONNECTION_ONLY = frozenset(
+    {
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect",
+    }
+)
+_SET_BY_US = frozenset({ACCOUNT, DEADLINE, EXPECT_INSTANCE, PRIORITY, AUTHORIZATION, LAST_EVENT})
+
+_MIDDLE_PRIORITY = 4
+_MOST_PRIORITY = 9
+
+
+class HeaderCodec:
+    """Decodes and writes the platform's headers for the product."""
+
+    def read_request(self, headers: HTTPHeaders) -> Facts:
+        """Return what a request's headers say."""
+        scheme, _, key = headers.get(AUTHORIZATION, "").partition(" ")
+        sizes = [int(t) for t in headers.get(SIZES, "").split(",") if t.strip().isdigit()]
+        last = headers.get(LAST_EVENT, "")
+        wait = _milliseconds(headers.get(DEADLINE))
+        return Facts(
+            headers.get(REQUEST_ID, ""),
+            wait,
+            key.strip() if scheme.lower() == "bearer" else "",
+            headers.get(MODEL, ""),
+            sizes[0] if sizes else 0,
+            sizes[1] if len(sizes) > 1 else 0,
+            int(last) if last.isdigit() else None,
+        )
+
+    def to_target(
+        self,
+        headers: HTTPHeaders,
+        account: str | None,
+        instance: str,
+        seconds_left: float,
+        priority: int | None,
+        last_event: int | None,
+    ) -> HTTPHeaders:
+        """Return the headers with which a request goes to a target."""
+        sent = _passed_on(headers, _SET_BY_US)
+        sent[DEADLINE] = str(max(1, int(seconds_left * 1000)))
+        sent[EXPECT_INSTANCE] = instance
+        if account is not None:
+            sent[ACCOUNT] = account
+        if priority is not None:
+            sent[PRIORITY] = str(min(_MOST_PRIORITY, _MIDDLE_PRIORITY + priority))
+        if last_event is not None:
+            sent[LAST_EVENT] = str(last_event)
+        return sent
+
+    def read_reply(self, status: int, headers: HTTPHeaders) -> Reading:
+        """Return what a reply's status and headers mean for the request."""
+        not_run = NOT_RUN in headers or status == 421
+        return Reading(not_run, SEAL in headers, headers.get(AT_FAULT, ""))
+
+    def belongs(self, request_id: str, headers: HTTPHeaders) -> bool:
+        """Tell whether a reply answers this request. One without an id is a target's refusal."""
+        return headers.get(REQUEST_ID, request_id) == request_id
+
+    def to_caller(self, headers: HTTPHeaders) -> HTTPHeaders:
+        """Return the headers with which a target's answer goes to the caller."""
+        return _passed_on(headers, frozenset())
+
+    def refusal(self, request_id: str, retry_after: float | None) -> Mapping[str, str]:
+        """Return the headers of an answer of our own."""
+        headers = {"Content-Type": "application/json"}
+        if request_id:
+            headers[REQUEST_ID] = request_id
+        if retry_after is not None:
+            headers[RETRY_AFTER] = f"{retry_after:.2f}"
+        return headers
+
+
+def _passed_on(headers: HTTPHeaders, but: frozenset[str]) -> HTTPHeaders:
+    named = {t.strip().title() for t in headers.get("Connection", "").split(",") if t.strip()}
+    passed = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in _CONNECTION_ONLY and name not in but and name not in named:
+            passed.add(name, value)
+    return passed
+
+
+def _milliseconds(text: str | None) -> float | None:
+    try:
+        return float(text) / 1000 if text else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/oleanderhill/platform/orders.py
@@ -0,0 +1,108 @@
+"""Orders to engine hosts over HTTP."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+from returns.pipeline import is_successful
+
+from ..groups.forming import Join, Leave, Open, Order, OrderEnd, Stage
+from ..httpcall import Call, HttpCaller
+from .headers import EXPECT_INSTANCE
+
+ORDER_TIMEOUT = 0.8
+"""Seconds for an order; a host answers within a few ms or not at all."""
+
+PROBE_TIMEOUT = 0.4
+"""Seconds for a probe of a host whose group was seen to stall; it takes no slot of the engine."""
+
+_END_BY_STATUS = {
+    200: OrderEnd.DONE,
+    202: OrderEnd.DONE,
+    409: OrderEnd.UNFIT,
+    412: OrderEnd.FENCED,
+    421: OrderEnd.GONE,
+}
+
+
+@singledispatch
+def _body(order: Order) -> dict[str, Any]:
+    raise TypeError(f"unknown order {order!r}")
+
+
+@_body.register
+def _(order: Join) -> dict[str, Any]:
+    group = order.group
+    return {
+        "operation": "join",
+        "group": group.name,
+        "epoch": group.epoch,
+        "model": group.model,
+        "members": list(group.members),
+    }
+
+
+@_body.register
+def _(order: Open) -> dict[str, Any]:
+    return {"operation": "open", "group": order.group.name, "epoch": order.group.epoch}
+
+
+@_body.register
+def _(order: Leave) -> dict[str, Any]:
+    return {"operation": "leave", "group": order.group, "epoch": order.epoch}
+
+
+@_body.register
+def _(order: Stage) -> dict[str, Any]:
+    # Named for the stage of a request elsewhere, this operation loads weights onto the host.
+    return {"operation": "phase", "model": order.model}
+
+
+class EngineOrders:
+    """Gives orders to engine hosts."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        self._caller = caller
+        self.given = 0
+
+    async def give(self, order: Order, address: str, term: int) -> OrderEnd:
+        """Give an order and return how it ended.
+
+        The instance is named, so that another host that got the address refuses it; the term
+        makes a host refuse the orders of an owner that was replaced.
+        """
+        self.given += 1
+        body = msgspec.json.encode({**_body(order), "fencing_token": term})
+        headers = {"Content-Type": "application/json", EXPECT_INSTANCE: order.instance}
+        call = Call(
+            address,
+            "POST",
+            "/order",
+            headers,
+            body,
+            timeout=ORDER_TIMEOUT,
+            reuse=True,
+            connect_timeout=ORDER_TIMEOUT,
+        )
+        found = await self._caller.call(call)
+        if is_successful(found):
+            return _END_BY_STATUS.get(found.unwrap().status, OrderEnd.SILENT)
+        # A refused connection proves nothing: a partition may refuse where the host lives on.
+        return OrderEnd.SILENT
+
+    async def answers(self, instance: str, address: str) -> bool:
+        """Tell whether a host answers under this address in this life."""
+        headers = {EXPECT_INSTANCE: instance}
+        call = Call(
+            address,
+            "GET",
+            "/report",
+            headers,
+            timeout=PROBE_TIMEOUT,
+            reuse=True,
+            connect_timeout=PROBE_TIMEOUT,
+        )
+        found = await self._caller.call(call)
+        return is_successful(found) and found.unwrap().status == 200
--- /dev/null
+++ b/src/oleanderhill/platform/store.py
@@ -0,0 +1,211 @@
+"""The platform's store over HTTP, in the shape of :class:`~..storage.Storage`."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Mapping, Sequence
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from ..exceptions import StoreAnswerLostError, StoreError, StoreUnavailableError
+from ..httpcall import Call, CallFailure, HttpCaller, Reply
+from ..storage import (
+    Change,
+    Changes,
+    HistoryLostError,
+    Item,
+    LeaseEndedError,
+    Listing,
+    StoreConflictError,
+    Write,
+)
+
+CALL_TIMEOUT = 1.0
+"""Seconds for a call; the store takes 4 ms, and 60 times as long on a slow day."""
+
+CONNECT_TIMEOUT = 0.4
+"""Seconds to connect; a store that is cut off does not answer at all."""
+
+CHANGES_WAIT_MS = 200
+"""Milliseconds that a reading of changes waits where there are none: heartbeats of the target
+hosts are changes too, so that this is rare."""
+
+MAX_PAGES = 200
+"""Pages of a listing; each has some hundred items, so more of them is a fault of the store."""
+
+_Kind = TypeVar("_Kind")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    at: int
+    has_more: bool = False
+
+
+class _Watched(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _Committed(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease_id: int
+
+
+class PlatformStore:
+    """Calls to the store; reads and writes are counted, as each has its price.
+
+    :param address: ``ip:port``
+    """
+
+    def __init__(self, address: str, caller: HttpCaller) -> None:
+        self._address = address
+        self._caller = caller
+        self.calls_by_kind: dict[str, int] = {}
+
+    async def list(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read all items under a prefix. Pages are not one snapshot: the oldest revision counts."""
+        items: list[Item] = []
+        after, revision = "", None
+        for _ in range(MAX_PAGES):
+            query = {"prefix": prefix, **({"after": after} if after else {})}
+            found = await self._read("list", f"/kv-range?{urlencode(query)}", _Page)
+            if not is_successful(found):
+                return Failure(found.failure())
+            page = found.unwrap()
+            items.extend(_item(i) for i in page.items)
+            revision = page.at if revision is None else revision
+            if not page.has_more or not page.items:
+                return Success(Listing(revision, items))
+            after = page.items[-1].key
+        return Failure(StoreUnavailableError(f"over {MAX_PAGES} pages under {prefix}"))
+
+    async def changes(self, after: int) -> Result[Changes, StoreError]:
+        """Read what changed after a revision, all keys."""
+        query = urlencode({"prefix": "", "after": after, "wait_ms": CHANGES_WAIT_MS})
+        found = await self._read("changes", f"/kv-watch?{query}", _Watched)
+        return found.map(
+            lambda w: Changes(
+                w.at,
+                [Change(e.key, None if e.deleted else _value(e), e.revision) for e in w.events],
+            )
+        )
+
+    async def commit(
+        self, expected: Mapping[str, int], writes: Sequence[Write]
+    ) -> Result[int, StoreError]:
+        """Write all or nothing if each key is at its expected revision (0: does not exist)."""
+        body = {
+            "expected": [{"key": k, "revision": r} for k, r in expected.items()],
+            "write": [_as_written(w) for w in writes],
+            "delete": [],
+        }
+        found = await self._call("commit", "POST", "/kv-txn", body)
+        if not is_successful(found):
+            return Failure(found.failure())
+        reply = found.unwrap()
+        if reply.status == 412:
+            return _decoded(reply, _Conflict).bind(_conflict)
+        return _checked(reply).bind(lambda r: _decoded(r, _Committed)).map(lambda c: c.revision)
+
+    async def grant(self, seconds: float) -> Result[int, StoreError]:
+        """Return a new lease."""
+        found = await self._call("grant", "POST", "/kv-lease", {"ttl_ms": int(seconds * 1000)})
+        return found.bind(_checked).bind(lambda r: _decoded(r, _Lease)).map(lambda g: g.lease_id)
+
+    async def renew(self, lease: int) -> Result[None, StoreError]:
+        """Renew a lease."""
+        found = await self._call("renew", "POST", f"/kv-keep/{lease}", {})
+        return found.bind(_checked).map(lambda _: None)
+
+    async def end(self, lease: int) -> Result[None, StoreError]:
+        """End a lease and remove its keys."""
+        found = await self._call("end", "DELETE", f"/kv-lease-end/{lease}", None)
+        return found.bind(_checked).map(lambda _: None)
+
+    async def _read(self, kind: str, path: str, type_: type[_Kind]) -> Result[_Kind, StoreError]:
+        found = await self._call(kind, "GET", path, None)
+        return found.bind(_checked).bind(lambda reply: _decoded(reply, type_))
+
+    async def _call(
+        self, kind: str, method: str, path: str, body: dict[str, Any] | None
+    ) -> Result[Reply, StoreError]:
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"} if data else {}
+        call = Call(
+            self._address,
+            method,
+            path,
+            headers,
+            data,
+            timeout=CALL_TIMEOUT,
+            reuse=True,
+            connect_timeout=CONNECT_TIMEOUT,
+        )
+        return (await self._caller.call(call)).alt(_store_error)
+
+
+def _store_error(failure: CallFailure) -> StoreError:
+    if failure.sent:
+        return StoreAnswerLostError(failure.reason)
+    return StoreUnavailableError(failure.reason)
+
+
+def _checked(reply: Reply) -> Result[Reply, StoreError]:
+    if reply.status == 200:
+        return Success(reply)
+    if reply.status == 410:
+        return Failure(HistoryLostError())
+    if reply.status == 404:
+        return Failure(LeaseEndedError())
+    # Any other status of this store, 429 and 503 among them, means that nothing was done.
+    return Failure(StoreUnavailableError(f"status {reply.status}"))
+
+
+def _decoded(reply: Reply, type_: type[_Kind]) -> Result[_Kind, StoreError]:
+    try:
+        return Success(msgspec.json.decode(reply.body, type=type_))
+    except msgspec.DecodeError as error:
+        return Failure(StoreAnswerLostError(f"malformed answer: {error}"))
+
+
+def _conflict(found: _Conflict) -> Result[int, StoreError]:
+    held = {i.key: _item(i) for i in found.items if not i.deleted}
+    return Failure(StoreConflictError(held))
+
+
+def _item(found: _Item) -> Item:
+    return Item(found.key, _value(found), found.revision)
+
+
+def _value(found: _Item) -> bytes:
+    return base64.b64decode(found.value)
+
+
+def _as_written(write: Write) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "key": write.key,
+        "value": base64.b64encode(write.value).decode("ascii"),
+    }
+    if write.lease:
+        row["lease_id"] = write.lease
+    return row
--- /dev/null
+++ b/src/oleanderhill/presence.py
@@ -0,0 +1,95 @@
+"""This entry host's presence in the store, and who else is there."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from returns.pipeline import is_successful
+
+from .groups.ownership import Presence, encode_presence, presence_key
+from .kernel import Kernel, Task
+from .mirror import KeyedCopy
+from .records import Records
+from .storage import LeaseEndedError, Storage, StoreConflictError, Write
+
+LEASE_SECONDS = 3.0
+"""Seconds after which an entry host that is not heard of counts as gone. Shorter, a slow store
+would end leases of hosts that live; longer, a domain stays without an owner."""
+
+RENEW_EVERY = 0.9
+"""Seconds between renewals: two may be lost before the lease ends."""
+
+
+class PresenceTask(Task):
+    """Owns the lease and the presence key of this process."""
+
+    name = "presence"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        me: Presence,
+        storage: Storage,
+        copy: KeyedCopy[Presence],
+        records: Records,
+        rng: random.Random,
+    ) -> None:
+        super().__init__(kernel)
+        self.me = me
+        self._storage = storage
+        self._copy = copy
+        self._records = records
+        self._rng = rng
+        self._lease = 0
+
+    async def start(self) -> None:
+        """Start to hold the lease."""
+        self.spawn(self._hold())
+
+    async def withdraw(self) -> None:
+        """End the lease, so that others take over at once."""
+        if self._lease:
+            await self._storage.end(self._lease)
+
+    def alive(self) -> dict[str, Presence]:
+        """Return the entry hosts that are there, by name."""
+        return {p.name: p for p in self._copy.by_key.values()}
+
+    async def _hold(self) -> None:
+        while True:
+            held = await self._renew() if self._lease else await self._begin()
+            wait = RENEW_EVERY if held else 0.3
+            await asyncio.sleep(wait * (0.8 + 0.2 * self._rng.random()))
+
+    async def _renew(self) -> bool:
+        renewed = await self._storage.renew(self._lease)
+        if is_successful(renewed):
+            return True
+        if isinstance(renewed.failure(), LeaseEndedError):
+            self._records.note("presence", "lease ended", lease=self._lease)
+            self._lease = 0
+            return await self._begin()
+        return False
+
+    async def _begin(self) -> bool:
+        granted = await self._storage.grant(LEASE_SECONDS)
+        if not is_successful(granted):
+            return False
+        lease = granted.unwrap()
+        key = presence_key(self.me.name)
+        held = self._copy.get(key)
+        revision = held[1] if held is not None else 0
+        for _ in range(2):
+            write = Write(key, encode_presence(self.me), lease)
+            written = await self._storage.commit({key: revision}, [write])
+            if is_successful(written):
+                self._lease = lease
+                self._records.note("presence", "present", lease=lease, life=self.me.life)
+                return True
+            error = written.failure()
+            if not isinstance(error, StoreConflictError):
+                return False
+            item = error.held.get(key)
+            revision = item.revision if item is not None else 0
+        return False
--- /dev/null
+++ b/src/oleanderhill/serving/admission.py
@@ -0,0 +1,58 @@
+"""Whether a request is taken: by route, key, and how sure this host is of its configuration."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ..outcomes import Problem, Ran, unauthenticated
+from .catalog import Account, Catalog, Route
+from .forwarding import Facts
+
+UNSURE_RETRY = 0.4
+"""Seconds after which a caller may come back that was refused for want of a current configuration:
+one reading of the store. The balancer sends it to another host."""
+
+
+class Accepted(NamedTuple):
+    """A request that is taken."""
+
+    route: Route
+    account: Account | None
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request; the account's own goes before the route's."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+def admit(
+    catalog: Catalog | None, current: bool, facts: Facts, host: str, path: str
+) -> Accepted | Problem:
+    """Return the route and account of a request, or why it is refused.
+
+    :param current: the configuration held is proved to be the newest within the bound
+
+    A host that is not sure says 503, never 401 or 404: it may not have heard of a route or key
+    that is there, and callers don't come back after those.
+    """
+    if catalog is None:
+        return _unsure("no configuration yet")
+    route = catalog.find_route(host.partition(":")[0].lower(), path)
+    if route is None:
+        return _no_route() if current else _unsure("configuration may be old")
+    if route.public or not catalog.keyed:
+        return Accepted(route, None)
+    if not current:
+        return _unsure("keys may have been taken away")
+    account = catalog.account_by_key.get(facts.key)
+    return Accepted(route, account) if account is not None else unauthenticated()
+
+
+def _unsure(detail: str) -> Problem:
+    return Problem("not-current", 503, Ran.NO, detail, UNSURE_RETRY)
+
+
+def _no_route() -> Problem:
+    return Problem("no-route", 404, Ran.NO, "no route has this host and path")
--- /dev/null
+++ b/src/oleanderhill/serving/driver.py
@@ -0,0 +1,405 @@
+"""Drives one forwarded request from its arrival to its one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import NamedTuple, Protocol
+
+from returns.pipeline import is_successful
+from returns.result import Result
+from tornado.httputil import HTTPHeaders
+
+from ..attempts import (
+    Cancel,
+    Chosen,
+    ConnectFailed,
+    DeadlineHit,
+    Deliver,
+    Dispatch,
+    Effect,
+    Fail,
+    Finished,
+    Lost,
+    NotStarted,
+    Piece,
+    Request,
+    RequestMachine,
+    Select,
+    Sending,
+)
+from ..httpcall import Call, CallFailure, HttpCaller, Observer, Reply
+from ..outcomes import Problem, Ran
+from ..records import Records
+from ..routing import Choice, NoChoice
+from ..types import Member
+from .admission import Accepted
+from .catalog import Repeatable
+from .events import EventCutter, EventOrder
+from .forwarding import Codec, Facts
+from .patience import stall_after
+from .placing import Candidate, LoadBook
+from .retries import SharedRetryBudget
+
+CONNECT_TIMEOUT = 0.12
+"""Seconds to connect to a target; within a region the way there and back is under 20 ms, and a
+request that finds a dead one can still be on time elsewhere."""
+
+EVENT_STREAM = "text/event-stream"
+
+
+class Incoming(NamedTuple):
+    """A request as it came.
+
+    :param arrived: monotonic time
+    """
+
+    method: str
+    uri: str
+    headers: HTTPHeaders
+    body: bytes
+    facts: Facts
+    arrived: float
+
+
+class Sink(Protocol):
+    """Gives the caller its answer."""
+
+    begun: bool
+
+    def reply(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Give a whole answer."""
+
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
+        """Begin a streamed answer."""
+
+    def write(self, data: bytes) -> Awaitable[None] | None:
+        """Give a piece of a streamed answer; more may follow when the result is done."""
+
+    def end(self) -> None:
+        """End a streamed answer as whole."""
+
+    def cut(self) -> None:
+        """End a streamed answer so that it can't be taken for whole."""
+
+    def refuse(self, problem: Problem) -> None:
+        """Give a problem as the final answer."""
+
+
+class Tools(NamedTuple):
+    """What all requests of a process share.
+
+    :param candidates: returns the targets that serve a service and model now
+    :param report: takes route, outcome and seconds of a request that has ended
+    """
+
+    codec: Codec
+    caller: HttpCaller
+    book: LoadBook
+    records: Records
+    candidates: Callable[[str, str], Sequence[Candidate]]
+    come_back: Callable[[str, str], float]
+    report: Callable[[str, str, float], None]
+
+
+class _Run(Observer):
+    """One attempt: passes on what the target sends."""
+
+    def __init__(self, exchange: Exchange, attempt: int, target: str) -> None:
+        self._exchange = exchange
+        self._attempt = attempt
+        self._target = target
+        self.longest_pause = 0.0
+        self._cutter = EventCutter()
+        self.status = 0
+        self.reply_headers = HTTPHeaders()
+        self.streaming = False
+        self.chunks: list[bytes] = []
+        self.events = 0
+        self.progressed = time.monotonic()
+        self.fault = ""
+
+    def sending(self) -> bool:
+        self._exchange.machine.handle(Sending(self._attempt), time.monotonic())
+        return True
+
+    def headers(self, status: int, headers: HTTPHeaders) -> None:
+        self.status = status
+        self.reply_headers = headers
+        kind = headers.get("Content-Type", "")
+        reading = self._exchange.tools.codec.read_reply(status, headers)
+        self.streaming = status == 200 and kind.startswith(EVENT_STREAM) and reading.sealed
+
+    def data(self, chunk: bytes) -> Awaitable[None] | None:
+        if not self.streaming:
+            self.progressed = time.monotonic()
+            self.chunks.append(chunk)
+            return None
+        if self.fault:
+            return None
+        return self._pass_on(chunk)
+
+    def _pass_on(self, chunk: bytes) -> Awaitable[None] | None:
+        whole = []
+        for event in self._cutter.feed(chunk):
+            if not self._exchange.order.admit(event):
+                self.fault = f"event {event.number} after {self._exchange.order.last}"
+                break
+            whole.append(event.data)
+        if not whole:
+            return None
+        now = time.monotonic()
+        if self.events:
+            self.longest_pause = max(self.longest_pause, now - self.progressed)
+        self.progressed = now
+        self.events += len(whole)
+        self._exchange.tools.book.progress(self._target, now)
+        return self._exchange.pass_on(self, b"".join(whole), len(whole))
+
+    @property
+    def torn(self) -> bool:
+        """Tell whether the stream ended within an event."""
+        return bool(self._cutter.rest.strip())
+
+
+class Exchange:
+    """One request.
+
+    :param service: the service that takes it, drawn once from its route's backends
+    """
+
+    def __init__(
+        self,
+        tools: Tools,
+        incoming: Incoming,
+        accepted: Accepted,
+        service: str,
+        budget: SharedRetryBudget,
+        sink: Sink,
+    ) -> None:
+        self.tools = tools
+        self._in = incoming
+        self._accepted = accepted
+        self._service = service
+        self._sink = sink
+        route = accepted.route
+        patience = incoming.facts.patience
+        self._caller_until = incoming.arrived + (route.timeout if patience is None else patience)
+        deadline = min(self._caller_until, incoming.arrived + route.timeout)
+        stream = route.repeatable == Repeatable.STREAM
+        request = Request(
+            incoming.facts.request_id, route.may_run_again, stream, deadline, route.max_attempts
+        )
+        self.machine = RequestMachine(request, budget)
+        self.order = EventOrder(incoming.facts.last_event)
+        self._fallback: Reply | None = None
+        self._first_event_at: float | None = None
+        self._longest_pause = 0.0
+        self._path: list[str] = []
+
+    async def run(self) -> None:
+        """Run the request to its final answer."""
+        effects: list[Effect] = self.machine.start()
+        while effects:
+            effect, *rest = effects
+            match effect:
+                case Select(exclude):
+                    effects = self._handle(Chosen(self._choose(exclude)))
+                case Dispatch(attempt, choice, _):
+                    effects = await self._attempt(attempt, choice)
+                case Cancel():
+                    effects = rest
+                case Deliver():
+                    self._deliver()
+                    effects = rest
+                case Fail(problem):
+                    self._fail(problem)
+                    effects = rest
+
+    def pass_on(self, run: _Run, data: bytes, events: int) -> Awaitable[None] | None:
+        """Give whole events to the caller."""
+        now = time.monotonic()
+        if self._first_event_at is None:
+            self._first_event_at = now
+            # The first target's head stays, whoever writes the rest.
+            headers = self.tools.codec.to_caller(run.reply_headers)
+            self._sink.begin(run.status, headers)
+        self.machine.handle(Piece(self.machine.attempt, events), now)
+        return self._sink.write(data)
+
+    def _handle(self, event: object) -> list[Effect]:
+        return self.machine.handle(event, time.monotonic())  # type: ignore[arg-type]
+
+    def _choose(self, tried: frozenset[str]) -> Choice | NoChoice:
+        candidates = self.tools.candidates(self._service, self._in.facts.model)
+        names = {t.partition("@")[0] for t in tried}
+        found = self.tools.book.choose(candidates, names, time.monotonic())
+        if found is None:
+            reason = "all targets were tried" if candidates else "no target serves"
+            if not candidates:
+                self.tools.book.turn_away(self._in.facts.model, time.monotonic())
+            return NoChoice(reason, False, bool(candidates))
+        host = found.host
+        member = Member(host.instance, host.address, host.instance)
+        return Choice(found.target, 0, member, host.data_centre, "least busy")
+
+    async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
+        book = self.tools.book
+        self._path.append(f"{choice.group}:{choice.head.host}")
+        book.begin(choice.group)
+        run = _Run(self, attempt, choice.group)
+        task = asyncio.ensure_future(self.tools.caller.call(self._call(choice), run))
+        try:
+            stuck = await self._watch(task, run, choice)
+            if stuck is None:
+                return self._ended(task.result(), run, attempt, choice)
+            return self._abandoned(stuck, attempt, choice)
+        finally:
+            task.cancel()
+            book.end(choice.group)
+            self._longest_pause = max(self._longest_pause, run.longest_pause)
+
+    def _call(self, choice: Choice) -> Call:
+        now = time.monotonic()
+        accepted = self._accepted
+        account = accepted.account.name if accepted.account is not None else None
+        priority = accepted.priority if accepted.route.generates else None
+        headers = self.tools.codec.to_target(
+            self._in.headers,
+            account,
+            choice.head.host,
+            self._caller_until - now,
+            priority,
+            self.order.last,
+        )
+        request_id = self._in.facts.request_id
+        return Call(
+            choice.head.address,
+            self._in.method,
+            self._in.uri,
+            headers,
+            self._in.body,
+            timeout=None,
+            reuse=True,
+            unframed=True,
+            belongs=lambda h: self.tools.codec.belongs(request_id, h),
+            connect_timeout=CONNECT_TIMEOUT,
+        )
+
+    async def _watch(
+        self, task: asyncio.Future[Result[Reply, CallFailure]], run: _Run, choice: Choice
+    ) -> str | None:
+        """Wait for an attempt's end; return why it is to be abandoned, ``None`` if it ended."""
+        book = self.tools.book
+        while True:
+            now = time.monotonic()
+            deadline = self.machine.request.deadline
+            stall = stall_after(self._accepted.route, run.events > 0)
+            next_look = min(deadline, max(run.progressed + stall, now + 0.02))
+            done, _ = await asyncio.wait({task}, timeout=max(0.0, next_look - now))
+            if done:
+                return None
+            now = time.monotonic()
+            if now >= deadline:
+                return "deadline"
+            if run.fault:
+                return run.fault
+            idle = now - run.progressed >= stall
+            if idle and not book.goes_on(choice.group, now, stall) and self._can_move(choice, now):
+                return f"no progress in {now - run.progressed:.3f} s"
+
+    def _can_move(self, choice: Choice, now: float) -> bool:
+        if not self.machine.may_move(now):
+            return False
+        tried = {t.partition("@")[0] for t in self.machine.tried} | {choice.group}
+        candidates = self.tools.candidates(self._service, self._in.facts.model)
+        book = self.tools.book
+        return any(c.target not in tried and not book.is_suspect(c.target, now) for c in candidates)
+
+    def _abandoned(self, stuck: str, attempt: int, choice: Choice) -> list[Effect]:
+        if stuck == "deadline":
+            return self._handle(DeadlineHit())
+        self._suspect(choice, stuck)
+        return self._handle(Lost(attempt, stuck))
+
+    def _ended(
+        self, result: Result[Reply, CallFailure], run: _Run, attempt: int, choice: Choice
+    ) -> list[Effect]:
+        if not is_successful(result):
+            failure = result.failure()
+            self._suspect(choice, failure.reason)
+            if not failure.sent:
+                return self._handle(ConnectFailed(attempt, failure.reason))
+            return self._handle(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
+        reply = result.unwrap()
+        reading = self.tools.codec.read_reply(reply.status, reply.headers)
+        if reading.not_run:
+            self._suspect(choice, f"status {reply.status}")
+            return self._handle(NotStarted(attempt, f"target said {reply.status}, not run"))
+        if run.streaming and (run.fault or run.torn or not run.events):
+            return self._handle(Lost(attempt, run.fault or "the stream was torn"))
+        if not reading.sealed:
+            return self._handle(Lost(attempt, f"status {reply.status} without a signature"))
+        if not run.streaming:
+            reply = reply._replace(body=b"".join(run.chunks))
+            if self._sink.begun:
+                return self._handle(Lost(attempt, f"status {reply.status} in place of the rest"))
+            self._fallback = reply
+            if reply.status >= 500 and self._can_move(choice, time.monotonic()):
+                return self._handle(Lost(attempt, f"target failed with {reply.status}"))
+        return self._handle(Finished(attempt))
+
+    def _suspect(self, choice: Choice, reason: str) -> None:
+        self.tools.book.suspect(choice.group, time.monotonic())
+        self.tools.records.request(
+            self._in.facts.request_id, "attempt failed", False, target=choice.group, reason=reason
+        )
+
+    def _deliver(self) -> None:
+        if self._sink.begun:
+            self._sink.end()
+            self._record("answered", True, 200)
+            return
+        reply = self._fallback
+        assert reply is not None
+        headers = self.tools.codec.to_caller(reply.headers)
+        self._sink.reply(reply.status, headers, reply.body)
+        self._record("answered", reply.status < 500, reply.status)
+
+    def _fail(self, problem: Problem) -> None:
+        if self._sink.begun:
+            self._sink.cut()
+            self._record("cut", False, problem.status, reason=problem.detail)
+            return
+        if self._fallback is not None:
+            self._deliver()
+            return
+        problem = self._truthful(problem)
+        self._sink.refuse(problem)
+        self._record(problem.kind, False, problem.status, reason=problem.detail)
+
+    def _truthful(self, problem: Problem) -> Problem:
+        """Return a problem whose status promises no more than is known of the run."""
+        if self.machine.ran() != Ran.NO:
+            status = 504 if problem.status == 504 else 502
+            return problem._replace(status=status, ran=Ran.UNKNOWN, retry_after=None)
+        after = self.tools.come_back(self._service, self._in.facts.model)
+        return problem._replace(status=503, ran=Ran.NO, retry_after=after)
+
+    def _record(self, outcome: str, well: bool, status: int, **facts: object) -> None:
+        now = time.monotonic()
+        first = self._first_event_at
+        shown: Mapping[str, object] = {
+            "route": self._accepted.route.name,
+            "status": status,
+            "path": self._path,
+            "ms": round((now - self._in.arrived) * 1000),
+            "first_ms": None if first is None else round((first - self._in.arrived) * 1000),
+            "pause_ms": round(self._longest_pause * 1000),
+            "goal_ms": round(self._accepted.route.goal * 1000),
+            "last_event": self.order.last,
+            **facts,
+        }
+        self.tools.records.request(self._in.facts.request_id, outcome, well, **shown)
+        self.tools.report(self._accepted.route.name, outcome, now - self._in.arrived)
--- /dev/null
+++ b/src/oleanderhill/serving/placing.py
@@ -0,0 +1,172 @@
+"""Which target takes a request: own counts, peers' counts, and what was seen to go wrong."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Collection, Mapping, Sequence
+from typing import NamedTuple
+
+from ..groups.inventory import TargetHost
+
+PEER_COUNTS_LAST = 0.6
+"""Seconds for which a peer's counts are used: several of its reports may be lost on the way."""
+
+SUSPECT_SECONDS = 4.5
+"""Seconds for which a target that was seen to stall takes requests last, unless it is seen to send
+again before. A group that lost a member is broken, or its member out of the list, after four."""
+
+HEARD_SUSPECT_SECONDS = 0.5
+"""Seconds for which a peer's word makes a target suspect: it is repeated several times a second
+for as long as the peer thinks so, and goes no further."""
+
+HEARD_LATER = 0.06
+"""Seconds by which a peer's word of a target's progress is late: the time between two reports."""
+
+ELSEWHERE = 0.08
+"""Load, in parts of a target's slots, by which a target in another data centre must be less busy:
+about one request of thirteen. Bytes between data centres are paid for; the way itself is short."""
+
+
+class Candidate(NamedTuple):
+    """A target that could take a request.
+
+    :param target: names it in counts: a group, or the instance of a plain target
+    """
+
+    target: str
+    host: TargetHost
+
+
+class LoadBook:
+    """Requests in flight by target, here and at the peers, and targets under suspicion.
+
+    :param data_centre: of this entry host
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._own: dict[str, int] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
+        self._suspect_until: dict[str, float] = {}
+        self._heard_suspect_until: dict[str, float] = {}
+        self._turned_away: deque[tuple[float, str]] = deque()
+        self._heard_turned_away: dict[str, tuple[float, Mapping[str, int]]] = {}
+        self._progress_at: dict[str, float] = {}
+        self._heard_progress_at: dict[str, float] = {}
+
+    @property
+    def own(self) -> Mapping[str, int]:
+        """Return this host's requests in flight by target."""
+        return self._own
+
+    def begin(self, target: str) -> None:
+        """Count a request that is sent to a target."""
+        self._own[target] = self._own.get(target, 0) + 1
+
+    def end(self, target: str) -> None:
+        """Count a request that has ended at a target."""
+        left = self._own.get(target, 0) - 1
+        if left > 0:
+            self._own[target] = left
+        else:
+            self._own.pop(target, None)
+            self._progress_at.pop(target, None)
+
+    def turn_away(self, model: str, now: float) -> None:
+        """Count a request that no target could take."""
+        self._turned_away.append((now, model))
+
+    def own_turned_away(self, now: float) -> dict[str, int]:
+        """Return how many requests were turned away here in the last second, by model."""
+        while self._turned_away and self._turned_away[0][0] < now - 1.0:
+            self._turned_away.popleft()
+        return dict(Counter(model for _, model in self._turned_away))
+
+    def turned_away(self, model: str, now: float) -> int:
+        """Return how many requests for a model were turned away in the last second, anywhere."""
+        heard = sum(
+            counts.get(model, 0)
+            for at, counts in self._heard_turned_away.values()
+            if now - at <= PEER_COUNTS_LAST
+        )
+        return heard + self.own_turned_away(now).get(model, 0)
+
+    def progress(self, target: str, now: float) -> None:
+        """Take note that a target sent something, to whichever request."""
+        self._progress_at[target] = now
+        self._suspect_until.pop(target, None)
+
+    def own_progress(self, now: float) -> dict[str, float]:
+        """Return how long ago targets with requests from here last sent something, in seconds."""
+        return {t: round(now - at, 3) for t, at in self._progress_at.items()}
+
+    def goes_on(self, target: str, now: float, within: float) -> bool:
+        """Tell whether a target sent something to anybody lately.
+
+        A group that lost a member stops for all its requests at once. One that sends to others is
+        busy, not stuck: going elsewhere would have the prompt read twice, and under load that is
+        what makes the next request wait too.
+        """
+        if now - self._progress_at.get(target, float("-inf")) < within:
+            return True
+        return now - self._heard_progress_at.get(target, float("-inf")) < within + HEARD_LATER
+
+    def hear(
+        self,
+        peer: str,
+        counts: Mapping[str, int],
+        suspects: Sequence[str],
+        progress: Mapping[str, float],
+        turned_away: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Take what a peer reports of its requests and of the targets that it has seen."""
+        self._peers[peer] = (now, counts)
+        self._heard_turned_away[peer] = (now, turned_away)
+        for target, age in progress.items():
+            held = self._heard_progress_at.get(target, float("-inf"))
+            self._heard_progress_at[target] = max(held, now - age)
+        for target in suspects:
+            self._heard_suspect_until[target] = now + HEARD_SUSPECT_SECONDS
+
+    def suspect(self, target: str, now: float, seconds: float = SUSPECT_SECONDS) -> None:
+        """Take note that a target was seen to stall or fail."""
+        self._suspect_until[target] = now + seconds
+
+    def own_suspects(self, now: float) -> list[str]:
+        """Return the targets that were seen to stall from here."""
+        self._suspect_until = {t: u for t, u in self._suspect_until.items() if u > now}
+        return list(self._suspect_until)
+
+    def is_suspect(self, target: str, now: float) -> bool:
+        """Tell whether a target was seen to stall, from here or by a peer."""
+        until = self._suspect_until.get(target, 0.0)
+        return max(until, self._heard_suspect_until.get(target, 0.0)) > now
+
+    def load(self, target: str, now: float) -> int:
+        """Return the requests in flight at a target, as far as known."""
+        total = self._own.get(target, 0)
+        for at, counts in self._peers.values():
+            if now - at <= PEER_COUNTS_LAST:
+                total += counts.get(target, 0)
+        return total
+
+    def choose(
+        self, candidates: Sequence[Candidate], tried: Collection[str], now: float
+    ) -> Candidate | None:
+        """Return the target that takes a request, ``None`` if all were tried.
+
+        The least busy for its slots; one under suspicion only where there is no other.
+        """
+        left = [c for c in candidates if c.target not in tried]
+        if not left:
+            return None
+        return min(left, key=lambda c: (*self._rank(c, now), self._rng.random()))
+
+    def _rank(self, candidate: Candidate, now: float) -> tuple[bool, float]:
+        suspect = self.is_suspect(candidate.target, now)
+        load = self.load(candidate.target, now) / max(1, candidate.host.slots)
+        far = candidate.host.data_centre != self._data_centre
+        return suspect, load + (ELSEWHERE if far else 0.0)
--- /dev/null
+++ b/src/oleanderhill/serving/view.py
@@ -0,0 +1,95 @@
+"""The targets that serve each service now, worked out anew whenever plans or hosts change."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from ..groups.inventory import Inventory
+from ..groups.plans import DomainPlan
+from ..groups.router import serving_groups
+from ..mirror import KeyedCopy
+from .catalog import Catalog
+from .placing import Candidate
+
+SOON = 0.4
+"""Seconds after which a caller may come back whose targets are all busy or just failed: about the
+third part of a stream's length, in which a group of thirteen ends four."""
+
+LATER = 1.2
+"""Seconds after which a caller may come back where nothing serves: a group that lost a host is
+whole again in two to six seconds, and callers come back several times."""
+
+
+DEMAND_SMOOTHING = 0.15
+"""Weight of the newest count of requests in flight: with a reading of the store every 0.65 s, the
+mean is over about four seconds, several streams long."""
+
+LEAST_DEMAND = 0.5
+"""Groups that a model is thought to fill without any load: a model that nobody asked for yet still
+gets some, and small counts don't turn the mix over."""
+
+
+class ServingView:
+    """Targets by service and model."""
+
+    def __init__(
+        self, inventory: Inventory, plans: KeyedCopy[DomainPlan], rng: random.Random
+    ) -> None:
+        self._inventory = inventory
+        self._plans = plans
+        self._rng = rng
+        self._by_model: Mapping[str, Sequence[Candidate]] = {}
+        self._by_service: Mapping[str, Sequence[Candidate]] = {}
+        self._demand_by_model: dict[str, float] = {}
+        self._slots = 1
+
+    def refresh(self, catalog: Catalog | None) -> None:
+        """Work out the targets anew."""
+        by_model = serving_groups(self._plans.by_key.values(), self._inventory)
+        self._by_model = {
+            model: [Candidate(g.group.name, g.head) for g in groups]
+            for model, groups in by_model.items()
+        }
+        plain: dict[str, list[Candidate]] = {}
+        for host in self._inventory.by_instance.values():
+            if not host.domain and not host.leaving:
+                plain.setdefault(host.service, []).append(Candidate(host.instance, host))
+        self._by_service = plain
+
+    def candidates(self, service: str, model: str) -> Sequence[Candidate]:
+        """Return the targets of a service, of an engine service those that serve a model."""
+        plain = self._by_service.get(service)
+        if plain is not None:
+            return plain
+        return [c for c in self._by_model.get(model, ()) if c.host.service == service]
+
+    def come_back(self, service: str, model: str) -> float:
+        """Return the seconds after which a refused caller may come back, spread out."""
+        base = SOON if self.candidates(service, model) else LATER
+        return base * (0.75 + 0.5 * self._rng.random())
+
+    def groups_by_model(self) -> dict[str, int]:
+        """Return the number of serving groups by model."""
+        return {model: len(groups) for model, groups in self._by_model.items()}
+
+    def measure(self, load: Callable[[str], int], turned_away: Callable[[str], int]) -> None:
+        """Take the requests in flight into the demand for each model.
+
+        :param load: returns the requests in flight at a target
+        :param turned_away: returns the requests for a model that found no target in a second,
+            about as long as one would have taken; without them a model that has no group left
+            would seem to need none
+        """
+        for model in self._by_model.keys() | self._demand_by_model.keys():
+            candidates = self._by_model.get(model, ())
+            slots = max((c.host.slots for c in candidates), default=self._slots)
+            self._slots = slots
+            asked = sum(load(c.target) for c in candidates) + turned_away(model)
+            held = self._demand_by_model.get(model, 0.0)
+            filled = asked / max(1, slots)
+            self._demand_by_model[model] = held + DEMAND_SMOOTHING * (filled - held)
+
+    def demand(self, model: str) -> float:
+        """Return how many groups of a model the load would fill."""
+        return LEAST_DEMAND + self._demand_by_model.get(model, 0.0)
