Give a host away only once it has left its group, whoever its head may be

A data centre was cut off; all hosts of a group were silent and their entries lapsed; after the stall bound the group was dissolved, and when the hosts came back, still in it and its head open, they were joined to another.

Change: a host is free only when it has left: its own word, or an entry that shows no group. Waiting for a head that can't be asked falls away (5 s less without its three or two other hosts). A group all of whose hosts are silent stays planned, and serves when they return.

Adds the stand-ins of the users' store, hosts and targets.

--- /dev/null
+++ b/dev/oleanderhill_dev/users/site.py
@@ -0,0 +1,187 @@
+"""A whole deployment of the users' kind in one process: store, hosts, targets, entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tornado.web import Application
+
+from oleanderhill.platform.entry import EntryHost
+from oleanderhill.platform.settings import EntrySettings
+
+from ..bench_site import free_address
+from .engines import (
+    EngineSite,
+    StandInHost,
+    StandInTarget,
+    make_host_application,
+    make_target_application,
+)
+from .store import StandInStore, make_store_application
+
+SMALL, LARGE = "model-s", "model-l"
+HEARTBEAT = 0.2
+
+
+def configuration(version: int, keys: dict[str, list[str]], pay_prefix: str = "/pay/") -> bytes:
+    """Return a configuration with a generating route, a repeatable one and one that is not."""
+
+    def route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": "yard.example",
+            "prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 4000,
+            "goal_ms": 400,
+            "priority": 1,
+            "public": False,
+            "max_attempts": 2,
+            **more,
+        }
+
+    stream = {"service": "pool", "sticky": True, "resumable": True, "gap_target_ms": 300}
+    routes = [
+        route("read", "/read/", "streaming", **stream),
+        route("scan", "/scan/", "idempotent", service="desk"),
+        route("pay", pay_prefix, "non_idempotent", service="desk", max_attempts=1),
+        route("open", "/open/", "idempotent", service="desk", public=True),
+    ]
+    models = [
+        {"name": SMALL, "size": 2, "traffic_share": 0.5, "load_s": 0.4, "warm_s": 0.05},
+        {"name": LARGE, "size": 3, "traffic_share": 0.5, "load_s": 0.4, "warm_s": 0.05},
+    ]
+    engine = {"max_batch": 13, "loads_per_s": 100.0, "loads_at_once": 9, "models": models}
+    services = [
+        {"name": "pool", "max_connections": 100, "runtime": engine},
+        {"name": "desk", "max_connections": 100},
+    ]
+    tenants = [{"name": n, "api_keys": k, "priority": 1} for n, k in keys.items()]
+    body = {"version": version, "routes": routes, "services": services, "tenants": tenants}
+    return json.dumps(body).encode()
+
+
+class StandInSite:
+    """Store, engine hosts in one domain, plain targets, and entry hosts under test."""
+
+    def __init__(self) -> None:
+        self.store = StandInStore()
+        self.store_address = ""
+        self.engines = EngineSite("pool", self._publish, self._withdraw)
+        self.targets: list[StandInTarget] = []
+        self.entries: list[EntryHost] = []
+        self._servers: list[Any] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, hosts: int = 6, entries: int = 1) -> None:
+        """Start everything; the entry hosts form groups by themselves."""
+        self.store_address = self.listen(make_store_application(self.store))
+        self.configure(1, {"hall": ["key-a"], "yard": ["key-b"]})
+        for number in range(hosts):
+            self.add_host(f"i-{number}", "d0")
+        for number in range(2):
+            self.add_target(f"t-{number}")
+        self._tasks.append(asyncio.create_task(self._beat()))
+        for number in range(entries):
+            await self.add_entry(f"entry-{number}")
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for entry in self.entries:
+            await entry.kernel.stop()
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.stop()
+
+    def configure(self, version: int, keys: dict[str, list[str]], **more: str) -> None:
+        """Write a configuration, as the operator does."""
+        self.store.put("op/config", configuration(version, keys, **more))
+
+    def add_host(self, instance: str, domain: str) -> StandInHost:
+        """Add an empty engine host."""
+        host = StandInHost(self.engines, instance, domain, "hall")
+        host.address = self.listen(make_host_application(host))
+        self.engines.host_by_instance[instance] = host
+        host.publish()
+        return host
+
+    def add_target(self, instance: str) -> StandInTarget:
+        """Add a plain target."""
+        target = StandInTarget(instance)
+        address = self.listen(make_target_application(target))
+        entry = {"service": "desk", "address": address, "zone": "hall", "max_batch": 6}
+        self._publish(instance, json.dumps({**entry, "state": "ready"}).encode())
+        self.targets.append(target)
+        return target
+
+    async def add_entry(self, name: str) -> EntryHost:
+        """Start an entry host in this process."""
+        settings = self.settings(name)
+        entry = EntryHost(settings, os.open(os.devnull, os.O_WRONLY))
+        await entry.kernel.start()
+        self.entries.append(entry)
+        return entry
+
+    def settings(self, name: str) -> EntrySettings:
+        """Return the settings of an entry host."""
+        return EntrySettings(
+            host=name,
+            ip="127.0.0.1",
+            data_centre="hall",
+            callers=free_address(),
+            balancer=free_address(),
+            peers=free_address(),
+            store=self.store_address,
+            first_start=True,
+            grace=8.0,
+            key_removal=5.0,
+            retry_ratio=0.2,
+            retry_window=10.0,
+            retry_slack=100.0,
+            load_window=5.0,
+            load_factor=1.1,
+        )
+
+    def listen(self, application: Application) -> str:
+        """Serve an application on a free address and return it."""
+        address = free_address()
+        ip, port = address.rsplit(":", 1)
+        self._servers.append(application.listen(int(port), ip))
+        return address
+
+    def lose_host(self, instance: str) -> None:
+        """Let a host lose power: it stops to answer, and its entry goes after a while."""
+        self.engines.host_by_instance[instance].die()
+
+    def _publish(self, instance: str, entry: bytes) -> None:
+        self.store.put(f"servers/{instance}", entry)
+
+    def _withdraw(self, instance: str) -> None:
+        self.store.delete(f"servers/{instance}")
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            for host in self.engines.host_by_instance.values():
+                host.publish()
+
+
+async def until(condition: Callable[[], Any], seconds: float = 15.0) -> Any:
+    """Wait until a condition holds and return its value.
+
+    :raises TimeoutError: if it does not hold in time
+    """
+    end = time.monotonic() + seconds
+    while not (found := condition()):
+        if time.monotonic() > end:
+            raise TimeoutError
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(0.02)
+    return found
--- /dev/null
+++ b/dev/oleanderhill_dev/users/store.py
@@ -0,0 +1,235 @@
+"""A stand-in of the users' store: revisions, ranges in pages, watches, transactions, leases.
+
+Faults are fields of :class:`StoreFaults`: the store may refuse, go silent, lose the answers of
+writes or carry them out late, and forget its history.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from typing import Any, NamedTuple
+
+import msgspec
+from tornado.web import Application, RequestHandler
+
+PAGE = 50
+SILENCE = 30.0
+
+
+class StoredItem(NamedTuple):
+    """An item with its revisions."""
+
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+class StoreFaults:
+    """What is wrong with the store now.
+
+    :ivar status: every call gets this status, 0 for none
+    :ivar silent: calls are not answered
+    :ivar lose_writes: so many of the next writes are done and not answered
+    :ivar late_writes: so many of the next writes are done after ``late_by`` seconds, unanswered
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.silent = False
+        self.lose_writes = 0
+        self.late_writes = 0
+        self.late_by = 1.0
+
+
+class StandInStore:
+    """The store's content and what it does with it."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, StoredItem] = {}
+        self.revision = 0
+        self.history: list[dict[str, Any]] = []
+        self.forgotten = 0
+        self.faults = StoreFaults()
+        self.lease_ends: dict[int, tuple[float, float]] = {}
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write an item, whoever asks; return the revision."""
+        self.revision += 1
+        before = self.items.get(key)
+        created = before.created if before is not None else self.revision
+        self.items[key] = StoredItem(value, self.revision, created, lease)
+        self._log(self.row(key))
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Remove an item, whoever asks."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._log({"key": key, "revision": self.revision, "deleted": True})
+
+    def row(self, key: str) -> dict[str, Any]:
+        """Return an item as it is sent."""
+        item = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(item.value).decode(),
+            "revision": item.revision,
+            "created": item.created,
+            "lease_id": item.lease,
+        }
+
+    def forget_history(self) -> None:
+        """Drop all changes: whoever asks for older ones has to read anew."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def end_lease(self, lease: int) -> bool:
+        """End a lease and remove its keys; return whether there was one."""
+        if self.lease_ends.pop(lease, None) is None:
+            return False
+        for key in [k for k, i in self.items.items() if i.lease == lease]:
+            self.delete(key)
+        return True
+
+    def expire(self) -> None:
+        """End the leases that have run out."""
+        now = time.monotonic()
+        for lease in [n for n, (at, _) in self.lease_ends.items() if at <= now]:
+            self.end_lease(lease)
+
+    async def changes(self, prefix: str, after: int, wait: float) -> list[dict[str, Any]]:
+        """Return the changes after a revision, waiting for one."""
+        until = time.monotonic() + wait
+        while True:
+            found = [
+                e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)
+            ]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return found
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def commit(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Carry out a transaction; return status and body."""
+        self.expire()
+        for row in body.get("expected", []):
+            held = self.items.get(row["key"])
+            if (held.revision if held else 0) != row["revision"]:
+                keys = [r["key"] for r in body["expected"] if r["key"] in self.items]
+                return 412, {"at": self.revision, "items": [self.row(k) for k in keys]}
+        for row in body.get("write", []):
+            if row.get("lease_id", 0) and row["lease_id"] not in self.lease_ends:
+                return 404, {}
+            if row["key"].startswith(("op/", "servers/")):
+                return 403, {}
+        for row in body.get("write", []):
+            self.put(row["key"], base64.b64decode(row["value"]), row.get("lease_id", 0))
+        for key in body.get("delete", []):
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    def _log(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        self._changed.set()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: StandInStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls.append(f"{self.request.method} {self.request.path}")
+        self.store.expire()
+        if self.store.faults.silent:
+            await asyncio.sleep(SILENCE)
+        if self.store.faults.status:
+            self.set_status(self.store.faults.status)
+            self.finish()
+
+    def answer(self, status: int, body: dict[str, Any]) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+class _Range(_Handler):
+    def get(self) -> None:
+        prefix, after = self.get_argument("prefix", ""), self.get_argument("after", "")
+        keys = sorted(k for k in self.store.items if k.startswith(prefix) and k > after)
+        rows = [self.store.row(k) for k in keys[:PAGE]]
+        self.answer(200, {"items": rows, "has_more": len(keys) > PAGE, "at": self.store.revision})
+
+
+class _Watch(_Handler):
+    async def get(self) -> None:
+        after = int(self.get_argument("after"))
+        if after < self.store.forgotten:
+            self.answer(410, {})
+            return
+        wait = int(self.get_argument("wait_ms", "0")) / 1000
+        events = await self.store.changes(self.get_argument("prefix", ""), after, wait)
+        self.answer(200, {"events": events, "at": self.store.revision})
+
+
+class _Transaction(_Handler):
+    async def post(self) -> None:
+        body = msgspec.json.decode(self.request.body)
+        faults = self.store.faults
+        if faults.late_writes:
+            faults.late_writes -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(faults.late_by, self.store.commit, body)
+            await asyncio.sleep(SILENCE)
+        status, answer = self.store.commit(body)
+        if faults.lose_writes:
+            faults.lose_writes -= 1
+            await asyncio.sleep(SILENCE)
+        self.answer(status, answer)
+
+
+class _Lease(_Handler):
+    def post(self) -> None:
+        seconds = msgspec.json.decode(self.request.body)["ttl_ms"] / 1000
+        lease = 1000 + len(self.store.calls)
+        self.store.lease_ends[lease] = (time.monotonic() + seconds, seconds)
+        self.answer(200, {"lease_id": lease, "ttl_ms": int(seconds * 1000)})
+
+
+class _Keep(_Handler):
+    def post(self, lease: str) -> None:
+        held = self.store.lease_ends.get(int(lease))
+        if held is None:
+            self.answer(404, {})
+            return
+        self.store.lease_ends[int(lease)] = (time.monotonic() + held[1], held[1])
+        self.answer(200, {"ttl_ms": int(held[1] * 1000)})
+
+
+class _End(_Handler):
+    def delete(self, lease: str) -> None:
+        self.answer(200 if self.store.end_lease(int(lease)) else 404, {})
+
+
+def make_store_application(store: StandInStore) -> Application:
+    """Return the store's HTTP interface."""
+    arguments = {"store": store}
+    routes = [
+        ("/kv-range", _Range, arguments),
+        ("/kv-watch", _Watch, arguments),
+        ("/kv-txn", _Transaction, arguments),
+        ("/kv-lease", _Lease, arguments),
+        (r"/kv-keep/(\d+)", _Keep, arguments),
+        (r"/kv-lease-end/(\d+)", _End, arguments),
+    ]
+    return Application(routes, log_function=lambda handler: None)
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -4,9 +4,9 @@
 actions. The rules it keeps, whatever order things happen in:
 
 - a head is told to open only when every member has reported ready under this group and epoch;
-- a host is given to another group only when the head of its last one is known not to serve: it
-  left, it is another process by now, or it has been without a member for longer than a head goes
-  on (``stall``). A head that can't be asked may be alive and serving for those that reach it.
+- a host is given to another group only once it has left its last one: it said so itself, or its
+  newest entry shows none. Whether the old head still serves is then of no matter. It may be cut
+  off from here and open for others; its requests stall, and it breaks by itself.
 """
 
 from __future__ import annotations
@@ -29,8 +29,13 @@
 """Seconds in which the work of a group with a leaving member may end. Most answers take less, and
 a leaving host goes on for at least two."""
 
-STALL_MARGIN = 0.6
-"""Seconds beyond the stall bound: an order takes some ms, the moment at which it ended is known."""
+LET_GO_LASTS = 3.0
+"""Seconds for which a host's word that it left a group outweighs its entry, which may be older. An
+entry that shows the group after that is right: an earlier order to join was carried out late."""
+
+KEPT_ABSENT = 20.0
+"""Seconds for which a group none of whose hosts shows stays planned: a data centre that was cut
+off comes back with its groups whole, and they serve at once."""
 
 SILENT_PROBES = 2
 """Probes in a row without an answer after which a member counts as lost. Its entry stays in the
@@ -114,20 +119,15 @@
 
 
 class DomainKeeper:
-    """Keeps one domain.
-
-    :param stall: seconds after which a head that lost a member is broken by itself
-    """
+    """Keeps one domain."""
 
-    def __init__(self, stall: float, pacer: LoadPacer) -> None:
-        self._stall = stall
+    def __init__(self, pacer: LoadPacer) -> None:
         self._pacer = pacer
         self._ordered_at: dict[Order, float] = {}
         self._since: dict[str, float] = {}
         self._fault_since: dict[str, float] = {}
         self._whole_once: set[str] = set()
-        self._let_go: set[tuple[str, str]] = set()
-        self._silent_since: dict[tuple[str, str], float] = {}
+        self._let_go_at: dict[tuple[str, str], float] = {}
         self._probes_missed: dict[str, int] = {}
         self._answered_at = float("-inf")
         self._avoid_until: dict[str, float] = {}
@@ -142,9 +142,7 @@
         if not isinstance(order, Leave):
             return
         if end in (OrderEnd.DONE, OrderEnd.UNFIT, OrderEnd.GONE):
-            self._let_go.add((order.group, order.instance))
-        elif end == OrderEnd.SILENT:
-            self._silent_since.setdefault((order.group, order.instance), now)
+            self._let_go_at[order.group, order.instance] = now
 
     def probed(self, instance: str, answered: bool, now: float) -> None:
         """Take note of whether a host answered a probe."""
@@ -185,11 +183,14 @@
                 actions.extend(self._form_on(now, group, host_by_instance, loads_free))
                 continue
             self._fault_since.setdefault(group.name, now)
-            if self._may_dissolve(now, group, fault, host_by_instance):
+            if self._let_be(now, group, fault):
+                continue
+            if self._may_dissolve(now, group, host_by_instance):
                 dissolved.append(f"{group.name} {fault.value}")
                 plan = plan.without_group(group.name)
             else:
-                actions.extend(self._break_up(now, group, fault, host_by_instance))
+                actions.extend(self._break_up(now, group, host_by_instance))
+        actions.extend(self._send_off_strays(now, plan, host_by_instance))
         formed = self._form_new(now, plan, host_by_instance, needs, loads_free)
         if formed is not None or dissolved:
             reasons = [f"dissolved {d}" for d in dissolved]
@@ -208,9 +209,8 @@
             for name in [n for n in table if n not in names]:
                 del table[name]
         self._whole_once &= names
-        self._let_go = {m for m in self._let_go if m[0] in names}
-        self._silent_since = {m: t for m, t in self._silent_since.items() if m[0] in names}
-        self._ordered_at = {o: t for o, t in self._ordered_at.items() if _concerns(o, names)}
+        self._let_go_at = {m: t for m, t in self._let_go_at.items() if m[1] in hosts}
+        self._ordered_at = {o: t for o, t in self._ordered_at.items() if o.instance in hosts}
 
     def _fault(
         self,
@@ -272,38 +272,55 @@
         self._ordered_at[order] = now
         return order
 
+    def _let_be(self, now: float, group: PlannedGroup, fault: Fault) -> bool:
+        """Tell whether a faulty group may end the work that it has."""
+        return fault == Fault.MEMBER_LEAVING and now - self._fault_since[group.name] < LEAVING_GRACE
+
     def _may_dissolve(
-        self, now: float, group: PlannedGroup, fault: Fault, hosts: Mapping[str, TargetHost]
+        self, now: float, group: PlannedGroup, hosts: Mapping[str, TargetHost]
     ) -> bool:
-        if fault == Fault.MEMBER_LEAVING and now - self._fault_since[group.name] < LEAVING_GRACE:
-            return False
-        if (group.name, group.head) in self._let_go:
-            return True
-        head = hosts.get(group.head)
-        if head is not None and group.name in self._whole_once and not _in(group, head):
-            return True
-        silent = self._silent_since.get((group.name, group.head))
-        if silent is None:
-            return False
-        others = [i for i in group.members[1:] if i in hosts]
-        let_go = [i for i in others if (group.name, i) in self._let_go]
-        return bool(let_go or not others) and now - silent > self._stall + STALL_MARGIN
+        """Tell whether all hosts of a group that can be asked have left it.
+
+        Where none can be, it is likely the way there that is cut, and the group may be whole.
+        """
+        present = [i for i in group.members if i in hosts]
+        if not present:
+            return now - self._fault_since[group.name] > KEPT_ABSENT
+        asked = [i for i in present if now >= self._avoid_until.get(i, 0.0)]
+        left = [i for i in present if (group.name, i) in self._let_go_at]
+        return bool(left) and all(i in left for i in asked)
 
     def _break_up(
-        self, now: float, group: PlannedGroup, fault: Fault, hosts: Mapping[str, TargetHost]
+        self, now: float, group: PlannedGroup, hosts: Mapping[str, TargetHost]
     ) -> list[Action]:
-        if fault == Fault.MEMBER_LEAVING and now - self._fault_since[group.name] < LEAVING_GRACE:
-            return []
-        orders = [Leave(group.name, group.epoch, group.head)]
-        head_missed = self._probes_missed.get(group.head, 0) >= SILENT_PROBES
-        if head_missed or (group.name, group.head) in self._silent_since:
-            orders += [
-                Leave(group.name, group.epoch, i)
-                for i in group.members[1:]
-                if i in hosts and (group.name, i) not in self._let_go
-            ]
+        present = [i for i in group.members if i in hosts]
+        staying = [i for i in present if (group.name, i) not in self._let_go_at]
+        if now - self._answered_at > REACHED_WITHIN:
+            # Nobody answers here. One order is enough to find out when that ends.
+            staying = staying[:1]
+        orders = [Leave(group.name, group.epoch, i) for i in staying]
         return [action for order in orders for action in self._once(now, order)]
 
+    def _send_off_strays(
+        self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
+    ) -> list[Action]:
+        """Order hosts out of groups that are not planned: they came back, or joined late."""
+        held = {i for g in plan.groups for i in g.members}
+        actions: list[Action] = []
+        for host in hosts.values():
+            if host.instance in held or host.membership is None or self._left(now, host):
+                continue
+            membership = host.membership
+            actions += self._once(now, Leave(membership.group, membership.epoch, host.instance))
+        return actions
+
+    def _left(self, now: float, host: TargetHost) -> bool:
+        """Tell whether a host is in no group, by its entry or by its newer word."""
+        if host.membership is None:
+            return True
+        at = self._let_go_at.get((host.membership.group, host.instance))
+        return at is not None and now - at < LET_GO_LASTS
+
     def _once(self, now: float, order: Order) -> list[Action]:
         if not self._due(now, order):
             return []
@@ -342,7 +359,16 @@
     def _free(
         self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
     ) -> list[TargetHost]:
-        return [h for h in free_hosts(plan, hosts) if now >= self._avoid_until.get(h.instance, 0.0)]
+        """Return the hosts that may be given to a group."""
+        held = {i for g in plan.groups for i in g.members}
+        return [
+            h
+            for h in hosts.values()
+            if h.instance not in held
+            and not h.leaving
+            and self._left(now, h)
+            and now >= self._avoid_until.get(h.instance, 0.0)
+        ]
 
     def _stage_spares(
         self,
@@ -380,10 +406,7 @@
         self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
     ) -> list[FreeHost]:
         """Return the hosts in no sound group, those that will be free in a moment among them."""
-        free = [
-            FreeHost(h.instance, self._weights(h), h.membership is None or h.model != "")
-            for h in self._free(now, plan, hosts)
-        ]
+        free = [FreeHost(h.instance, self._weights(h), True) for h in self._free(now, plan, hosts)]
         faulty = [g for g in plan.groups if g.name in self._fault_since]
         soon = [
             FreeHost(i, g.model, False)
@@ -400,27 +423,6 @@
         return host.staged[0] if host.staged else ""
 
 
-def free_hosts(plan: DomainPlan, hosts: Mapping[str, TargetHost]) -> list[TargetHost]:
-    """Return the hosts that may be given to a group: staying, in no plan, and serving nothing."""
-    held = {i for g in plan.groups for i in g.members}
-    return [
-        h
-        for h in hosts.values()
-        if h.instance not in held
-        and not h.leaving
-        and (h.membership is None or h.membership.state != MemberState.OPEN)
-    ]
-
-
-def _concerns(order: Order, groups: set[str]) -> bool:
-    match order:
-        case Join(group, _) | Open(group, _):
-            return group.name in groups
-        case Leave(group, _, _):
-            return group in groups
-    return True
-
-
 def _in(group: PlannedGroup, host: TargetHost) -> bool:
     membership = host.membership
     return membership is not None and (membership.group, membership.epoch) == (
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -44,12 +44,10 @@
 class Limits(NamedTuple):
     """Bounds that the owner keeps.
 
-    :param stall: seconds after which a head that lost a member is broken by itself
     :param load_window: seconds in which ``load_factor`` times the allowed rate of loads, plus
         ``load_extra``, may begin
     """
 
-    stall: float
     load_window: float
     load_factor: float
     load_extra: float = 3.0
@@ -138,7 +136,7 @@
         needs = self._needs(plan.domain, catalog, {h.service for h in hosts.values()})
         keeper = self._keeper_by_domain.get(plan.domain)
         if keeper is None:
-            keeper = DomainKeeper(self._limits.stall, self._pacer(catalog, needs))
+            keeper = DomainKeeper(self._pacer(catalog, needs))
             self._keeper_by_domain[plan.domain] = keeper
         for group in plan.groups:
             if group.name not in self._probing and self._is_suspect(group.name):
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -92,7 +92,7 @@
         self._mirror.returned.append(self._inventory.store_returned)
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
         self._orders = EngineOrders(HttpCaller())
-        limits = Limits(s.stall, s.load_window, s.load_factor)
+        limits = Limits(s.load_window, s.load_factor)
         owner = OwnerTask(
             self.kernel,
             me,
--- a/src/oleanderhill/platform/settings.py
+++ b/src/oleanderhill/platform/settings.py
@@ -21,7 +21,6 @@
     grace_s: float = 8.0
     # Bounds how long a removed key may still be used, by any host.
     revoke_ms: float = 5000.0
-    stall_ms: float = 4000.0
     budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     budget_slack: float = 100.0
@@ -64,7 +63,6 @@
     first_start: bool
     grace: float
     key_removal: float
-    stall: float
     retry_ratio: float
     retry_window: float
     retry_slack: float
@@ -96,7 +94,6 @@
         found.bootstrap,
         bounds.grace_s,
         bounds.revoke_ms / 1000,
-        bounds.stall_ms / 1000,
         bounds.budget_ratio,
         bounds.budget_window_s,
         bounds.budget_slack,
