--- /dev/null
+++ b/tests/test_users_site.py
@@ -0,0 +1,363 @@
+"""An entry host on stand-ins of the users' platform: store, engine hosts, plain targets."""
+
+import asyncio
+import json
+import time
+import unittest
+
+from oleanderhill_dev.users.site import LARGE, SMALL, StandInSite, until
+from tornado.httputil import HTTPHeaders
+
+from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.platform.decoding import decode_configuration, decode_host
+from oleanderhill.platform.headers import HeaderCodec
+
+HOST = "yard.example"
+
+
+class Reader(Observer):
+    """Takes what a caller sees, and when."""
+
+    def __init__(self):
+        self.body = b""
+        self.status = 0
+        self.longest_pause = 0.0
+        self._last = None
+
+    def headers(self, status, headers):
+        self.status = status
+
+    def data(self, chunk):
+        now = time.monotonic()
+        if self._last is not None:
+            self.longest_pause = max(self.longest_pause, now - self._last)
+        self._last = now
+        self.body += chunk
+
+
+class SiteTest(unittest.IsolatedAsyncioTestCase):
+    hosts = 6
+    entries = 1
+
+    async def asyncSetUp(self):
+        self.site = StandInSite()
+        await self.site.start(self.hosts, self.entries)
+        self.entry = self.site.entries[0]
+        self.caller = HttpCaller()
+        self.sent = 0
+        await self.until_serving()
+
+    async def asyncTearDown(self):
+        await self.site.stop()
+
+    async def until_serving(self, *models):
+        entry = self.entry
+        for model in models or (SMALL, LARGE):
+            await until(lambda m=model: entry._view.candidates("pool", m))
+
+    async def model_with_two_groups(self):
+        """Add hosts until a model has two groups, and return it."""
+        for number in range(6, 10):
+            self.site.add_host(f"i-{number}", "d0")
+        view = self.entry._view
+
+        def found():
+            return next((m for m in (LARGE, SMALL) if len(view.candidates("pool", m)) > 1), None)
+
+        return await until(found, 25.0)
+
+    async def ask(self, path, method="GET", key="key-a", entry=None, model="", **headers):
+        self.sent += 1
+        address = (entry or self.entry)._settings.callers
+        self.request_id = f"request-{self.sent}"
+        sent = {"Host": HOST, "Attempt-Id": self.request_id, "Deadline-Ms": "4000"}
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        if model:
+            sent.update({"Model": model, "Token-Counts": "100,80", "Prompt-Prefix": "ab:100"})
+        sent.update({k.replace("_", "-"): v for k, v in headers.items()})
+        body = b"x" if method == "POST" else b""
+        reader = Reader()
+        result = await self.caller.call(Call(address, method, path, sent, body, 8.0), reader)
+        return result, reader
+
+    async def reply(self, *arguments, **options):
+        result, reader = await self.ask(*arguments, **options)
+        return result.unwrap(), reader
+
+    def runs(self, request_id):
+        return [r for r in self.site.engines.runs if r.request_id == request_id]
+
+    def assert_whole_stream(self, reader, first=0):
+        numbers = [
+            int(e.split(b"\n")[0][4:]) for e in reader.body.split(b"\n\n") if e.startswith(b"id: ")
+        ]
+        self.assertEqual(numbers, list(range(first, self.site.engines.pieces)))
+
+
+class ServingTest(SiteTest):
+    async def test_stream_runs_in_a_whole_group_under_its_accounts_name(self):
+        reply, reader = await self.reply("/read/x", "POST", model=LARGE)
+        self.assertEqual(reply.status, 200)
+        self.assert_whole_stream(reader)
+        (run,) = self.runs(self.request_id)
+        self.assertEqual((run.account, run.members_ready), ("hall", 3))
+        self.assertEqual(reply.headers["Response-Seal"], f"seal-{run.instance}")
+
+    async def test_plain_request_goes_on_unchanged(self):
+        reply, reader = await self.reply("/scan/a?b=c%20d")
+        self.assertIn(b"GET /scan/a?b=c%20d", reader.body)
+        self.assertEqual(reply.headers["Attempt-Id"], self.request_id)
+
+    async def test_caller_that_resumes_gets_what_it_lacks(self):
+        _, reader = await self.reply("/read/x", "POST", model=SMALL, Last_Event_Id="3")
+        self.assert_whole_stream(reader, 4)
+
+    async def test_unknown_key_route_and_public_route(self):
+        self.assertEqual((await self.reply("/scan/", key="wrong"))[0].status, 401)
+        self.assertEqual((await self.reply("/none/"))[0].status, 404)
+        self.assertEqual((await self.reply("/open/", key=""))[0].status, 200)
+
+    async def test_request_whose_model_no_group_serves_is_refused_at_once(self):
+        began = time.monotonic()
+        reply, _ = await self.reply("/read/x", "POST", model="unknown")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.headers["Retry-After"]), 0.1)
+        self.assertLess(time.monotonic() - began, 0.5)
+
+
+class FailureTest(SiteTest):
+    async def test_member_dies_under_a_stream_and_it_goes_on_elsewhere(self):
+        # The caller sees every event once. A member other than the head loses power; the head
+        # stalls without a word, and nobody in the group notices. The events stop for all its
+        # requests, so each goes on at another whole group from the last event it has.
+        model = await self.model_with_two_groups()
+        self.site.engines.pieces = 40
+        asked = asyncio.create_task(self.ask("/read/x", "POST", model=model))
+        (first,) = await until(lambda: self.runs("request-1"))
+        await asyncio.sleep(0.2)
+        head = self.site.engines.host_by_instance[first.instance]
+        self.site.lose_host(head.members[1])
+        _, reader = await asked
+        self.assert_whole_stream(reader)
+        second = self.runs("request-1")[1]
+        self.assertNotEqual(second.group, first.group)
+        self.assertEqual(second.members_ready, first.members_ready)
+        self.assertLess(reader.longest_pause, 1.0)
+
+    async def test_stream_torn_within_an_event_goes_on_at_the_border(self):
+        # The target's connection ends in the middle of an event. Half of it passed on would be
+        # glued to the first event of the resumed stream.
+        model = await self.model_with_two_groups()
+        self.site.engines.tear_after = 4
+        _, reader = await self.reply("/read/x", "POST", model=model)
+        self.assert_whole_stream(reader)
+        self.assertEqual([r.resumed_after for r in self.runs(self.request_id)], [None, 3])
+
+    async def test_lost_member_is_replaced_and_the_group_serves_again(self):
+        # One of the three hosts of the only group of a model loses power; one spare is there.
+        # The group is whole again without anybody's help, and never served without a member.
+        (candidate,) = self.entry._view.candidates("pool", LARGE)
+        head = self.site.engines.host_by_instance[candidate.host.instance]
+        lost = head.members[2]
+        self.site.lose_host(lost)
+        await self.reply("/read/x", "POST", model=LARGE)
+        self.site.store.delete(f"servers/{lost}")
+
+        def repaired():
+            found = self.entry._view.candidates("pool", LARGE)
+            return found and found[0].target != candidate.target
+
+        await until(repaired, 25.0)
+        reply, reader = await self.reply("/read/x", "POST", model=LARGE)
+        self.assert_whole_stream(reader)
+        self.assertTrue(all(r.members_ready == 3 for r in self.site.engines.runs[-1:]))
+
+    async def test_request_that_may_run_once_is_not_sent_again_after_its_answer_is_lost(self):
+        # The target runs the payment and its answer is lost. A second send would pay twice, and
+        # "not run" would be a lie: the caller hears that it is not known.
+        for target in self.site.targets:
+            target.faults.reset = 1
+        reply, _ = await self.reply("/pay/x", "POST")
+        self.assertEqual(reply.status, 502)
+        self.assertNotIn("Retry-After", reply.headers)
+        self.assertEqual(sum(len(t.ran) for t in self.site.targets), 1)
+
+    async def test_request_that_may_run_again_is_sent_again(self):
+        for target in self.site.targets:
+            target.faults.reset = 1
+        self.site.targets[0].faults.reset = 0
+        seen = {(await self.reply("/scan/x"))[0].status for _ in range(4)}
+        self.assertEqual(seen, {200})
+
+    async def test_target_that_sheds_has_not_run_it_and_a_once_request_is_refused_truly(self):
+        for target in self.site.targets:
+            target.faults.shed = 5
+        reply, _ = await self.reply("/pay/x", "POST")
+        self.assertEqual(reply.status, 503)
+        self.assertIn("Retry-After", reply.headers)
+        self.assertEqual([t.ran for t in self.site.targets], [[], []])
+
+    async def test_address_that_another_target_got_runs_nothing(self):
+        # A target ends and its address goes to another instance before the list shows it. The
+        # request names the instance it is meant for; the other one refuses it, and it is sent on.
+        self.site.targets[0].instance = "another"
+        seen = {(await self.reply("/scan/x"))[0].status for _ in range(4)}
+        self.assertEqual(seen, {200})
+        self.assertEqual(self.site.targets[0].ran, [])
+
+    async def test_caller_that_leaves_ends_its_run(self):
+        # The caller closes its connection in the middle of a stream. The target would go on to
+        # the end for nobody.
+        self.site.engines.pieces = 400
+        asked = asyncio.create_task(self.ask("/read/x", "POST", model=LARGE))
+        await until(lambda: self.runs("request-1"))
+        self.assertEqual(self.entry.front.in_flight, 1)
+        asked.cancel()
+        await until(lambda: self.entry.front.in_flight == 0, 2.0)
+
+
+class StoreFailureTest(SiteTest):
+    async def test_keys_are_refused_once_the_proof_is_old_and_taken_again_when_it_is_new(self):
+        # The store goes silent. Somewhere a key may be taken away; after the bound less a margin
+        # the host can't know that its keys are good, and refuses them as not run, with 503 and
+        # not 401. A public route goes on. When the store is back, so are the keys.
+        self.site.store.faults.silent = True
+        self.assertEqual((await self.reply("/scan/x"))[0].status, 200)
+        await until(lambda: not self.entry._ready(), 8.0)
+        reply, _ = await self.reply("/scan/x")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual((await self.reply("/none/"))[0].status, 503)
+        self.assertEqual((await self.reply("/open/", key=""))[0].status, 200)
+        self.site.store.faults.silent = False
+        await until(self.entry._ready, 8.0)
+        self.assertEqual((await self.reply("/scan/x"))[0].status, 200)
+
+    async def test_key_taken_away_is_dead_within_the_bound(self):
+        self.site.configure(2, {"hall": ["key-new"], "yard": ["key-b"]})
+        await until(lambda: self.entry._catalog.version == 2, 2.0)
+        self.assertEqual((await self.reply("/scan/x"))[0].status, 401)
+        self.assertEqual((await self.reply("/scan/x", key="key-new"))[0].status, 200)
+
+    async def test_history_that_is_forgotten_is_read_anew(self):
+        # The store drops its history while this host is behind: the changes can't be had one by
+        # one any more. Everything is read anew, and the new configuration is in force.
+        self.site.store.faults.status = 503
+        await asyncio.sleep(0.8)
+        self.site.configure(5, {"hall": ["key-a"]})
+        self.site.store.forget_history()
+        self.site.store.faults.status = 0
+        await until(lambda: self.entry._catalog.version == 5, 4.0)
+        await self.until_serving()
+
+    async def test_lost_answer_of_a_plan_is_found_out(self):
+        # The plan of a new group is written and the answer lost. The owner does not act on hope;
+        # it reads what holds and goes on from there. No host is in two groups.
+        self.site.store.faults.lose_writes = 1
+        await self.model_with_two_groups()
+        plans = self.entry._plans.by_key.values()
+        members = [i for p in plans for g in p.groups for i in g.members]
+        self.assertEqual(len(members), len(set(members)))
+
+    async def test_plan_written_late_does_not_undo_a_newer_one(self):
+        self.site.store.faults.late_writes = 1
+        self.site.store.faults.late_by = 1.5
+        await self.model_with_two_groups()
+        await asyncio.sleep(1.6)
+        (plan,) = self.entry._plans.by_key.values()
+        self.assertGreaterEqual(len(plan.groups), 3)
+
+
+class OrderFailureTest(SiteTest):
+    async def test_order_carried_out_late_leaves_no_host_in_two_groups(self):
+        # Orders to two hosts are not answered, and are carried out 1.5 s later, after newer ones.
+        for number in (10, 11):
+            late = self.site.add_host(f"i-{number}", "d0")
+            late.faults.late, late.faults.late_by = 2, 1.5
+        model = await self.model_with_two_groups()
+        await asyncio.sleep(1.6)
+        for _ in range(4):
+            _, reader = await self.reply("/read/x", "POST", model=model)
+            self.assert_whole_stream(reader)
+        size = {LARGE: 3, SMALL: 2}[model]
+        self.assertEqual({r.members_ready for r in self.site.engines.runs}, {size})
+
+
+class OwnerTest(SiteTest):
+    entries = 2
+
+    async def test_groups_outlive_their_owner_and_the_next_one_mends_them(self):
+        # The entry host that owns the domain ends without a word. Its lease runs out, the other
+        # takes the domain with a higher term, keeps the groups that stand, and mends one that
+        # then loses a host. Requests go on all the while.
+        (plan,) = self.entry._plans.by_key.values()
+        owner, other = self.site.entries
+        if plan.owner != owner._settings.host:
+            owner, other = other, owner
+        names = {g.name for g in plan.groups}
+        await owner.kernel.stop()
+        self.site.entries.remove(owner)
+        self.entry = other
+        _, reader = await self.reply("/read/x", "POST", model=SMALL)
+        self.assert_whole_stream(reader)
+
+        def held():
+            (found,) = other._plans.by_key.values()
+            return found.owner == other._settings.host and found
+
+        found = await until(held, 10.0)
+        self.assertGreater(found.term, plan.term)
+        self.assertEqual({g.name for g in found.groups}, names)
+
+
+class DrainTest(SiteTest):
+    async def test_draining_host_ends_its_work_and_takes_what_still_comes(self):
+        # The stop order comes in the middle of a stream. The host is not ready at once, goes on
+        # taking what the balancer still sends, tells callers to come back by a new connection,
+        # and is done when the stream is.
+        self.site.engines.pieces = 60
+        asked = asyncio.create_task(self.ask("/read/x", "POST", model=LARGE))
+        await until(lambda: self.runs("request-1"))
+        drained = asyncio.create_task(self.entry.front.drain())
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.entry.front.ready)
+        reply, _ = await self.reply("/scan/x")
+        self.assertEqual((reply.status, reply.headers["Connection"]), (200, "close"))
+        _, reader = await asked
+        self.assert_whole_stream(reader)
+        await asyncio.wait_for(drained, 8.0)
+
+
+class DecodingTest(unittest.TestCase):
+    def test_malformed_values_are_typed_errors(self):
+        for data in (b"{", b"[]", b'{"version": "x"}'):
+            with self.assertRaises(ValueError):
+                decode_configuration(data)
+        route = {"name": "r", "host": "h", "prefix": "/", "kind": "strange"}
+        with self.assertRaises(ValueError):
+            decode_configuration(json.dumps({"version": 1, "routes": [route]}).encode())
+        with self.assertRaises(ValueError):
+            decode_host("servers/x", b'{"service": "s"}')
+
+    def test_headers_of_one_connection_and_the_key_stay_behind(self):
+        headers = HTTPHeaders(
+            {
+                "Connection": "keep-alive, X-Hop",
+                "X-Hop": "1",
+                "Authorization": "Bearer k",
+                "Tenant": "forged",
+                "Attempt-Id": "r",
+                "X-Kept": "1",
+            }
+        )
+        sent = HeaderCodec().to_target(headers, "acme", "i-1", 1.5, 0, 7)
+        self.assertEqual(sent["Tenant"], "acme")
+        self.assertEqual(sent["Deadline-Ms"], "1500")
+        self.assertEqual((sent["Last-Event-Id"], sent["Expect-Instance"]), ("7", "i-1"))
+        self.assertEqual((sent["Attempt-Id"], sent["X-Kept"]), ("r", "1"))
+        for name in ("Authorization", "X-Hop", "Connection"):
+            self.assertNotIn(name, sent)
+
+
+if __name__ == "__main__":
+    unittest.main()
