Refuse at once what would only make a queue; order no more loads than run at full speed together

And groups that were left after losses queued up to their engine's bound: every request late, many given up after 2 s.

Change: an owner has its part of the loads at once in hand, the most urgent first; a target takes two beyond its slots, ten for callers that came back (told by the time they have left), and the rest is refused with a time to come back.

Ruled out: that the longer queue alone helps (it moves refusals to late answers, no more).

--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -399,12 +399,15 @@
         for instance, model in loads_to_order(sound, self._left_over(now, plan, hosts), needs):
             if instance in self._staging:
                 continue
-            if not (loads_free or self._pacer.take(now)):
+            if not loads_free and not self._may_load(now):
                 break
             self._staging[instance] = (model, now)
             actions.append(Stage(model, instance))
         return actions
 
+    def _may_load(self, now: float) -> bool:
+        return len(self._staging) < self._pacer.at_once and self._pacer.take(now)
+
     def _left_over(
         self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
     ) -> list[FreeHost]:
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -166,15 +166,17 @@
             self._probing.discard(group.name)
 
     def _pacer(self, catalog: Catalog, needs: Sequence[ModelNeed]) -> LoadPacer:
-        rates = [
-            s.engine.loads_per_second
+        engines = [
+            s.engine
             for s in catalog.service_by_name.values()
             if s.engine is not None and any(n.model in s.engine.model_by_name for n in needs)
         ]
-        rate = min(rates, default=1.0)
+        rate = min((e.loads_per_second for e in engines), default=1.0)
+        at_once = min((e.loads_at_once for e in engines), default=1)
         limits = self._limits
         per_window = rate * limits.load_window * limits.load_factor + limits.load_extra
-        return LoadPacer(per_window, limits.load_window, len(self._inventory.domains()))
+        domains = len(self._inventory.domains())
+        return LoadPacer(per_window, limits.load_window, domains, at_once)
 
     def _needs(self, domain: str, catalog: Catalog, services: set[str]) -> list[ModelNeed]:
         """Return the models of the services that have hosts in a domain."""
--- a/src/oleanderhill/groups/pacing.py
+++ b/src/oleanderhill/groups/pacing.py
@@ -17,13 +17,16 @@
     :param per_window: loads that may begin in a window, over all domains
     :param window: seconds
     :param domains: number of domains that share the bound
+    :param at_once: loads that run at full speed together; beyond, all of them slow down, and the
+        group that needs only one more host gets it as late as the last of all
     """
 
-    def __init__(self, per_window: float, window: float, domains: int) -> None:
+    def __init__(self, per_window: float, window: float, domains: int, at_once: int = 1000) -> None:
         share = per_window * PART_USED / max(1, domains)
         self._cap = max(1.0, share * 0.65)
         self._rate = max(0.02, (share - self._cap) / window)
         self._tokens = self._cap
+        self.at_once = max(1, at_once // max(1, domains))
         self._at: float | None = None
 
     def take(self, now: float) -> bool:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -26,7 +26,7 @@
 from ..outcomes import Problem
 from ..presence import PresenceTask
 from ..records import Records, keep_flushing, log_bounded
-from ..serving.admission import admit
+from ..serving.admission import ReturningCallers, admit
 from ..serving.catalog import Catalog, pick_backend
 from ..serving.currency import Currency
 from ..serving.driver import Exchange, Incoming, Tools
@@ -70,6 +70,7 @@
         self._catalog: Catalog | None = None
         self._catalog_revision = 0
         self._budget_by_service: dict[str, SharedRetryBudget] = {}
+        self._returning = ReturningCallers()
         self._most_hosts = 1
         self.exposition = Exposition()
         self._assemble()
@@ -270,7 +271,9 @@
         service = pick_backend(accepted.route, self._rng)
         budget = self._budget(service)
         budget.request(time.monotonic())
-        await Exchange(self._tools, incoming, accepted, service, budget, sink).run()
+        patience = incoming.facts.patience
+        returned = self._returning.came_back(accepted.route.name, patience)
+        await Exchange(self._tools, incoming, accepted, service, budget, sink, returned).run()
 
     def _reload(self) -> None:
         try:
--- a/src/oleanderhill/serving/admission.py
+++ b/src/oleanderhill/serving/admission.py
@@ -56,3 +56,27 @@
 
 def _no_route() -> Problem:
     return Problem("no-route", 404, Ran.NO, "no route has this host and path")
+
+
+class ReturningCallers:
+    """Tells callers that came back after a refusal from those that come for the first time.
+
+    An attempt has an id of its own, and nothing in it names the one before. But a caller that came
+    back has less time left than it had: the patience of first attempts is the longest of a route.
+    """
+
+    def __init__(self) -> None:
+        self._longest_by_route: dict[str, float] = {}
+
+    def came_back(self, route: str, patience: float | None) -> bool:
+        """Take note of a request's patience, in seconds, and tell whether its caller came back."""
+        if patience is None:
+            return False
+        longest = max(self._longest_by_route.get(route, 0.0), patience)
+        self._longest_by_route[route] = longest
+        return patience < longest * FIRST_PATIENCE
+
+
+FIRST_PATIENCE = 0.97
+"""Part of the longest patience from which on an attempt counts as the first: the way to this host
+takes some ms off, the shortest time to come back more than three in a hundred."""
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -167,6 +167,7 @@
     """One request.
 
     :param service: the service that takes it, drawn once from its route's backends
+    :param returned: its caller was refused before and came back
     """
 
     def __init__(
@@ -177,11 +178,13 @@
         service: str,
         budget: SharedRetryBudget,
         sink: Sink,
+        returned: bool = False,
     ) -> None:
         self.tools = tools
         self._in = incoming
         self._accepted = accepted
         self._service = service
+        self._returned = returned
         self._sink = sink
         route = accepted.route
         patience = incoming.facts.patience
@@ -234,12 +237,15 @@
     def _choose(self, tried: frozenset[str]) -> Choice | NoChoice:
         candidates = self.tools.candidates(self._service, self._in.facts.model)
         names = {t.partition("@")[0] for t in tried}
-        found = self.tools.book.choose(candidates, names, time.monotonic())
+        # A request that has been at a target is as good as one whose caller came back.
+        waited = self._returned or self.machine.arrived > 0
+        found = self.tools.book.choose(candidates, names, time.monotonic(), waited)
         if found is None:
-            reason = "all targets were tried" if candidates else "no target serves"
-            if not candidates:
+            full = bool(candidates)
+            reason = "no untried target has room" if full else "no target serves"
+            if not self.machine.arrived:
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
-            return NoChoice(reason, False, bool(candidates))
+            return NoChoice(reason, full, full)
         host = found.host
         member = Member(host.instance, host.address, host.instance)
         return Choice(found.target, 0, member, host.data_centre, "least busy")
