Explain a failed request from logs alone; leave a stalled stream where nobody has room

And a process that had just started took the first hosts that went for doubtful, as after an outage.

Test: a group stands still for half a second and the only other one is full: the stream is cut before, whole after. Log lines lead from a cut stream to the lost host, from a refusal to the lost store; a reader that stops holds nothing up, and what was lost is counted.

--- a/src/oleanderhill/cli.py
+++ b/src/oleanderhill/cli.py
@@ -29,6 +29,7 @@
     StoreUnavailableError,
     UnreachableError,
 )
+from .explaining import explain_log, show_lines
 from .httpcall import Call, HttpCaller
 from .report import show_decisions, show_in_force, show_status
 from .schema import Boot, FleetSettings, TeamSettings
@@ -163,15 +164,22 @@
     print(dumps(found) if json else show_status(found))
 
 
-def explain(subject: str, *, at: str = "", json: bool = False) -> None:
+def explain(subject: str, *, at: str = "", log: str = "", json: bool = False) -> None:
     """Print the decisions about a request, group, host, domain or subtree, in order.
 
-    Example: ``oleanderhill explain 3f0c9a2b11d04e57``
+    They are asked of running entry hosts, or read from their logs.
+    Examples: ``oleanderhill explain 3f0c9a2b11d04e57``,
+    ``oleanderhill explain 3f0c9a2b11d04e57 --log entry.log``
 
     :param subject: a request id, group id, host, domain or team
     :param at: operator addresses, separated by commas
+    :param log: path of a file of log lines, ``-`` for standard input
     :param json: print as JSON
     """
+    if log:
+        lines = explain_log(subject, _read(log).decode(errors="replace").splitlines())
+        print(dumps([line.facts for line in lines]) if json else show_lines(lines))
+        return
     found = _ask_all(at, f"/v1/explain/{subject.replace('#', '%23')}")
     print(dumps(found) if json else show_decisions(subject, found))
 
--- a/src/oleanderhill/mirror.py
+++ b/src/oleanderhill/mirror.py
@@ -79,6 +79,7 @@
         self._after: int | None = None
         self._read_at = float("-inf")
         self._connected = False
+        self._was_lost = False
         self.returned: list[Callable[[float], None]] = []
         self.connected_since = float("inf")
         self._hurry_until = float("-inf")
@@ -164,13 +165,15 @@
         self._connected = True
         self.connected_since = began
         self._records.note("dependency", "regained", dependency="store", after=self._after)
-        for call in self.returned:
-            call(awake_or_not())
+        if self._was_lost:
+            for call in self.returned:
+                call(awake_or_not())
 
     def _disconnect(self, error: StoreError) -> None:
         if not self._connected:
             return
         self._connected = False
+        self._was_lost = True
         self.connected_since = float("inf")
         age = round(self.age(awake_or_not()), 2)
         self._records.note("dependency", "lost", dependency="store", reason=str(error), age_s=age)
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -321,7 +321,8 @@
         tried = {t.partition("@")[0] for t in self.machine.tried} | {choice.group}
         candidates = self.tools.candidates(self._service, self._in.facts.model)
         book = self.tools.book
-        return any(c.target not in tried and not book.is_suspect(c.target, now) for c in candidates)
+        sound = [c for c in candidates if not book.is_suspect(c.target, now)]
+        return book.choose(sound, tried, now, True) is not None
 
     def _abandoned(self, stuck: str, attempt: int, choice: Choice) -> list[Effect]:
         if stuck == "deadline":
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,114 @@
+"""From a request's id to its cause, in log lines alone; and the bounded log that writes them."""
+
+import json
+import os
+import unittest
+
+from oleanderhill import records
+from oleanderhill.explaining import explain_log, parse_line, show_lines
+from oleanderhill.records import BoundedOutput, Records
+
+
+def line(at, part, what, **facts):
+    return json.dumps(
+        {
+            "message_type": f"oleanderhill:{part}",
+            "timestamp": at,
+            "host": "e1",
+            "what": what,
+            **facts,
+        }
+    )
+
+
+class ExplainTest(unittest.TestCase):
+    def test_cut_stream_leads_to_the_host_that_was_lost(self):
+        # A stream is cut. The line of its id names the group; around that time a host of the
+        # group did not answer, and the group was dissolved. Other groups and times stay out.
+        texts = [
+            line(50.0, "plan", "written", reason="formed d.1 of m"),
+            line(99.0, "request", "cut", request_id="r1", path=["d.1:i-1"], reason="no progress"),
+            line(99.1, "request", "cut", request_id="r2", path=["d.1:i-1"]),
+            "12.5 e1 " + line(99.5, "probe", "silent", instance="i-2", group="d.1"),
+            line(99.6, "probe", "silent", instance="i-9", group="d.7"),
+            line(100.0, "plan", "written", reason="dissolved d.1 member silent"),
+            line(120.0, "order", "done", about="d.1"),
+            "no line of ours {",
+        ]
+        found = explain_log("r1", texts)
+        self.assertEqual([f.part for f in found], ["request", "probe", "plan"])
+        shown = show_lines(found)
+        self.assertIn("no progress", shown)
+        self.assertIn("member silent", shown)
+
+    def test_refusal_for_an_old_proof_leads_to_the_lost_store(self):
+        texts = [
+            line(95.0, "dependency", "lost", dependency="store", reason="timeout"),
+            line(99.0, "request", "not-current", request_id="r1", proof_age_s=4.4),
+        ]
+        self.assertEqual([f.part for f in explain_log("r1", texts)], ["dependency", "request"])
+
+    def test_unknown_id_and_malformed_lines(self):
+        self.assertEqual(explain_log("r1", ["x", "{", '{"a": 1}']), [])
+        self.assertIsNone(parse_line('{"message_type": "oleanderhill:x"}'))
+        self.assertEqual(show_lines([]), "no line names it")
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self):
+        self.read_end, self.write_end = os.pipe()
+        os.set_blocking(self.write_end, False)
+        os.set_blocking(self.read_end, False)
+
+    def tearDown(self):
+        os.close(self.read_end)
+        os.close(self.write_end)
+
+    def test_reader_that_stops_holds_nothing_up_and_loses_are_counted(self):
+        # The collector stops reading. Serving must not wait for it, and memory must not grow:
+        # the buffer fills, what finds no room is counted, and the count is told later.
+        output = BoundedOutput(self.write_end)
+        for number in range(records.BUFFERED + 500):
+            output({"n": number, "text": "x" * 100})
+        self.assertEqual(output.dropped, 500)
+        output.flush()
+        output.flush()
+        data = b""
+        for _ in range(200):
+            try:
+                data += os.read(self.read_end, 1 << 20)
+            except BlockingIOError:
+                if not output._rest:
+                    break
+                output.flush()
+        lines = data.splitlines()
+        self.assertEqual(json.loads(lines[0])["n"], 0)
+        self.assertTrue(any(b'"lines":500' in found for found in lines))
+
+    def test_good_answers_are_sampled_and_failures_are_not(self):
+        noted = []
+        log = Records("e1")
+        log.note = lambda part, what, **facts: noted.append((what, facts))
+        for _ in range(records.SAMPLE * 3):
+            log.request("r", "answered", True)
+        for _ in range(10):
+            log.request("r", "cut", False)
+        self.assertEqual([w for w, _ in noted].count("answered"), 3)
+        self.assertEqual([w for w, _ in noted].count("cut"), 10)
+
+    def test_failures_beyond_the_rate_are_counted(self):
+        noted = []
+        log = Records("e1")
+        log.note = lambda part, what, **facts: noted.append((part, what, facts))
+        log._second = -1
+        for _ in range(records.LINES_PER_SECOND + 40):
+            log.request("r", "cut", False)
+        written = [n for n in noted if n[1] == "cut"]
+        self.assertLessEqual(len(written), records.LINES_PER_SECOND * 2)
+        log._second = -1
+        log.request("r", "cut", False)
+        self.assertTrue(any(p == "log" and w == "suppressed" for p, w, _ in noted))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -145,6 +145,27 @@
         self.assertEqual(second.members_ready, first.members_ready)
         self.assertLess(reader.longest_pause, 1.0)
 
+    async def test_stalled_stream_stays_where_no_other_group_has_room(self):
+        # A group stands still for a moment, and the only other one is full. Taken away from the
+        # first, the stream would be cut, though its group goes on half a second later.
+        model = await self.model_with_two_groups()
+        self.site.engines.pieces = 30
+        asked = asyncio.create_task(self.ask("/read/x", "POST", model=model))
+        (first,) = await until(lambda: self.runs("request-1"))
+        others = [c.target for c in self.entry._view.candidates("pool", model)]
+        full = {name: 99 for name in others if name != first.group}
+        member = self.site.engines.host_by_instance[
+            self.site.engines.host_by_instance[first.instance].members[1]
+        ]
+        member.alive = False
+        for _ in range(6):
+            self.entry._book.hear("peer", full, [], {}, {}, time.monotonic())
+            await asyncio.sleep(0.1)
+        member.alive = True
+        _, reader = await asked
+        self.assert_whole_stream(reader)
+        self.assertEqual(len(self.runs("request-1")), 1)
+
     async def test_stream_torn_within_an_event_goes_on_at_the_border(self):
         # The target's connection ends in the middle of an event. Half of it passed on would be
         # glued to the first event of the resumed stream.
