Doubt a group for two seconds, and no longer than its peers' requests show

Cause: a group that stood still once for one request was left out for 4.5 s by that entry host, and by the others as long as it said so, even while it sent to their requests.

Change: two seconds (its owner takes a group that lost a member apart within one and a half), ended by any event that it sends, here or at a peer.

Test: a suspect that sends to a peer's request is trusted again.

--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -12,9 +12,10 @@
 PEER_COUNTS_LAST = 0.6
 """Seconds for which a peer's counts are used: several of its reports may be lost on the way."""
 
-SUSPECT_SECONDS = 4.5
+SUSPECT_SECONDS = 2.0
 """Seconds for which a target that was seen to stall takes requests last, unless it is seen to send
-again before. A group that lost a member is broken, or its member out of the list, after four."""
+again before, here or by a peer. Its owner finds a lost member and takes the group apart within one
+and a half; longer, a group that was only slow once is lost to callers that are then refused."""
 
 HEARD_SUSPECT_SECONDS = 0.5
 """Seconds for which a peer's word makes a target suspect: it is repeated several times a second
@@ -136,12 +137,15 @@
         for target, age in progress.items():
             held = self._heard_progress_at.get(target, float("-inf"))
             self._heard_progress_at[target] = max(held, now - age)
+            suspected_at = self._suspect_until.get(target, float("inf")) - SUSPECT_SECONDS
+            if now - age > suspected_at:
+                del self._suspect_until[target]
         for target in suspects:
             self._heard_suspect_until[target] = now + HEARD_SUSPECT_SECONDS
 
-    def suspect(self, target: str, now: float, seconds: float = SUSPECT_SECONDS) -> None:
+    def suspect(self, target: str, now: float) -> None:
         """Take note that a target was seen to stall or fail."""
-        self._suspect_until[target] = now + seconds
+        self._suspect_until[target] = now + SUSPECT_SECONDS
 
     def own_suspects(self, now: float) -> list[str]:
         """Return the targets that were seen to stall from here."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -168,6 +168,15 @@
         self.book.progress("a", 10.2)
         self.assertFalse(self.book.is_suspect("a", 10.3))
 
+    def test_suspect_that_sends_to_a_peers_request_is_trusted_again(self):
+        # A group stood still for one request, and goes on for those of another entry host. Left
+        # out for seconds, its places would be missed, and callers be refused.
+        self.book.suspect("a", 10.0)
+        self.book.hear("peer", {"a": 1}, [], {"a": 0.05}, {}, 10.04)
+        self.assertTrue(self.book.is_suspect("a", 10.05))
+        self.book.hear("peer", {"a": 1}, [], {"a": 0.01}, {}, 10.2)
+        self.assertFalse(self.book.is_suspect("a", 10.2))
+
     def test_target_that_sends_to_others_is_busy_and_not_stuck(self):
         # One request has waited for its first event for long. Other requests at the same group
         # get theirs, here or at a peer: the group reads prompts, and is not dead. Going elsewhere
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -316,9 +316,10 @@
         if plan.owner != owner._settings.host:
             owner, other = other, owner
         names = {g.name for g in plan.groups}
+        self.entry = other
+        await self.until_serving()
         await owner.kernel.stop()
         self.site.entries.remove(owner)
-        self.entry = other
         _, reader = await self.reply("/read/x", "POST", model=SMALL)
         self.assert_whole_stream(reader)
 
