--- a/src/oleanderhill/records.py
+++ b/src/oleanderhill/records.py
@@ -26,7 +26,7 @@
 """Lines kept for a slow pipe: some seconds of the highest rate."""
 
 ATOMIC = select.PIPE_BUF
-"""Bytes that a pipe takes whole or not at all. A longer write may be cut in the middle of a line, and
+"""Bytes that a pipe takes whole or not at all. A longer write may be cut within a line, and
 the rest be lost to whoever collects them: seen after an outage, when 9 KB of lines came at once."""
 
 LINES_PER_SECOND = 150
