Read the change as a newcomer: one rendezvous, one server factory, nothing unused

Reuses the rendezvous hash of ownership.py in place of a second one; one connection delegate for both listeners; one place that says which groups are sound; fields that nobody reads are gone (sizes of a request, the host at fault, hosts of a service). The metrics server is closed at the end.

--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -351,9 +351,7 @@
         loads_free: bool,
     ) -> tuple[DomainPlan, str] | None:
         free = self._free(now, plan, hosts)
-        sound = plan._replace(
-            groups=tuple(g for g in plan.groups if g.name not in self._fault_since)
-        )
+        sound = self._sound(plan)
         reasons = []
         while True:
             staged = Counter(m for h in free for m in h.staged)
@@ -382,6 +380,11 @@
             and now >= self._avoid_until.get(h.instance, 0.0)
         ]
 
+    def _sound(self, plan: DomainPlan) -> DomainPlan:
+        """Return the plan of the groups that have no fault."""
+        sound = tuple(g for g in plan.groups if g.name not in self._fault_since)
+        return plan._replace(groups=sound)
+
     def _stage_spares(
         self,
         now: float,
@@ -401,9 +404,7 @@
             for i, (model, at) in self._staging.items()
             if i in hosts and model not in hosts[i].staged and now - at < patience.get(model, 0.0)
         }
-        sound = plan._replace(
-            groups=tuple(g for g in plan.groups if g.name not in self._fault_since)
-        )
+        sound = self._sound(plan)
         actions: list[Action] = []
         for instance, model in loads_to_order(sound, self._left_over(now, plan, hosts), needs):
             if instance in self._staging:
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -97,10 +97,6 @@
             self.by_instance.pop(instance, None)
         return gone
 
-    def of_service(self, service: str) -> list[TargetHost]:
-        """Return the hosts of a service."""
-        return [h for h in self.by_instance.values() if h.service == service]
-
     def of_domain(self, domain: str) -> list[TargetHost]:
         """Return the hosts of a fabric domain."""
         return [h for h in self.by_instance.values() if h.domain == domain]
--- a/src/oleanderhill/groups/ownership.py
+++ b/src/oleanderhill/groups/ownership.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 import msgspec
-import xxhash
 
+from ..ownership import rendezvous
 from .plans import DomainPlan
 
 PRESENCE_PREFIX = "oleanderhill/entry/"
@@ -45,8 +45,8 @@
 
 
 def preferred_owner(domain: str, names: Mapping[str, Presence]) -> str:
-    """Return the entry host that takes a domain without an owner, by rendezvous hashing."""
-    return max(names, key=lambda name: (xxhash.xxh64_intdigest(f"{domain}/{name}".encode()), name))
+    """Return the entry host that takes a domain without an owner."""
+    return rendezvous(domain, names)[0]
 
 
 def owns(plan: DomainPlan, me: Presence) -> bool:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -162,6 +162,7 @@
         await self._presence.withdraw()
         await self.kernel.stop()
         self._caller.close()
+        self.exposition.close()
         self._records.note("process", "stop")
         flushing.cancel()
         self._output.flush()
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -12,15 +12,11 @@
 DEADLINE = "Deadline-Ms"
 LAST_EVENT = "Last-Event-Id"
 MODEL = "Model"
-# Despite the name two numbers: prompt tokens, and the most tokens of the answer.
-SIZES = "Token-Counts"
 EXPECT_INSTANCE = "Expect-Instance"
 ACCOUNT = "Tenant"
 PRIORITY = "Request-Priority"
 NOT_RUN = "Not-Executed"
 SEAL = "Response-Seal"
-# In a failure: the host because of which it came about, which need not be the one that answered.
-AT_FAULT = "At-Server"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 
@@ -51,7 +47,6 @@
     def read_request(self, headers: HTTPHeaders) -> Facts:
         """Return what a request's headers say."""
         scheme, _, key = headers.get(AUTHORIZATION, "").partition(" ")
-        sizes = [int(t) for t in headers.get(SIZES, "").split(",") if t.strip().isdigit()]
         last = headers.get(LAST_EVENT, "")
         wait = _milliseconds(headers.get(DEADLINE))
         return Facts(
@@ -59,8 +54,6 @@
             wait,
             key.strip() if scheme.lower() == "bearer" else "",
             headers.get(MODEL, ""),
-            sizes[0] if sizes else 0,
-            sizes[1] if len(sizes) > 1 else 0,
             int(last) if last.isdigit() else None,
         )
 
@@ -87,8 +80,7 @@
 
     def read_reply(self, status: int, headers: HTTPHeaders) -> Reading:
         """Return what a reply's status and headers mean for the request."""
-        not_run = NOT_RUN in headers or status == 421
-        return Reading(not_run, SEAL in headers, headers.get(AT_FAULT, ""))
+        return Reading(NOT_RUN in headers or status == 421, SEAL in headers)
 
     def belongs(self, request_id: str, headers: HTTPHeaders) -> bool:
         """Tell whether a reply answers this request. One without an id is a target's refusal."""
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -91,6 +91,7 @@
     """What all requests of a process share.
 
     :param candidates: returns the targets that serve a service and model now
+    :param come_back: returns the seconds after which a refused caller may come back to them
     :param report: takes route, outcome and seconds of a request that has ended
     """
 
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -14,7 +14,6 @@
     :param patience: seconds for which the caller waits, ``None`` where it does not say
     :param key: API key, empty for none
     :param model: which model is to answer, empty for a plain service
-    :param prompt_tokens: of the prompt; ``answer_tokens`` are the most that the answer may have
     :param last_event: id of the last event of its stream that the caller has
     """
 
@@ -22,8 +21,6 @@
     patience: float | None
     key: str
     model: str
-    prompt_tokens: int
-    answer_tokens: int
     last_event: int | None
 
 
@@ -32,12 +29,10 @@
 
     :param not_run: the target says that it did not run the request and will not
     :param sealed: it bears the target's signature
-    :param at_fault: instance because of which it failed, empty where it names none
     """
 
     not_run: bool
     sealed: bool
-    at_fault: str
 
 
 class Codec(Protocol):
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -182,16 +182,6 @@
             self._connection.close()
 
 
-class _Server(HTTPServerConnectionDelegate):
-    def __init__(self, front: Front) -> None:
-        self._front = front
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        return _Message(self._front, request_conn)
-
-
 class _Ready(HTTPMessageDelegate):
     def __init__(self, front: Front, connection: HTTPConnection) -> None:
         self._front = front
@@ -205,14 +195,19 @@
         self._connection.finish()
 
 
-class _ReadyServer(HTTPServerConnectionDelegate):
-    def __init__(self, front: Front) -> None:
+class _Server(HTTPServerConnectionDelegate):
+    """Makes a delegate for each request."""
+
+    def __init__(
+        self, front: Front, make: Callable[[Front, HTTPConnection], HTTPMessageDelegate]
+    ) -> None:
         self._front = front
+        self._make = make
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        return _Ready(self._front, request_conn)
+        return self._make(self._front, request_conn)
 
 
 class Front(Task):
@@ -249,8 +244,8 @@
     async def start(self) -> None:
         """Listen."""
         for address, delegate in (
-            (self._balancer, _ReadyServer(self)),
-            (self._callers, _Server(self)),
+            (self._balancer, _Server(self, _Ready)),
+            (self._callers, _Server(self, _Message)),
         ):
             server = HTTPServer(
                 delegate, max_header_size=LONGEST_HEADER, idle_connection_timeout=IDLE_TIMEOUT
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -61,7 +61,7 @@
 
 
 def facts(key="k"):
-    return Facts("r1", 1.0, key, "", 0, 0, None)
+    return Facts("r1", 1.0, key, "", None)
 
 
 def target(name, data_centre="here", slots=10):
