Correct three comments that the change had made untrue or out of order

Cause: on re-reading, HttpCaller still said that connections are kept only for calls that may be sent twice, and the collector that a reply without a length is never taken for complete; both are up to the call now. The parameter of LoadBook.choose stood before the sentences it belongs after.

Ruled out: code. Checked: formatter, linter, types, tests.test_serving and tests.test_edge (49 passed).

--- a/src/oleanderhill/httpcall.py
+++ b/src/oleanderhill/httpcall.py
@@ -136,7 +136,7 @@
         self.status = start_line.code
         self.reply_headers = headers
         # Without a length or chunks a reply ends where the connection does, and a cut one looks
-        # whole. Such a reply is never taken for complete.
+        # whole. It is taken for complete only where the call says so, and not after a reset.
         self.open_ended = "Content-Length" not in headers and "Transfer-Encoding" not in headers
         self.framed = self._what.unframed or not self.open_ended
         if self._observer is not None:
@@ -155,7 +155,7 @@
 
 
 class HttpCaller:
-    """Makes exchanges, and keeps a few idle connections for those that may be sent twice."""
+    """Makes exchanges, and keeps idle connections for calls that allow their reuse."""
 
     def __init__(self) -> None:
         self._idle_by_address: dict[str, list[_Idle]] = {}
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -174,10 +174,10 @@
     ) -> Candidate | None:
         """Return the target that takes a request, ``None`` if none that is left has room.
 
-        :param returned: its caller was refused before and came back
-
         The least busy for its slots. One under suspicion only where all are: a request sent there
         most likely waits for its caller to give up.
+
+        :param returned: its caller was refused before and came back
         """
         left = [c for c in candidates if c.target not in tried]
         sound = [c for c in left if not self.is_suspect(c.target, now)]
