--- a/dev/oleanderhill_dev/bench.py
+++ b/dev/oleanderhill_dev/bench.py
@@ -10,8 +10,8 @@
 
 import defopt
 
-from oleanderhill.fleet import hash_of
-from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
+from oleanderhill.settings.fleet import hash_of
 
 from .bench_site import EntryAddress, Shape, Site
 from .measuring import (
--- a/dev/oleanderhill_dev/bench_site.py
+++ b/dev/oleanderhill_dev/bench_site.py
@@ -18,8 +18,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from oleanderhill.fleet import hash_of
-from oleanderhill.httpcall import Call, HttpCaller
+from oleanderhill.clients.httpcall import Call, HttpCaller
+from oleanderhill.settings.fleet import hash_of
 
 OPERATOR_KEY = "operator-key"
 _addresses = itertools.count()
--- a/dev/oleanderhill_dev/demo.py
+++ b/dev/oleanderhill_dev/demo.py
@@ -12,7 +12,7 @@
 
 import defopt
 
-from oleanderhill.httpcall import Call, Observer
+from oleanderhill.clients.httpcall import Call, Observer
 
 from .bench_site import EntryAddress, Shape, Site, new_key
 from .engine_standin import answer, token
@@ -46,7 +46,7 @@
 
 def settings(clerk_key: str, gate_key: str, services: list[str]) -> dict[str, Any]:
     """Return the team's subtree."""
-    from oleanderhill.fleet import hash_of
+    from oleanderhill.settings.fleet import hash_of
 
     return {
         "models": {
--- a/dev/oleanderhill_dev/domain_world.py
+++ b/dev/oleanderhill_dev/domain_world.py
@@ -14,17 +14,19 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from oleanderhill import ownership, stewardship
-from oleanderhill.evidence import EvidenceBook
+from oleanderhill import ownership
+from oleanderhill.domains import stewardship
+from oleanderhill.domains.ledger import holder_by_host
+from oleanderhill.domains.orders import OrderKey
+from oleanderhill.domains.placement import Policy
+from oleanderhill.domains.steward import TICK, DomainSteward
+from oleanderhill.domains.stewardship import decode_ledger
 from oleanderhill.kernel import Received
-from oleanderhill.ledger import holder_by_host
-from oleanderhill.membership import Gossip, Membership, Row
-from oleanderhill.messages import DomainEvidence
-from oleanderhill.orders import OrderKey
-from oleanderhill.placement import Policy
-from oleanderhill.routing import Router
-from oleanderhill.steward import TICK, DomainSteward
-from oleanderhill.stewardship import decode_ledger
+from oleanderhill.members.membership import Gossip, Membership, Row
+from oleanderhill.routing.evidence import EvidenceBook
+from oleanderhill.routing.messages import DomainEvidence
+from oleanderhill.routing.router import Router
+from oleanderhill.routing.wholeness import EVIDENCE_MAX_AGE
 from oleanderhill.types import (
     EngineState,
     GroupSpec,
@@ -35,7 +37,6 @@
     SeenReport,
     WantedGroup,
 )
-from oleanderhill.wholeness import EVIDENCE_MAX_AGE
 
 STEP = 0.1
 DOMAIN = "fabric-a"
--- a/dev/oleanderhill_dev/engine_standin.py
+++ b/dev/oleanderhill_dev/engine_standin.py
@@ -21,7 +21,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
-from oleanderhill.httpcall import Call, HttpCaller
+from oleanderhill.clients.httpcall import Call, HttpCaller
 
 DEFAULT_TOKENS = 20
 MEMBER_CHECK = 0.2
--- a/dev/oleanderhill_dev/experiments.py
+++ b/dev/oleanderhill_dev/experiments.py
@@ -20,8 +20,8 @@
 
 import defopt
 
-from oleanderhill import placement
-from oleanderhill.placement import Dissolve, Situation
+from oleanderhill.domains import placement
+from oleanderhill.domains.placement import Dissolve, Situation
 from oleanderhill.types import GroupRecord, SeenReport, WantedGroup
 
 from .domain_world import DomainWorld, spec
--- a/dev/oleanderhill_dev/fuzz_requests.py
+++ b/dev/oleanderhill_dev/fuzz_requests.py
@@ -12,11 +12,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from oleanderhill import attempts, once
-from oleanderhill.attempts import Request, RequestMachine, RetryBudget
-from oleanderhill.once import AppendResult, Batch, Decided, Journal, Row, RowKind, Verdict
+from oleanderhill.journal import once
+from oleanderhill.journal.once import AppendResult, Batch, Decided, Journal, Row, RowKind, Verdict
 from oleanderhill.outcomes import Ran
-from oleanderhill.routing import Choice, NoChoice
+from oleanderhill.requests import attempts
+from oleanderhill.requests.attempts import Request, RequestMachine, RetryBudget
+from oleanderhill.routing.router import Choice, NoChoice
 from oleanderhill.types import Member
 
 ENTRIES = 3
--- a/dev/oleanderhill_dev/fuzz_settings.py
+++ b/dev/oleanderhill_dev/fuzz_settings.py
@@ -14,9 +14,17 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from oleanderhill import settings as writes
-from oleanderhill.documents import Digest, Document, Documents, Have, Notice, Want, to_write_back
-from oleanderhill.settings import (
+from oleanderhill.settings import writes
+from oleanderhill.settings.documents import (
+    Digest,
+    Document,
+    Documents,
+    Have,
+    Notice,
+    Want,
+    to_write_back,
+)
+from oleanderhill.settings.writes import (
     SETTINGS_PREFIX,
     Change,
     Ended,
--- a/dev/oleanderhill_dev/load.py
+++ b/dev/oleanderhill_dev/load.py
@@ -16,8 +16,8 @@
 import defopt
 import numpy
 
-from oleanderhill.fleet import hash_of
-from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
+from oleanderhill.settings.fleet import hash_of
 
 from .bench_site import Shape, Site
 from .measuring import RESULTS, histogram, milliseconds, record, write_result
--- a/dev/oleanderhill_dev/mutants.py
+++ b/dev/oleanderhill_dev/mutants.py
@@ -17,25 +17,16 @@
 import defopt
 from hypothesis.stateful import RuleBasedStateMachine
 
-from oleanderhill import (
-    attempts,
-    documents,
-    evidence,
-    hostwatch,
-    ledger,
-    limits,
-    membership,
-    once,
-    orders,
-    ownership,
-    placement,
-    planner,
-    routing,
-    settings,
-    skew,
-    steward,
-    wholeness,
-)
+from oleanderhill import ownership
+from oleanderhill.domains import hostwatch, ledger, orders, placement, planner, steward
+from oleanderhill.journal import once
+from oleanderhill.limits import accounts as limits
+from oleanderhill.members import membership
+from oleanderhill.requests import attempts
+from oleanderhill.routing import evidence, skew, wholeness
+from oleanderhill.routing import router as routing
+from oleanderhill.settings import documents
+from oleanderhill.settings import writes as settings
 from oleanderhill.types import EngineState
 
 from .fuzz import run_once
--- a/dev/oleanderhill_dev/policy_entry.py
+++ b/dev/oleanderhill_dev/policy_entry.py
@@ -8,10 +8,10 @@
 
 import defopt
 
-from oleanderhill import routing
-from oleanderhill.checking import load_boot
 from oleanderhill.entry import run_entry
-from oleanderhill.routing import Evidence, Router
+from oleanderhill.routing import router as routing
+from oleanderhill.routing.router import Evidence, Router
+from oleanderhill.settings.checking import load_boot
 
 _turn = itertools.count()
 
--- a/dev/oleanderhill_dev/slopes.py
+++ b/dev/oleanderhill_dev/slopes.py
@@ -19,16 +19,18 @@
 import msgspec
 import numpy
 
-from oleanderhill import documents, once, settings
-from oleanderhill.evidence import EvidenceBook
-from oleanderhill.fleet import build, hash_of
-from oleanderhill.limits import AccountLimits
-from oleanderhill.membership import Gossip, Membership, Row
-from oleanderhill.messages import pack
-from oleanderhill.placement import Policy, Situation, decide
-from oleanderhill.planner import DomainState, Plan, make_plan
-from oleanderhill.routing import Router, Wanted
-from oleanderhill.steward import DomainSteward
+from oleanderhill.domains.placement import Policy, Situation, decide
+from oleanderhill.domains.planner import DomainState, Plan, make_plan
+from oleanderhill.domains.steward import DomainSteward
+from oleanderhill.journal import once
+from oleanderhill.limits.accounts import AccountLimits
+from oleanderhill.members.membership import Gossip, Membership, Row
+from oleanderhill.members.wire import pack
+from oleanderhill.routing.evidence import EvidenceBook
+from oleanderhill.routing.router import Router, Wanted
+from oleanderhill.settings import documents
+from oleanderhill.settings import writes as settings
+from oleanderhill.settings.fleet import build, hash_of
 from oleanderhill.types import (
     DomainLedger,
     EngineState,
--- a/dev/oleanderhill_dev/users/demo.py
+++ b/dev/oleanderhill_dev/users/demo.py
@@ -9,7 +9,7 @@
 
 from returns.pipeline import is_successful
 
-from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 
 from .site import LARGE, SMALL, StandInSite, until
 
--- a/src/oleanderhill/__main__.py
+++ b/src/oleanderhill/__main__.py
@@ -1,5 +1,5 @@
 """Run the command line with ``python -m oleanderhill``."""
 
-from .cli import main
+from .operators.cli import main
 
 main()
--- /dev/null
+++ b/src/oleanderhill/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what lies outside: HTTP, the store, target hosts."""
--- a/src/oleanderhill/mirror.py
+++ b/src/oleanderhill/clients/mirror.py
@@ -14,11 +14,11 @@
 
 from returns.pipeline import is_successful
 
-from .clock import awake_or_not
-from .exceptions import StoreError
-from .kernel import Kernel, Task
-from .records import Records
-from .serving.currency import Currency
+from ..clock import awake_or_not
+from ..exceptions import StoreError
+from ..kernel import Kernel, Task
+from ..records import Records
+from .currency import Currency
 from .storage import Changes, HistoryLostError, Item, Listing, Storage
 
 Value = TypeVar("Value")
@@ -47,17 +47,18 @@
 
     :param replace: takes the whole content anew, with the time of reading
     :param change: takes one change, with the time of reading
-    :param settled: called after each reading that changed something
     """
 
     prefix: str
     replace: Callable[[Sequence[Item], float], None]
     change: Callable[[str, bytes | None, int, float], None]
-    settled: Callable[[float], None]
 
 
 class Mirror(Task):
-    """Owns the readings of the store."""
+    """Owns the readings of the store.
+
+    :param settled: called once after each reading, with the time of reading
+    """
 
     name = "mirror"
 
@@ -67,6 +68,7 @@
         storage: Storage,
         currency: Currency,
         followers: Sequence[Follower],
+        settled: Callable[[float], None],
         records: Records,
         rng: random.Random,
     ) -> None:
@@ -74,6 +76,7 @@
         self._storage = storage
         self._currency = currency
         self._followers = followers
+        self._settled = settled
         self._records = records
         self._rng = rng
         self._after: int | None = None
@@ -141,23 +144,19 @@
         self._after = min(listing.revision for listing in listings)
         self._read_at = began
         self._currency.prove(began)
-        for follower in self._followers:
-            follower.settled(now)
+        self._settled(now)
         return None
 
     def _take(self, found: Changes, began: float) -> None:
         now = awake_or_not()
-        changed: dict[str, Follower] = {}
         for change in found.changes:
             follower = _follower_of(change.key, self._followers)
             if follower is not None:
                 follower.change(change.key, change.value, change.revision, now)
-                changed[follower.prefix] = follower
         self._after = found.revision
         self._read_at = began
         self._currency.prove(began - DEAF)
-        for follower in changed.values():
-            follower.settled(now)
+        self._settled(now)
 
     def _connect(self, began: float) -> None:
         if self._connected:
--- a/src/oleanderhill/storage.py
+++ b/src/oleanderhill/clients/storage.py
@@ -1,8 +1,8 @@
 """What the project asks of a store that keeps revisions, and what each of its answers means.
 
 The store is the platform's; an adapter speaks its protocol and gives it this shape. A call either
-answers, or fails as one of :class:`~.exceptions.StoreError`; only
-:class:`~.exceptions.StoreAnswerLostError` leaves open whether the call was carried out.
+answers, or fails as one of :class:`~..exceptions.StoreError`; only
+:class:`~..exceptions.StoreAnswerLostError` leaves open whether the call was carried out.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from returns.result import Result
 
-from .exceptions import StoreError
+from ..exceptions import StoreError
 
 
 class HistoryLostError(StoreError):
--- a/src/oleanderhill/store.py
+++ b/src/oleanderhill/clients/store.py
@@ -14,7 +14,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .exceptions import StoreAnswerLostError, StoreError, StoreUnavailableError
+from ..exceptions import StoreAnswerLostError, StoreError, StoreUnavailableError
 from .httpcall import Call, CallFailure, HttpCaller, Reply
 
 CALL_TIMEOUT = 2.0
--- a/src/oleanderhill/targets.py
+++ b/src/oleanderhill/clients/targets.py
@@ -12,15 +12,15 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .exceptions import (
+from ..exceptions import (
     OleanderhillError,
     OrderRefusedError,
     TargetRefusedError,
     TargetUnreachableError,
 )
+from ..types import HostEntry, HostReport, Order
 from .httpcall import Call, CallFailure, HttpCaller, Reply
 from .store import WATCH_WAIT
-from .types import HostEntry, HostReport, Order
 
 PROBE_TIMEOUT = 0.8
 ORDER_TIMEOUT = 0.8
--- /dev/null
+++ b/src/oleanderhill/destinations.py
@@ -0,0 +1,22 @@
+"""Which task takes which message of a peer; only the types listed here travel."""
+
+from __future__ import annotations
+
+from .journal.messages import ClaimAnswer, ClaimAsk
+from .limits.accounts import Demand
+from .members.membership import Gossip
+from .routing.messages import DomainEvidence, RecordsWanted
+from .settings.documents import Digest, Have, Notice, Want
+
+DESTINATION_BY_TYPE: dict[type, str] = {
+    Gossip: "membership",
+    Digest: "documents",
+    Notice: "documents",
+    Want: "documents",
+    Have: "documents",
+    Demand: "limits",
+    DomainEvidence: "router",
+    RecordsWanted: "stewards",
+    ClaimAsk: "claims",
+    ClaimAnswer: "claims",
+}
--- a/src/oleanderhill/hostwatch.py
+++ b/src/oleanderhill/domains/hostwatch.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Iterable
 
-from . import ownership as owners
-from .types import EngineState, HostEntry, HostState, SeenReport
-from .wholeness import EVIDENCE_MAX_AGE
+from .. import ownership as owners
+from ..routing.wholeness import EVIDENCE_MAX_AGE
+from ..types import EngineState, HostEntry, HostState, SeenReport
 
 PROBE_EVERY = 0.9
 PROBE_AGAIN = 0.4
--- a/src/oleanderhill/ledger.py
+++ b/src/oleanderhill/domains/ledger.py
@@ -1,14 +1,14 @@
 """Changes to a domain's ledger: pure functions from one ledger value to the next.
 
-The ledger is one value under one key (see :class:`~.types.DomainLedger`). Each function either
+The ledger is one value under one key (see :class:`~..types.DomainLedger`). Each function either
 returns the next value or raises :class:`LedgerRuleError`; none of them does I/O. The invariant
 that no host is in two groups is checked on every change, not trusted to the caller.
 """
 
 from __future__ import annotations
 
-from .exceptions import OleanderhillError
-from .types import DomainLedger, GroupPhase, GroupRecord, GroupSpec, Member
+from ..exceptions import OleanderhillError
+from ..types import DomainLedger, GroupPhase, GroupRecord, GroupSpec, Member
 
 EPOCH_SHIFT = 20
 """Bits of a group epoch below the owner epoch: changes to one group under one owner."""
--- a/src/oleanderhill/orders.py
+++ b/src/oleanderhill/domains/orders.py
@@ -10,8 +10,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from .types import DomainLedger, EngineState, GroupRecord, HostEntry, Order, SeenReport
-from .wholeness import EVIDENCE_MAX_AGE
+from ..routing.wholeness import EVIDENCE_MAX_AGE
+from ..types import DomainLedger, EngineState, GroupRecord, HostEntry, Order, SeenReport
 
 RESEND_AFTER = 1.0
 """Seconds before the same order is sent to the same host again."""
--- a/src/oleanderhill/placement.py
+++ b/src/oleanderhill/domains/placement.py
@@ -11,8 +11,8 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from . import ledger as ledgers
-from .types import (
+from ..routing.wholeness import EVIDENCE_MAX_AGE, MemberFault, Verdict, judge
+from ..types import (
     DomainLedger,
     GroupPhase,
     GroupRecord,
@@ -23,7 +23,7 @@
     SeenReport,
     WantedGroup,
 )
-from .wholeness import EVIDENCE_MAX_AGE, MemberFault, Verdict, judge
+from . import ledger as ledgers
 
 PAUSE_GRACE = 1.0
 """Seconds a silent member gets beyond the evidence age: most short pauses end within it."""
--- a/src/oleanderhill/planner.py
+++ b/src/oleanderhill/domains/planner.py
@@ -11,8 +11,8 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from .ownership import rendezvous
-from .types import WantedGroup
+from ..ownership import rendezvous
+from ..types import WantedGroup
 
 HOST_LOSSES_PER_SECOND = 760 / 40_000 / 86_400
 """Losses of one host a second: 120 failures and 640 restarts a day over 40,000 hosts."""
--- a/src/oleanderhill/planning.py
+++ b/src/oleanderhill/domains/planning.py
@@ -9,17 +9,19 @@
 
 import msgspec
 
-from .decisions import Decisions
-from .dispatch import RouterTask
-from .documents import Document
-from .fleet import Fleet
-from .kernel import Kernel, Task
-from .members import MembershipTask
-from .messages import FleetChanged, HostsChanged, LocalEvidence, PlanChanged
-from .ownership import rendezvous
+from ..decisions import Decisions
+from ..kernel import Kernel, Task
+from ..members.task import MembershipTask
+from ..ownership import rendezvous
+from ..routing.dispatch import RouterTask
+from ..routing.messages import LocalEvidence
+from ..settings.documents import Document
+from ..settings.fleet import Fleet
+from ..settings.messages import FleetChanged, HostsChanged
+from ..settings.relay import DocumentsTask
+from ..types import HostEntry, WantedGroup
+from .messages import PlanChanged
 from .planner import DomainState, Plan, make_plan
-from .relay import DocumentsTask
-from .types import HostEntry, WantedGroup
 
 EVIDENCE_LIFE = 5.0
 """Seconds for which what an owner said of its domain counts."""
--- a/src/oleanderhill/steward.py
+++ b/src/oleanderhill/domains/steward.py
@@ -16,14 +16,17 @@
 
 import msgspec
 
+from .. import ownership as owners
+from ..ownership import Ownership, Standing
+from ..routing.evidence import state_of
+from ..routing.messages import DomainEvidence
+from ..routing.wholeness import EVIDENCE_MAX_AGE, view_of
+from ..types import DomainLedger, GroupPhase, GroupView, Order, WantedGroup
 from . import ledger as ledgers
-from . import ownership as owners
 from . import placement
-from .evidence import state_of
 from .hostwatch import HostWatch
-from .messages import DomainEvidence
+from .order_log import OrderLog
 from .orders import Due, OrderKey, due, order_key
-from .ownership import Ownership, Standing
 from .placement import Policy, Situation
 from .stewardship import (
     AskTicket,
@@ -39,14 +42,6 @@
     decode_ledger,
     encode_ledger,
 )
-from .types import (
-    DomainLedger,
-    GroupPhase,
-    GroupView,
-    Order,
-    WantedGroup,
-)
-from .wholeness import EVIDENCE_MAX_AGE, view_of
 
 TICK = 0.5
 GAP = 1.5
@@ -67,8 +62,6 @@
 """Seconds without evidence from a live owner after which another takes the domain."""
 
 DISPLACED_MAX = 480.0
-ORDERS_KEPT = 30.0
-"""Seconds for which the sending of an order is remembered; well over the resend interval."""
 
 
 class DomainSteward:
@@ -109,8 +102,7 @@
         self._watching_since = 0.0
         self._broken_since: dict[str, float] = {}
         self._draining_since: dict[str, float] = {}
-        self._order_sent_at: dict[OrderKey, float] = {}
-        self._tickets: dict[OrderKey, float] = {}
+        self._sendings = OrderLog()
         self._failures = 0
         self._held_order = False
 
@@ -118,7 +110,7 @@
 
     def ticket(self, key: OrderKey, wait: float, now: float) -> None:
         """Take in the weight store's answer: load now, or ask again after ``wait`` seconds."""
-        self._tickets[key] = now + wait if wait > 0 else -1.0
+        self._sendings.ticket(key, wait, now)
 
     def store(self, event: StoreEvent, now: float) -> list[Effect]:
         """Take in the answer to the store call in flight."""
@@ -279,7 +271,7 @@
         self._watching_since = now
         self._broken_since = dict.fromkeys(ledger.groups, now)
         self._draining_since = {}
-        self._order_sent_at = {}
+        self._sendings.forget_sendings()
         text = f"took it at owner epoch {ledger.owner_epoch}"
         return [Decided("own", self.domain, text), *self._call_read(now)]
 
@@ -409,41 +401,27 @@
         if self._writing is not None and not self.unsaved:
             return []
         self._held_order = False
-        self._forget_orders(now)
-        found = due(
-            self.ledger, self.watch.entry_by_host, self.watch.seen_by_host, self._order_sent_at, now
-        )
+        self._sendings.forget_old(self.ledger, now)
+        sent_at = self._sendings.sent_at
+        found = due(self.ledger, self.watch.entry_by_host, self.watch.seen_by_host, sent_at, now)
         effects: list[Effect] = []
         for item in found:
             effects.extend(self._order_one(item, now))
         return effects
 
-    def _forget_orders(self, now: float) -> None:
-        """Drop what is kept of orders long past; each epoch of a group leaves some behind."""
-        self._order_sent_at = {
-            k: at for k, at in self._order_sent_at.items() if now - at < ORDERS_KEPT
-        }
-        epoch_by_group = {g: r.epoch for g, r in self.ledger.groups.items()}
-        self._tickets = {
-            k: at for k, at in self._tickets.items() if epoch_by_group.get(k.group) == k.epoch
-        }
-
     def _order_one(self, item: Due, now: float) -> list[Effect]:
         key = order_key(item.order)
-        if item.needs_weights > 0 and self._tickets.get(key) != -1.0:
-            if now < self._tickets.get(key, 0.0):
-                return []
-            self._tickets[key] = now + 1.0
-            return [AskTicket(key, item.needs_weights)]
+        if item.needs_weights > 0 and not self._sendings.may_load(key):
+            asks = self._sendings.ask(key, now)
+            return [AskTicket(key, item.needs_weights)] if asks else []
         self.mine, fence = owners.next_fence(self.mine)
         order = item.order._replace(fence=fence)
         if not self.may_send(order, now):
             self._held_order = True
             return []
-        self._order_sent_at[key] = now
+        self._sendings.sent(key, now)
         if order.kind == "load":
             self.watch.expect_load(order.host, now)
-        self._tickets.pop(key, None)
         text = f"{order.kind} {order.group} epoch {order.epoch} rank {order.rank}"
         return [SendOrder(order), Decided("order", order.host, text, (order.group,))]
 
--- a/src/oleanderhill/stewards.py
+++ b/src/oleanderhill/domains/stewards.py
@@ -9,34 +9,29 @@
 from returns.pipeline import is_successful
 from returns.result import Success
 
+from ..clients.store import StoreClient
+from ..clients.targets import TargetClient
+from ..decisions import Decisions
+from ..exceptions import TargetRefusedError
+from ..kernel import Kernel, Received, Task
+from ..members.membership import Row
+from ..members.task import MembershipTask
+from ..members.wire import SendTo
+from ..metrics import Metrics
+from ..ownership import rendezvous
+from ..routing.dispatch import RouterTask
+from ..routing.messages import DomainEvidence, LocalEvidence, RecordsWanted
+from ..settings.fleet import Fleet
+from ..settings.messages import FleetChanged, HostsChanged
+from ..types import HostEntry, Order, SeenReport, WantedGroup
 from . import stewardship
-from .decisions import Decisions
-from .dispatch import RouterTask
-from .exceptions import TargetRefusedError
-from .fleet import Fleet
-from .kernel import Kernel, Received, Task
 from .ledger import ledger_key
-from .members import MembershipTask
-from .membership import Row
-from .messages import (
-    DomainEvidence,
-    FleetChanged,
-    HostsChanged,
-    LocalEvidence,
-    PlanChanged,
-    RecordsWanted,
-    SendTo,
-)
-from .metrics import Metrics
+from .messages import PlanChanged
 from .orders import OrderKey
-from .ownership import rendezvous
 from .placement import Policy
 from .planning import planner_of
 from .steward import TICK, DomainSteward
-from .store import StoreClient
 from .tally import Gauges, Sums, added, measure
-from .targets import TargetClient
-from .types import HostEntry, Order, SeenReport, WantedGroup
 
 PLANNER_EVERY = 2.0
 FAR_VIEW_DOMAINS = 1
--- a/src/oleanderhill/stewardship.py
+++ b/src/oleanderhill/domains/stewardship.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from ..types import DomainLedger, Order
 from .orders import OrderKey
-from .types import DomainLedger, Order
 
 
 class ReadLedger(NamedTuple):
--- a/src/oleanderhill/tally.py
+++ b/src/oleanderhill/domains/tally.py
@@ -5,8 +5,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
+from ..types import DomainLedger, EngineState, GroupView, SeenReport, WantedGroup
 from .ledger import holder_by_host
-from .types import DomainLedger, EngineState, GroupView, SeenReport, WantedGroup
 
 LONGEST_STEP = 5.0
 """Seconds of a step that count; a longer one means this process was paused and saw nothing."""
--- a/src/oleanderhill/entry.py
+++ b/src/oleanderhill/entry.py
@@ -10,26 +10,27 @@
 import signal
 import time
 
-from .claims import Claims
+from .clients.httpcall import HttpCaller
+from .clients.store import StoreClient
+from .clients.targets import TargetClient
 from .decisions import Decisions, log_to
-from .dispatch import RouterTask
-from .edge import Edge
-from .fleet import DEFAULT_ENTRY_HOSTS
-from .httpcall import HttpCaller
+from .destinations import DESTINATION_BY_TYPE
+from .domains.planning import PlanningTask
+from .domains.stewards import Stewards
+from .journal.claims import Claims
 from .kernel import Kernel
-from .limiting import LimitsTask
-from .members import MembershipTask
-from .membership import Row
+from .limits.limiting import LimitsTask
+from .members.membership import Row
+from .members.peers import Peers
+from .members.task import MembershipTask
 from .metrics import Metrics
-from .operators import Operators
-from .peers import Peers
-from .planning import PlanningTask
-from .relay import DocumentsTask
-from .schema import Boot
-from .services import ServiceFinder
-from .stewards import Stewards
-from .store import StoreClient
-from .targets import TargetClient
+from .operators.server import Operators
+from .requests.edge import Edge
+from .routing.dispatch import RouterTask
+from .routing.services import ServiceFinder
+from .settings.fleet import DEFAULT_ENTRY_HOSTS
+from .settings.relay import DocumentsTask
+from .settings.schema import Boot
 
 READINESS_LAG = 1.0
 """Seconds for which the balancer may go on sending after readiness is withdrawn."""
@@ -54,7 +55,7 @@
     peers_address = boot["listen"]["peers"]
     life = secrets.token_hex(4)
     me = Row(host, peers_address, data_centre, incarnation, 0, life=life)
-    kernel.register(Peers(kernel, host, peers_address, incarnation, decisions))
+    kernel.register(Peers(kernel, host, peers_address, incarnation, DESTINATION_BY_TYPE, decisions))
     kernel.register(MembershipTask(kernel, me, boot["peers"], rng, decisions))
     kernel.register(LimitsTask(kernel, host, DEFAULT_ENTRY_HOSTS))
     router = RouterTask(kernel, data_centre, targets, rng, decisions)
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -10,12 +10,12 @@
 
 from returns.pipeline import is_successful
 
+from ..clients.mirror import KeyedCopy, Mirror
+from ..clients.storage import Storage, StoreConflictError, Write
 from ..clock import awake_or_not
 from ..kernel import Kernel, Task
-from ..mirror import KeyedCopy, Mirror
 from ..records import Records
-from ..serving.catalog import Catalog
-from ..storage import Storage, StoreConflictError, Write
+from ..settings.catalog import Catalog
 from .composing import ModelNeed
 from .forming import Action, DomainKeeper, Order, OrderEnd, Replan
 from .inventory import Inventory
--- a/src/oleanderhill/presence.py
+++ b/src/oleanderhill/groups/presence.py
@@ -7,11 +7,11 @@
 
 from returns.pipeline import is_successful
 
-from .groups.ownership import Presence, encode_presence, presence_key
-from .kernel import Kernel, Task
-from .mirror import KeyedCopy
-from .records import Records
-from .storage import LeaseEndedError, Storage, StoreConflictError, Write
+from ..clients.mirror import KeyedCopy
+from ..clients.storage import LeaseEndedError, Storage, StoreConflictError, Write
+from ..kernel import Kernel, Task
+from ..records import Records
+from .ownership import Presence, encode_presence, presence_key
 
 LEASE_SECONDS = 3.0
 """Seconds after which an entry host that is not heard of counts as gone. Shorter, a slow store
@@ -77,6 +77,15 @@
         if not is_successful(granted):
             return False
         lease = granted.unwrap()
+        if await self._appear(lease):
+            self._lease = lease
+            return True
+        # A lease without a key holds nothing; left to run out, each failed try would leave one.
+        await self._storage.end(lease)
+        return False
+
+    async def _appear(self, lease: int) -> bool:
+        """Write this host's key under a lease."""
         key = presence_key(self.me.name)
         held = self._copy.get(key)
         revision = held[1] if held is not None else 0
@@ -84,7 +93,6 @@
             write = Write(key, encode_presence(self.me), lease)
             written = await self._storage.commit({key: revision}, [write])
             if is_successful(written):
-                self._lease = lease
                 self._records.note("presence", "present", lease=lease, life=self.me.life)
                 return True
             error = written.failure()
--- /dev/null
+++ b/src/oleanderhill/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The journal of requests that must not be repeated."""
--- a/src/oleanderhill/claims.py
+++ b/src/oleanderhill/journal/claims.py
@@ -17,14 +17,15 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from ..clients.store import StoreClient
+from ..decisions import Decisions
+from ..kernel import Kernel, Received, Task
+from ..members.task import MembershipTask
+from ..members.wire import SendTo
+from ..ownership import rendezvous
 from . import once
-from .decisions import Decisions
-from .kernel import Kernel, Received, Task
-from .members import MembershipTask
-from .messages import ClaimAnswer, ClaimAsk, SendTo
+from .messages import ClaimAnswer, ClaimAsk
 from .once import AppendResult, Batch, Decided, Journal, Row, RowKind, Verdict
-from .ownership import rendezvous
-from .store import StoreClient
 
 CLAIM_PATIENCE = 3.0
 HOME_PATIENCE = 0.5
--- a/src/oleanderhill/once.py
+++ b/src/oleanderhill/journal/once.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from .outcomes import Ran
+from ..outcomes import Ran
 
 SHARDS = 8
 MAX_BATCH = 200
--- /dev/null
+++ b/src/oleanderhill/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts, shared among entry hosts."""
--- a/src/oleanderhill/limiting.py
+++ b/src/oleanderhill/limits/limiting.py
@@ -1,4 +1,4 @@
-"""The task that runs :mod:`.limits`."""
+"""The task that runs :mod:`.accounts`."""
 
 from __future__ import annotations
 
@@ -6,10 +6,11 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from .kernel import Kernel, Received, Task
-from .limits import AccountLimits, Demand, Turn
-from .members import MembershipTask
-from .messages import FleetChanged, SendTo
+from ..kernel import Kernel, Received, Task
+from ..members.task import MembershipTask
+from ..members.wire import SendTo
+from ..settings.messages import FleetChanged
+from .accounts import AccountLimits, Demand, Turn
 
 DEMAND_FANOUT = 2
 """Peers that are told the demand each second, in turn.
--- /dev/null
+++ b/src/oleanderhill/members/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry hosts there are, and messages among them."""
--- a/src/oleanderhill/peers.py
+++ b/src/oleanderhill/members/peers.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from functools import singledispatchmethod
 from typing import Any
 
 import msgspec
 import pynng
 
-from .decisions import Decisions
-from .kernel import Kernel, Task
-from .messages import DESTINATION_BY_TYPE, SendTo, pack, unpack
+from ..decisions import Decisions
+from ..kernel import Kernel, Task
+from .wire import SendTo, make_decoders, pack, unpack
 
 SEND_BUFFER = 64
 """Messages kept for a peer that is slow; beyond that they are dropped, as all are refreshed."""
@@ -27,17 +28,26 @@
     :param host: name of this entry host
     :param address: ``ip:port`` on which it listens
     :param incarnation: told to peers, so that they can tell one start from the next
+    :param destination_by_type: names the task that takes a type of message
     """
 
     name = "peers"
 
     def __init__(
-        self, kernel: Kernel, host: str, address: str, incarnation: int, decisions: Decisions
+        self,
+        kernel: Kernel,
+        host: str,
+        address: str,
+        incarnation: int,
+        destination_by_type: Mapping[type, str],
+        decisions: Decisions,
     ) -> None:
         super().__init__(kernel)
         self._host = host
         self._address = address
         self._incarnation = incarnation
+        self._destination_by_type = destination_by_type
+        self._decoders = make_decoders(destination_by_type)
         self._decisions = decisions
         self._listener = pynng.Pull0(recv_max_size=RECEIVE_LIMIT)
         self._by_address: dict[str, pynng.Push0] = {}
@@ -95,12 +105,12 @@
 
     def _deliver(self, data: bytes) -> None:
         try:
-            received = unpack(data, time.monotonic())
+            received = unpack(data, time.monotonic(), self._decoders)
         except msgspec.DecodeError as error:
             self._decisions.note("peers", "drop", f"malformed message: {error}")
             return
         if received is not None:
-            self.kernel.post(DESTINATION_BY_TYPE[type(received.body)], received)
+            self.kernel.post(self._destination_by_type[type(received.body)], received)
 
     @singledispatchmethod
     def handle(self, message: Any) -> None:
--- a/src/oleanderhill/members.py
+++ b/src/oleanderhill/members/task.py
@@ -7,10 +7,10 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from .decisions import Decisions
-from .kernel import Kernel, Received, Task
+from ..decisions import Decisions
+from ..kernel import Kernel, Received, Task
 from .membership import GOSSIP_INTERVAL, Gossip, Membership, Row
-from .messages import SendTo
+from .wire import SendTo
 
 
 class MembershipTask(Task):
--- /dev/null
+++ b/src/oleanderhill/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: the command line, its server, reports, explanations."""
--- a/src/oleanderhill/cli.py
+++ b/src/oleanderhill/operators/cli.py
@@ -16,10 +16,10 @@
 import defopt
 from returns.pipeline import is_successful
 
-from . import __version__
-from .checking import check_subtree, json_schema, load_boot
-from .entry import run_entry
-from .exceptions import (
+from .. import __version__
+from ..clients.httpcall import Call, HttpCaller
+from ..entry import run_entry
+from ..exceptions import (
     AccessError,
     Finding,
     OleanderhillError,
@@ -29,10 +29,10 @@
     StoreUnavailableError,
     UnreachableError,
 )
+from ..settings.checking import check_subtree, json_schema, load_boot
+from ..settings.schema import Boot, FleetSettings, TeamSettings
 from .explaining import explain_log, show_lines
-from .httpcall import Call, HttpCaller
 from .report import show_decisions, show_in_force, show_status
-from .schema import Boot, FleetSettings, TeamSettings
 
 KEY_VARIABLE = "OLEANDERHILL_KEY"
 AT_VARIABLE = "OLEANDERHILL_AT"
--- a/src/oleanderhill/operators.py
+++ b/src/oleanderhill/operators/server.py
@@ -9,22 +9,22 @@
 
 from tornado.web import Application, RequestHandler
 
-from .checking import check_subtree
-from .claims import Claims
-from .decisions import Decision, Decisions
-from .dispatch import RouterTask
-from .edge import Edge
-from .exceptions import SettingsInvalidError
-from .fleet import OperatorView, find_by_key
-from .kernel import Kernel
-from .listener import HttpListener
-from .members import MembershipTask
-from .peers import Peers
-from .planning import PlanningTask
-from .relay import DocumentsTask
-from .settings import SETTINGS_PREFIX, WriteState, decode_subtree
-from .stewards import Stewards
-from .tally import stranded_hosts
+from ..decisions import Decision, Decisions
+from ..domains.planning import PlanningTask
+from ..domains.stewards import Stewards
+from ..domains.tally import stranded_hosts
+from ..exceptions import SettingsInvalidError
+from ..journal.claims import Claims
+from ..kernel import Kernel
+from ..listener import HttpListener
+from ..members.peers import Peers
+from ..members.task import MembershipTask
+from ..requests.edge import Edge
+from ..routing.dispatch import RouterTask
+from ..settings.checking import check_subtree
+from ..settings.fleet import OperatorView, find_by_key
+from ..settings.relay import DocumentsTask
+from ..settings.writes import SETTINGS_PREFIX, WriteState, decode_subtree
 
 MAX_BODY = 1024 * 1024
 STATUS_BY_STATE = {
--- a/src/oleanderhill/platform/decoding.py
+++ b/src/oleanderhill/platform/decoding.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..groups.inventory import Membership, MemberState, TargetHost
-from ..serving.catalog import (
+from ..settings.catalog import (
     Account,
     Backend,
     Catalog,
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -13,6 +13,10 @@
 import time
 from collections.abc import Sequence
 
+from ..clients.currency import Currency
+from ..clients.httpcall import HttpCaller
+from ..clients.mirror import Follower, KeyedCopy, Mirror
+from ..clients.storage import Item
 from ..clock import awake_or_not
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
@@ -20,22 +24,18 @@
 from ..groups.owner import Limits, OwnerTask
 from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
 from ..groups.plans import PLAN_PREFIX, decode_plan
-from ..httpcall import HttpCaller
+from ..groups.presence import PresenceTask
 from ..kernel import Kernel
-from ..mirror import Follower, KeyedCopy, Mirror
 from ..outcomes import Problem
-from ..presence import PresenceTask
 from ..records import Records, keep_flushing, log_bounded
 from ..serving.admission import ReturningCallers, admit
-from ..serving.catalog import Catalog, pick_backend
-from ..serving.currency import Currency
 from ..serving.driver import Exchange, Incoming, Tools
 from ..serving.front import CallerSink, Front, Serve
 from ..serving.gossip import GossipTask
 from ..serving.placing import Candidate, LoadBook
 from ..serving.retries import SharedRetryBudget
 from ..serving.view import ServingView
-from ..storage import Item
+from ..settings.catalog import Catalog, pick_backend
 from .decoding import CONFIGURATION_KEY, HOSTS_PREFIX, decode_configuration, decode_host
 from .headers import HeaderCodec
 from .orders import EngineOrders
@@ -88,7 +88,13 @@
         self._book = LoadBook(s.data_centre, rng)
         me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre)
         self._mirror = Mirror(
-            self.kernel, self._store, self._currency, self._followers(), records, rng
+            self.kernel,
+            self._store,
+            self._currency,
+            self._followers(),
+            self._settled,
+            records,
+            rng,
         )
         self._mirror.returned.append(self._inventory.store_returned)
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
@@ -169,10 +175,10 @@
 
     def _followers(self) -> Sequence[Follower]:
         return (
-            Follower(CONFIGURATION_KEY, self._replace_catalog, self._change_catalog, self._settled),
-            Follower(HOSTS_PREFIX, self._replace_hosts, self._change_host, self._settled),
-            Follower(PLAN_PREFIX, self._plans.replace, self._plans.change, self._settled),
-            Follower(PRESENCE_PREFIX, self._entries.replace, self._entries.change, self._count),
+            Follower(CONFIGURATION_KEY, self._replace_catalog, self._change_catalog),
+            Follower(HOSTS_PREFIX, self._replace_hosts, self._change_host),
+            Follower(PLAN_PREFIX, self._plans.replace, self._plans.change),
+            Follower(PRESENCE_PREFIX, self._entries.replace, self._entries.change),
         )
 
     def _replace_catalog(self, items: Sequence[Item], now: float) -> None:
@@ -229,6 +235,7 @@
     def _settled(self, now: float) -> None:
         for instance in self._inventory.expire(now):
             self._records.note("hosts", "gone", instance=instance)
+        self._count_hosts()
         self._view.refresh(self._catalog)
         at = time.monotonic()
         self._view.measure(
@@ -236,7 +243,7 @@
             lambda model: self._book.turned_away(model, at),
         )
 
-    def _count(self, now: float) -> None:
+    def _count_hosts(self) -> None:
         self._most_hosts = max(self._most_hosts, len(self._presence.alive()))
         for budget in self._budget_by_service.values():
             budget.hosts = self._most_hosts
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -8,8 +8,8 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from ..clients.httpcall import Call, HttpCaller
 from ..groups.forming import Join, Leave, Open, Order, OrderEnd, Stage
-from ..httpcall import Call, HttpCaller
 from .headers import EXPECT_INSTANCE
 
 ORDER_TIMEOUT = 0.8
--- a/src/oleanderhill/platform/store.py
+++ b/src/oleanderhill/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's store over HTTP, in the shape of :class:`~..storage.Storage`."""
+"""The platform's store over HTTP, in the shape of :class:`~..clients.storage.Storage`."""
 
 from __future__ import annotations
 
@@ -11,9 +11,8 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from ..exceptions import StoreAnswerLostError, StoreError, StoreUnavailableError
-from ..httpcall import Call, CallFailure, HttpCaller, Reply
-from ..storage import (
+from ..clients.httpcall import Call, CallFailure, HttpCaller, Reply
+from ..clients.storage import (
     Change,
     Changes,
     HistoryLostError,
@@ -23,6 +22,7 @@
     StoreConflictError,
     Write,
 )
+from ..exceptions import StoreAnswerLostError, StoreError, StoreUnavailableError
 
 CALL_TIMEOUT = 1.0
 """Seconds for a call; the store takes 4 ms, and 60 times as long on a slow day."""
--- a/src/oleanderhill/attempts.py
+++ b/src/oleanderhill/requests/attempts.py
@@ -11,9 +11,9 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-from . import outcomes
-from .outcomes import Problem, Ran
-from .routing import Choice, NoChoice
+from .. import outcomes
+from ..outcomes import Problem, Ran
+from ..routing.router import Choice, NoChoice
 
 MAX_ATTEMPTS = 4
 COME_BACK_SECONDS = 2.0
--- a/src/oleanderhill/edge.py
+++ b/src/oleanderhill/requests/edge.py
@@ -7,23 +7,23 @@
 
 from tornado.web import Application
 
-from . import outcomes
+from .. import outcomes
+from ..clients.httpcall import HttpCaller
+from ..clients.targets import TargetClient
+from ..decisions import Decisions
+from ..kernel import Kernel, Task
+from ..limits.limiting import LimitsTask
+from ..listener import HttpListener
+from ..metrics import Metrics
+from ..outcomes import ProblemError
+from ..routing.dispatch import RouterTask
+from ..routing.services import ServiceFinder
+from ..settings.fleet import AccountView, Fleet
+from ..settings.messages import FleetChanged
+from ..settings.relay import DocumentsTask
 from .attempts import RetryBudget
-from .decisions import Decisions
-from .dispatch import RouterTask
 from .exchange import StallClocks
-from .fleet import AccountView, Fleet
 from .handlers import MAX_BODY, MissingHandler, routes
-from .httpcall import HttpCaller
-from .kernel import Kernel, Task
-from .limiting import LimitsTask
-from .listener import HttpListener
-from .messages import FleetChanged
-from .metrics import Metrics
-from .outcomes import ProblemError
-from .relay import DocumentsTask
-from .services import ServiceFinder
-from .targets import TargetClient
 
 
 class Edge(Task):
--- a/src/oleanderhill/exchange.py
+++ b/src/oleanderhill/requests/exchange.py
@@ -15,15 +15,15 @@
 from returns.pipeline import is_successful
 from tornado.httputil import HTTPHeaders
 
+from ..clients.httpcall import Call, FailureKind, HttpCaller, Observer, Reply
+from ..clients.targets import TargetClient
+from ..decisions import Decisions
+from ..outcomes import Problem
+from ..routing.router import Choice, NoChoice, Wanted
+from ..routing.waiting import Waiter
 from . import attempts
 from .attempts import Effect, Event, Request, RequestMachine, RetryBudget
-from .decisions import Decisions
-from .httpcall import Call, FailureKind, HttpCaller, Observer, Reply
-from .outcomes import Problem
-from .routing import Choice, NoChoice, Wanted
 from .stall import FIRST_TOKEN, GAP, StallClock
-from .targets import TargetClient
-from .waiting import Waiter
 
 GROUP_HEADER = "X-Oleanderhill-Group"
 RUN_HEADER = "X-Oleanderhill-Run"
--- a/src/oleanderhill/handlers.py
+++ b/src/oleanderhill/requests/handlers.py
@@ -6,23 +6,27 @@
 import json
 import secrets
 import time
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from tornado.web import RequestHandler, stream_request_body
 
-from . import outcomes
-from .attempts import Request
-from .claims import Claims
-from .exchange import Exchange, Finder, Work
-from .fleet import AccountView, find_by_key
-from .once import Decided, Row, Verdict, closing_row, hash_body, hash_key
-from .outcomes import Problem, ProblemError, Ran
-from .routing import Wanted
-from .schema import PlainService
-from .sink import CallerSink
-
-if TYPE_CHECKING:
-    from .edge import Edge
+from .. import outcomes
+from ..clients.httpcall import HttpCaller
+from ..clients.targets import TargetClient
+from ..decisions import Decisions
+from ..journal.claims import Claims
+from ..journal.once import Decided, Row, Verdict, closing_row, hash_body, hash_key
+from ..kernel import Kernel
+from ..metrics import Metrics
+from ..outcomes import Problem, ProblemError, Ran
+from ..routing.dispatch import RouterTask
+from ..routing.router import Wanted
+from ..routing.services import ServiceFinder
+from ..settings.fleet import AccountView, Fleet, find_by_key
+from ..settings.schema import PlainService
+from .attempts import Request, RetryBudget
+from .exchange import Exchange, Finder, StallClocks, Work
+from .sink import Answering, CallerSink
 
 MAX_BODY = 4 * 1024 * 1024
 DEFAULT_TIMEOUT = 60.0
@@ -61,12 +65,37 @@
     return ModelName(model, version, adapter)
 
 
+class Edge(Protocol):
+    """What the handlers need of the server that they belong to."""
+
+    kernel: Kernel
+    router: RouterTask
+    services: ServiceFinder
+    caller: HttpCaller
+    targets: TargetClient
+    metrics: Metrics
+    decisions: Decisions
+    fleet: Fleet
+    budget: RetryBudget
+    clocks: StallClocks
+    in_flight: int
+    withdrawn: bool
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+
+    def admit(self, account: AccountView) -> None:
+        """Admit a request of an account, or raise :class:`ProblemError`."""
+
+
 @stream_request_body
-class Handler(RequestHandler):
+class Handler(Answering):
     """What all handlers share: the body with its bound, errors as problem details."""
 
     def initialize(self, edge: Edge) -> None:
         self.edge = edge
+        self.metrics = edge.metrics
         self.request_id = secrets.token_hex(8)
         self._chunks: list[bytes] = []
         self._size = 0
@@ -85,11 +114,6 @@
         if self._size <= MAX_BODY:
             self._chunks.append(chunk)
 
-    @property
-    def answered(self) -> bool:
-        """Tell whether the final answer was given."""
-        return self._finished
-
     def whole_body(self) -> bytes:
         """Return the body.
 
@@ -99,15 +123,6 @@
             raise ProblemError(outcomes.too_large(MAX_BODY))
         return b"".join(self._chunks)
 
-    def answer_problem(self, problem: Problem) -> None:
-        """Give the caller a problem as its final answer."""
-        self.set_status(problem.status)
-        for name, value in problem.headers().items():
-            self.set_header(name, value)
-        self.set_header("Content-Type", "application/problem+json")
-        self.edge.metrics.count(f"answers.{problem.kind}")
-        self.finish(json.dumps(problem.as_body(self.request_id)))
-
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         detail = str(kwargs.get("exc_info", ("", ""))[1])[:200]
         ran = Ran.UNKNOWN if self.exchange is not None else Ran.NO
--- a/src/oleanderhill/sink.py
+++ b/src/oleanderhill/requests/sink.py
@@ -5,23 +5,51 @@
 import asyncio
 import json
 from collections.abc import Awaitable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
 
-from .httpcall import Reply
-from .outcomes import Problem, Ran
-
-if TYPE_CHECKING:
-    from .handlers import Handler
+from ..clients.httpcall import Reply
+from ..metrics import Metrics
+from ..outcomes import Problem, Ran
 
 SLOW_READER_SECONDS = 30.0
 
 
+class Running(Protocol):
+    """A request under way."""
+
+    def caller_gone(self) -> None:
+        """Take note that the caller left."""
+
+
+class Answering(RequestHandler):
+    """A handler whose request gets its answer through a :class:`CallerSink`."""
+
+    metrics: Metrics
+    request_id: str
+    exchange: Running | None
+
+    @property
+    def answered(self) -> bool:
+        """Tell whether the final answer was given."""
+        return self._finished
+
+    def answer_problem(self, problem: Problem) -> None:
+        """Give the caller a problem as its final answer."""
+        self.set_status(problem.status)
+        for name, value in problem.headers().items():
+            self.set_header(name, value)
+        self.set_header("Content-Type", "application/problem+json")
+        self.metrics.count(f"answers.{problem.kind}")
+        self.finish(json.dumps(problem.as_body(self.request_id)))
+
+
 class CallerSink:
     """Gives the caller of one handler its answer."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Answering) -> None:
         self._handler = handler
         self.streamed = False
         self.answered: Reply | None = None
@@ -33,7 +61,7 @@
         handler.set_header("X-Request-Ran", Ran.YES.value)
         handler.set_header("Content-Type", reply.headers.get("Content-Type", "application/json"))
         self.answered = reply
-        handler.edge.metrics.count("answers.whole")
+        handler.metrics.count("answers.whole")
         handler.finish(reply.body)
 
     def piece(self, chunk: bytes) -> Awaitable[None] | None:
@@ -67,7 +95,7 @@
 
     async def end(self) -> None:
         self.answered = Reply(200, self._handler.request.headers, b"")
-        self._handler.edge.metrics.count("answers.whole")
+        self._handler.metrics.count("answers.whole")
         if not self._handler.answered:
             self._handler.finish()
 
@@ -81,5 +109,5 @@
         # is no [DONE]: a cut stream never looks like a whole one.
         body = json.dumps(problem.as_body(handler.request_id))
         handler.write(f"event: error\ndata: {body}\n\n")
-        handler.edge.metrics.count(f"answers.{problem.kind}")
+        handler.metrics.count(f"answers.{problem.kind}")
         handler.finish()
--- /dev/null
+++ b/src/oleanderhill/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which whole group or plain target takes a request."""
--- a/src/oleanderhill/dispatch.py
+++ b/src/oleanderhill/routing/dispatch.py
@@ -11,21 +11,16 @@
 
 from returns.pipeline import is_successful
 
-from .decisions import Decisions
+from ..clients.targets import TargetClient
+from ..decisions import Decisions
+from ..kernel import Kernel, Received, Task
+from ..members.wire import SendTo
+from ..settings.fleet import Fleet
+from ..settings.messages import FleetChanged, HostsChanged
+from ..types import GroupRecord, HostState, SeenReport
 from .evidence import EvidenceBook
-from .fleet import Fleet
-from .kernel import Kernel, Received, Task
-from .messages import (
-    DomainEvidence,
-    FleetChanged,
-    HostsChanged,
-    LocalEvidence,
-    RecordsWanted,
-    SendTo,
-)
-from .routing import Choice, Evidence, NoChoice, Router, Wanted
-from .targets import TargetClient
-from .types import GroupRecord, HostState, SeenReport
+from .messages import DomainEvidence, LocalEvidence, RecordsWanted
+from .router import Choice, Evidence, NoChoice, Router, Wanted
 from .waiting import Waiter, WaitingQueue
 
 TICK = 0.2
--- a/src/oleanderhill/evidence.py
+++ b/src/oleanderhill/routing/evidence.py
@@ -9,11 +9,11 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from .kernel import Received
+from ..kernel import Received
+from ..types import GroupRecord, GroupView, SeenReport
 from .messages import DomainEvidence, GroupState
-from .routing import Evidence, Router
+from .router import Evidence, Router
 from .skew import ClockOffsets
-from .types import GroupRecord, GroupView, SeenReport
 from .wholeness import EVIDENCE_MAX_AGE, judge, view_of
 
 SELF_PROBE_AFTER = 1.7
--- a/src/oleanderhill/routing.py
+++ b/src/oleanderhill/routing/router.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .ownership import rendezvous
-from .types import GroupView, Member
+from ..ownership import rendezvous
+from ..types import GroupView, Member
 from .wholeness import EVIDENCE_MAX_AGE
 
 REPORT_LAG = 0.5
--- a/src/oleanderhill/services.py
+++ b/src/oleanderhill/routing/services.py
@@ -5,9 +5,9 @@
 import random
 from collections.abc import Callable, Mapping
 
-from .routing import Choice, NoChoice, Wanted, target_id
-from .schema import PlainService, ServiceTarget
-from .types import Member
+from ..settings.schema import PlainService, ServiceTarget
+from ..types import Member
+from .router import Choice, NoChoice, Wanted, target_id
 from .waiting import Waiter
 
 EJECT_SECONDS = 2.0
--- a/src/oleanderhill/wholeness.py
+++ b/src/oleanderhill/routing/wholeness.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from .types import EngineState, GroupPhase, GroupRecord, GroupView, Member, SeenReport
+from ..types import EngineState, GroupPhase, GroupRecord, GroupView, Member, SeenReport
 
 EVIDENCE_MAX_AGE = 2.0
 """Seconds for which a report counts. A group stops at most this long after a silent loss."""
--- a/src/oleanderhill/serving/admission.py
+++ b/src/oleanderhill/serving/admission.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..outcomes import Problem, Ran, unauthenticated
-from .catalog import Account, Catalog, Route
+from ..settings.catalog import Account, Catalog, Route
 from .forwarding import Facts
 
 UNSURE_RETRY = 0.4
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -11,7 +11,10 @@
 from returns.result import Result
 from tornado.httputil import HTTPHeaders
 
-from ..attempts import (
+from ..clients.httpcall import Call, CallFailure, HttpCaller, Observer, Reply
+from ..outcomes import Problem, Ran
+from ..records import Records
+from ..requests.attempts import (
     Cancel,
     Chosen,
     ConnectFailed,
@@ -29,13 +32,10 @@
     Select,
     Sending,
 )
-from ..httpcall import Call, CallFailure, HttpCaller, Observer, Reply
-from ..outcomes import Problem, Ran
-from ..records import Records
-from ..routing import Choice, NoChoice
+from ..routing.router import Choice, NoChoice
+from ..settings.catalog import Repeatable
 from ..types import Member
 from .admission import Accepted
-from .catalog import Repeatable
 from .events import EventCutter, EventOrder
 from .forwarding import Codec, Facts
 from .patience import stall_after
@@ -200,6 +200,7 @@
         self._fallback: Reply | None = None
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
+        self._tried: set[str] = set()
         self._path: list[str] = []
 
     async def run(self) -> None:
@@ -208,8 +209,8 @@
         while effects:
             effect, *rest = effects
             match effect:
-                case Select(exclude):
-                    effects = self._handle(Chosen(self._choose(exclude)))
+                case Select():
+                    effects = self._handle(Chosen(self._choose()))
                 case Dispatch(attempt, choice, _):
                     effects = await self._attempt(attempt, choice)
                 case Cancel():
@@ -235,12 +236,11 @@
     def _handle(self, event: object) -> list[Effect]:
         return self.machine.handle(event, time.monotonic())  # type: ignore[arg-type]
 
-    def _choose(self, tried: frozenset[str]) -> Choice | NoChoice:
+    def _choose(self) -> Choice | NoChoice:
         candidates = self.tools.candidates(self._service, self._in.facts.model)
-        names = {t.partition("@")[0] for t in tried}
         # A request that has been at a target is as good as one whose caller came back.
         waited = self._returned or self.machine.arrived > 0
-        found = self.tools.book.choose(candidates, names, time.monotonic(), waited)
+        found = self.tools.book.choose(candidates, self._tried, time.monotonic(), waited)
         if found is None:
             full = bool(candidates)
             reason = "no untried target has room" if full else "no target serves"
@@ -253,6 +253,7 @@
 
     async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
         book = self.tools.book
+        self._tried.add(choice.group)
         self._path.append(f"{choice.group}:{choice.head.host}")
         book.begin(choice.group)
         run = _Run(self, attempt, choice.group)
@@ -313,17 +314,16 @@
             if run.fault:
                 return run.fault
             idle = now - run.progressed >= stall
-            if idle and not book.goes_on(choice.group, now, stall) and self._can_move(choice, now):
+            if idle and not book.goes_on(choice.group, now, stall) and self._can_move(now):
                 return f"no progress in {now - run.progressed:.3f} s"
 
-    def _can_move(self, choice: Choice, now: float) -> bool:
+    def _can_move(self, now: float) -> bool:
         if not self.machine.may_move(now):
             return False
-        tried = {t.partition("@")[0] for t in self.machine.tried} | {choice.group}
         candidates = self.tools.candidates(self._service, self._in.facts.model)
         book = self.tools.book
         sound = [c for c in candidates if not book.is_suspect(c.target, now)]
-        return book.choose(sound, tried, now, True) is not None
+        return book.choose(sound, self._tried, now, True) is not None
 
     def _abandoned(self, stuck: str, attempt: int, choice: Choice) -> list[Effect]:
         if stuck == "deadline":
@@ -354,7 +354,7 @@
             if self._sink.begun:
                 return self._handle(Lost(attempt, f"status {reply.status} in place of the rest"))
             self._fallback = reply
-            if reply.status >= 500 and self._can_move(choice, time.monotonic()):
+            if reply.status >= 500 and self._can_move(time.monotonic()):
                 return self._handle(Lost(attempt, f"target failed with {reply.status}"))
         return self._handle(Finished(attempt))
 
--- a/src/oleanderhill/serving/patience.py
+++ b/src/oleanderhill/serving/patience.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .catalog import Repeatable, Route
+from ..settings.catalog import Repeatable, Route
 
 RESUME_TAKES = 0.11
 """Seconds from the decision to go elsewhere to the next event there: a connection, the reading of
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -5,11 +5,11 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
+from ..clients.mirror import KeyedCopy
 from ..groups.inventory import Inventory
 from ..groups.plans import DomainPlan
 from ..groups.router import serving_groups
-from ..mirror import KeyedCopy
-from .catalog import Catalog
+from ..settings.catalog import Catalog
 from .placing import Candidate
 
 SOON = 0.4
--- /dev/null
+++ b/src/oleanderhill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings: their schema, their writes, the view in force."""
--- a/src/oleanderhill/checking.py
+++ b/src/oleanderhill/settings/checking.py
@@ -11,7 +11,7 @@
 import jsonschema
 import msgspec
 
-from .exceptions import BootFileError, Finding, SettingsInvalidError
+from ..exceptions import BootFileError, Finding, SettingsInvalidError
 from .schema import FLEET_TEAM, Boot, FleetSettings, Group, TeamSettings
 
 SUBTREE_LIMIT = 900_000
--- a/src/oleanderhill/documents.py
+++ b/src/oleanderhill/settings/documents.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from .ownership import rendezvous
+from ..ownership import rendezvous
 
 WATCHERS = 2
 """Entry hosts of a data centre that watch the store; the second covers a dead first."""
--- a/src/oleanderhill/fleet.py
+++ b/src/oleanderhill/settings/fleet.py
@@ -14,9 +14,9 @@
 
 import xxhash
 
+from ..types import GroupSpec, WantedGroup
 from .checking import hosts_wanted
 from .schema import FLEET_TEAM, FleetSettings, Group, PlainService, TeamSettings
-from .types import GroupSpec, WantedGroup
 
 _View = TypeVar("_View")
 
--- a/src/oleanderhill/relay.py
+++ b/src/oleanderhill/settings/relay.py
@@ -16,17 +16,18 @@
 import msgspec
 from returns.pipeline import is_successful
 
-from . import settings as writes
-from .decisions import Decisions
+from ..clients.store import Listing, StoreClient, Stored
+from ..clients.targets import HostList, TargetClient
+from ..decisions import Decisions
+from ..kernel import Kernel, Received, Task
+from ..members.task import MembershipTask
+from ..members.wire import SendTo
+from ..types import HostEntry
+from . import writes
 from .documents import Digest, Document, Documents, Have, Notice, Want, is_watcher, to_write_back
 from .fleet import Fleet, build
-from .kernel import Kernel, Received, Task
-from .members import MembershipTask
-from .messages import FleetChanged, HostsChanged, SendTo
-from .settings import SETTINGS_PREFIX, Change, Ended, SettingsInForce, SubtreeWrite, WriteState
-from .store import Listing, StoreClient, Stored
-from .targets import HostList, TargetClient
-from .types import HostEntry
+from .messages import FleetChanged, HostsChanged
+from .writes import SETTINGS_PREFIX, Change, Ended, SettingsInForce, SubtreeWrite, WriteState
 
 FANOUT = 2
 WRITE_PATIENCE = 10.0
--- a/src/oleanderhill/settings.py
+++ b/src/oleanderhill/settings/writes.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
+from ..exceptions import SettingsInvalidError
 from .checking import check_subtree
 from .documents import Document
-from .exceptions import SettingsInvalidError
 from .schema import FleetSettings, TeamSettings
 
 SETTINGS_PREFIX = "settings/"
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from oleanderhill import attempts
-from oleanderhill.attempts import Request, RequestMachine, RetryBudget
 from oleanderhill.outcomes import Ran
-from oleanderhill.routing import Choice, NoChoice
+from oleanderhill.requests import attempts
+from oleanderhill.requests.attempts import Request, RequestMachine, RetryBudget
+from oleanderhill.routing.router import Choice, NoChoice
 from oleanderhill.types import Member
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,7 +6,10 @@
 
 from oleanderhill_dev import capacity
 
-from oleanderhill import hostwatch, limiting, ownership, relay, stewards
+from oleanderhill import ownership
+from oleanderhill.domains import hostwatch, stewards
+from oleanderhill.limits import limiting
+from oleanderhill.settings import relay
 
 DOCS = Path(__file__).resolve().parents[1] / "docs"
 
--- a/tests/test_domain.py
+++ b/tests/test_domain.py
@@ -4,7 +4,7 @@
 
 from oleanderhill_dev.domain_world import DOMAIN, DomainWorld, wanted_groups
 
-from oleanderhill.stewardship import decode_ledger
+from oleanderhill.domains.stewardship import decode_ledger
 
 SEEDS = range(6)
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,21 +12,23 @@
 from oleanderhill_dev import engine_standin, service_standin
 from oleanderhill_dev.bench_site import free_address
 
-from oleanderhill import dispatch, httpcall, outcomes
-from oleanderhill.checking import load_boot
-from oleanderhill.claims import Claims
+from oleanderhill import outcomes
+from oleanderhill.clients import httpcall
+from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 from oleanderhill.decisions import Decisions
-from oleanderhill.documents import Document
-from oleanderhill.edge import Edge
 from oleanderhill.entry import make_kernel
 from oleanderhill.exceptions import BootFileError
-from oleanderhill.fleet import hash_of
-from oleanderhill.handlers import MAX_BODY
-from oleanderhill.httpcall import Call, HttpCaller, Observer
-from oleanderhill.messages import DomainEvidence, GroupState
-from oleanderhill.once import Decided, Row, RowKind, Verdict
-from oleanderhill.relay import DocumentsTask
-from oleanderhill.settings import Subtree, encode_subtree, msgspec
+from oleanderhill.journal.claims import Claims
+from oleanderhill.journal.once import Decided, Row, RowKind, Verdict
+from oleanderhill.requests.edge import Edge
+from oleanderhill.requests.handlers import MAX_BODY
+from oleanderhill.routing import dispatch
+from oleanderhill.routing.messages import DomainEvidence, GroupState
+from oleanderhill.settings.checking import load_boot
+from oleanderhill.settings.documents import Document
+from oleanderhill.settings.fleet import hash_of
+from oleanderhill.settings.relay import DocumentsTask
+from oleanderhill.settings.writes import Subtree, encode_subtree, msgspec
 from oleanderhill.types import GroupRecord, Member
 
 BOOT = {
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from oleanderhill import records
-from oleanderhill.explaining import explain_log, parse_line, show_lines
+from oleanderhill.operators.explaining import explain_log, parse_line, show_lines
 from oleanderhill.records import BoundedOutput, Records
 
 
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -7,15 +7,7 @@
 
 from oleanderhill.groups import forming
 from oleanderhill.groups.composing import FreeHost, ModelNeed, loads_to_order, next_model
-from oleanderhill.groups.forming import (
-    DomainKeeper,
-    Join,
-    Leave,
-    Open,
-    OrderEnd,
-    Replan,
-    Stage,
-)
+from oleanderhill.groups.forming import DomainKeeper, Join, Leave, Open, OrderEnd, Replan, Stage
 from oleanderhill.groups.inventory import Inventory, Membership, MemberState, TargetHost
 from oleanderhill.groups.ownership import Presence, owns, preferred_owner, should_take, taken
 from oleanderhill.groups.pacing import LoadPacer
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from oleanderhill.limits import AccountLimits, Turn
+from oleanderhill.limits.accounts import AccountLimits, Turn
 
 RATE = 90.0
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from oleanderhill.membership import SUSPECT_AFTER, Beat, Gossip, Membership, PeerState, Row
+from oleanderhill.members.membership import SUSPECT_AFTER, Beat, Gossip, Membership, PeerState, Row
 
 
 def member(name, seeds=("a", "b")):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from oleanderhill import placement
-from oleanderhill.placement import Dissolve, Drain, Form, Policy, Rebind, Situation, decide
+from oleanderhill.domains import placement
+from oleanderhill.domains.placement import Dissolve, Drain, Form, Policy, Rebind, Situation, decide
 from oleanderhill.types import (
     DomainLedger,
     EngineState,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -4,12 +4,13 @@
 import unittest
 
 from oleanderhill.decisions import Decisions
-from oleanderhill.dispatch import RouterTask
-from oleanderhill.fleet import Fleet
+from oleanderhill.domains.planner import DomainState, Plan, make_plan, patience, spares_kept
+from oleanderhill.domains.planning import PlanningTask
 from oleanderhill.kernel import Kernel, Received
-from oleanderhill.messages import DomainEvidence, FleetChanged, HostsChanged
-from oleanderhill.planner import DomainState, Plan, make_plan, patience, spares_kept
-from oleanderhill.planning import PlanningTask
+from oleanderhill.routing.dispatch import RouterTask
+from oleanderhill.routing.messages import DomainEvidence
+from oleanderhill.settings.fleet import Fleet
+from oleanderhill.settings.messages import FleetChanged, HostsChanged
 from oleanderhill.types import HostEntry, WantedGroup
 
 from .test_placement import SPEC
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,8 +11,8 @@
 from oleanderhill_dev.bench_site import Shape, Site
 from oleanderhill_dev.engine_standin import token
 
-from oleanderhill.fleet import hash_of
-from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
+from oleanderhill.settings.fleet import hash_of
 
 KEY = "key"
 PROGRAM = [sys.executable, "-m", "oleanderhill"]
@@ -58,6 +58,10 @@
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.site = Site(SHAPE, Path(self.folder.name), PROGRAM)
+        # A tear-down is not called where the set-up fails; the processes left would hold the
+        # addresses of the next run, which would then talk to them.
+        self.addCleanup(self.folder.cleanup)
+        self.addCleanup(self.site.end)
         self.site.start()
         self.caller = HttpCaller()
         await self.until(lambda: self.answers("/v1/in-force"))
@@ -67,10 +71,6 @@
         self.assertEqual(found["state"], "accepted")
         await self.site.until_serving(2, 60)
 
-    async def asyncTearDown(self):
-        self.site.end()
-        self.folder.cleanup()
-
     async def answers(self, path):
         found = [await self.site.ask(e.operators, "GET", path) for e in self.site.entries]
         return all(f is not None for f in found)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from oleanderhill.evidence import EvidenceBook
-from oleanderhill.messages import DomainEvidence, GroupState
-from oleanderhill.routing import Choice, Evidence, NoChoice, Router, Wanted
-from oleanderhill.skew import ClockOffsets
+from oleanderhill.routing.evidence import EvidenceBook
+from oleanderhill.routing.messages import DomainEvidence, GroupState
+from oleanderhill.routing.router import Choice, Evidence, NoChoice, Router, Wanted
+from oleanderhill.routing.skew import ClockOffsets
 from oleanderhill.types import GroupView, Member
 
 from .test_placement import GROUP, SPEC, record
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -6,7 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oleanderhill.attempts import (
+from oleanderhill.clients.currency import PROOF_MARGIN, Currency
+from oleanderhill.groups.inventory import TargetHost
+from oleanderhill.outcomes import Problem
+from oleanderhill.requests.attempts import (
     Chosen,
     ConnectFailed,
     Dispatch,
@@ -16,12 +19,15 @@
     RequestMachine,
     Sending,
 )
-from oleanderhill.groups.inventory import TargetHost
-from oleanderhill.outcomes import Problem
-from oleanderhill.routing import Choice
+from oleanderhill.routing.router import Choice
 from oleanderhill.serving import placing
 from oleanderhill.serving.admission import Accepted, admit
-from oleanderhill.serving.catalog import (
+from oleanderhill.serving.events import EventCutter, EventOrder
+from oleanderhill.serving.forwarding import Facts
+from oleanderhill.serving.patience import stall_after
+from oleanderhill.serving.placing import Candidate, LoadBook
+from oleanderhill.serving.retries import SharedRetryBudget
+from oleanderhill.settings.catalog import (
     Account,
     Backend,
     Repeatable,
@@ -30,12 +36,6 @@
     make_catalog,
     pick_backend,
 )
-from oleanderhill.serving.currency import PROOF_MARGIN, Currency
-from oleanderhill.serving.events import EventCutter, EventOrder
-from oleanderhill.serving.forwarding import Facts
-from oleanderhill.serving.patience import stall_after
-from oleanderhill.serving.placing import Candidate, LoadBook
-from oleanderhill.serving.retries import SharedRetryBudget
 from oleanderhill.types import Member
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,11 +3,19 @@
 import json
 import unittest
 
-from oleanderhill import documents, fleet, settings
-from oleanderhill.checking import check_subtree
-from oleanderhill.documents import Document, Documents
 from oleanderhill.exceptions import SettingsInvalidError
-from oleanderhill.settings import Change, Ended, SettingsInForce, Subtree, SubtreeWrite, WriteState
+from oleanderhill.settings import documents, fleet
+from oleanderhill.settings import writes as settings
+from oleanderhill.settings.checking import check_subtree
+from oleanderhill.settings.documents import Document, Documents
+from oleanderhill.settings.writes import (
+    Change,
+    Ended,
+    SettingsInForce,
+    Subtree,
+    SubtreeWrite,
+    WriteState,
+)
 
 YARD = {
     "models": {"m": {"versions": {"v1": {"weights_gb": 10}}, "adapters": ["x"]}},
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from oleanderhill import placement, stewardship
-from oleanderhill.orders import OrderKey, due
-from oleanderhill.placement import Policy
-from oleanderhill.steward import TICK, DomainSteward
-from oleanderhill.stewardship import encode_ledger
+from oleanderhill.domains import placement, stewardship
+from oleanderhill.domains.orders import OrderKey, due
+from oleanderhill.domains.placement import Policy
+from oleanderhill.domains.steward import TICK, DomainSteward
+from oleanderhill.domains.stewardship import encode_ledger
 from oleanderhill.types import DomainLedger, HostEntry, SeenReport, WantedGroup
 
 from .test_placement import GROUP, SPEC, record, report, serving
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -8,7 +8,7 @@
 from oleanderhill_dev.users.site import LARGE, SMALL, StandInSite, until
 from tornado.httputil import HTTPHeaders
 
-from oleanderhill.httpcall import Call, HttpCaller, Observer
+from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 from oleanderhill.platform.decoding import decode_configuration, decode_host
 from oleanderhill.platform.headers import HeaderCodec
 
