--- a/src/oleanderhill/clients/currency.py
+++ b/src/oleanderhill/clients/currency.py
@@ -23,6 +23,11 @@
         self._max_age = bound - PROOF_MARGIN
         self._proved_at = float("-inf")
 
+    @property
+    def proved_at(self) -> float:
+        """Return the time at which the configuration held was proved to be the newest."""
+        return self._proved_at
+
     def prove(self, at: float) -> None:
         """Take a proof that the configuration held was the newest at ``at``."""
         self._proved_at = max(self._proved_at, at)
--- a/src/oleanderhill/clients/mirror.py
+++ b/src/oleanderhill/clients/mirror.py
@@ -1,39 +1,40 @@
 """Keeps this process's copy of what the store holds, and the proof of how current it is.
 
-One reading of the store's changes serves everything: configuration, target hosts, plans, presence.
-Target hosts write about once a second each, so a waiting watch would return at once, again and
-again; instead the changes are collected and read every :data:`PERIOD`.
+One reading serves everything: configuration, target hosts, plans, presence. Target hosts write
+about once a second each, so a waiting watch would return at once, again and again; instead the
+changes are collected and read every :data:`PERIOD`. In each data centre one entry host reads the
+store and tells the others (:mod:`.relay`); each of them falls back on the store by itself.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping, Sequence
-from typing import Generic, NamedTuple, TypeVar
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from returns.pipeline import is_successful
 
 from ..clock import awake_or_not
-from ..exceptions import StoreError
+from ..exceptions import StoreError, StoreUnavailableError
 from ..kernel import Kernel, Task
 from ..records import Records
+from .changelog import ChangeLog
 from .currency import Currency
-from .storage import Changes, HistoryLostError, Item, Listing, Storage
-
-Value = TypeVar("Value")
+from .readings import Reading, Source, Sources
+from .storage import Change, Item
 
 PERIOD = 0.65
 """Seconds between two readings. A configuration must be in force 2 s after its write: with two
 readings lost and the way there and back, this leaves a margin. Each reading is priced."""
 
 HURRIED_PERIOD = 0.25
-"""Seconds between two readings while this host forms a group: each step of it shows in the store,
-and a group serves that much sooner."""
+"""Seconds between two readings while something is under way, such as a group that forms: each step
+of it shows in the store, and a group serves that much sooner."""
 
-DEAF = 1.3
-"""Seconds of changes that a reading may miss: before it drops its history the store may tell
-watchers nothing for a second. Proof of currency is dated back by this much."""
+HURRY_LASTS = 0.65
+"""Seconds of quick readings after the latest change that means something. With 2 s, readings on a
+day of steady losses were all quick and asked twice as much of the store."""
 
 RETRY = 0.3
 """Seconds before a failed reading is repeated, at most; half of it at least."""
@@ -41,23 +42,28 @@
 STALE = 2.5
 """Age in seconds from which on the copy is no base for orders to hosts."""
 
+SHORTEST_PAUSE = 0.02
+"""Seconds between two readings from a peer, which answers when it has news or has read again."""
+
 
 class Follower(NamedTuple):
     """Who is told of keys under a prefix.
 
     :param replace: takes the whole content anew, with the time of reading
-    :param change: takes one change, with the time of reading
+    :param change: takes one change, with the time of reading; returns whether it meant anything
     """
 
     prefix: str
     replace: Callable[[Sequence[Item], float], None]
-    change: Callable[[str, bytes | None, int, float], None]
+    change: Callable[[str, bytes | None, int, float], bool]
 
 
 class Mirror(Task):
-    """Owns the readings of the store.
+    """Owns the readings.
 
     :param settled: called once after each reading, with the time of reading
+    :param doubted: called before a reading is taken whose missing entries may come back, with the
+        time until which they may
     """
 
     name = "mirror"
@@ -65,31 +71,32 @@
     def __init__(
         self,
         kernel: Kernel,
-        storage: Storage,
+        sources: Sources,
         currency: Currency,
         followers: Sequence[Follower],
         settled: Callable[[float], None],
+        doubted: Callable[[float], None],
+        entry_return: float,
         records: Records,
         rng: random.Random,
     ) -> None:
         super().__init__(kernel)
-        self._storage = storage
+        self._sources = sources
         self._currency = currency
         self._followers = followers
         self._settled = settled
+        self._doubted = doubted
+        self._entry_return = entry_return
         self._records = records
         self._rng = rng
-        self._after: int | None = None
+        self.log = ChangeLog()
         self._read_at = float("-inf")
+        self._doubt_until = float("-inf")
         self._connected = False
         self._was_lost = False
-        self.returned: list[Callable[[float], None]] = []
         self.connected_since = float("inf")
         self._hurry_until = float("-inf")
-
-    def hurry(self) -> None:
-        """Read more often for a moment: something is under way that shows in the store."""
-        self._hurry_until = awake_or_not() + PERIOD
+        self._done = asyncio.Event()
 
     async def start(self) -> None:
         """Start to read."""
@@ -103,70 +110,120 @@
         """Tell whether the copy is young enough to give orders by."""
         return self.age(now) <= STALE
 
+    async def news(self, after: int | None, patience: float) -> Reading | None:
+        """Return what a peer lacks, as soon as there is something or this host has read again.
+
+        :param after: the revision that the peer has, ``None`` for nothing at all
+        :return: ``None`` if nothing was read within ``patience`` seconds, or the changes are gone
+        """
+        if self._may_wait(after):
+            try:
+                async with asyncio.timeout(patience):
+                    await self._done.wait()
+            except TimeoutError:
+                return None
+        return self._reading_for(after)
+
+    def _may_wait(self, after: int | None) -> bool:
+        """Tell whether there is nothing to tell a peer yet."""
+        if self.log.revision is None or after is None:
+            return self.log.revision is None
+        changes = self.log.since(after)
+        return changes is not None and not changes
+
+    def _reading_for(self, after: int | None) -> Reading | None:
+        changes = self.log.content() if after is None else self.log.since(after)
+        if changes is None or self.log.revision is None:
+            return None
+        proved_at = self._currency.proved_at
+        doubt = max(0.0, self._doubt_until - awake_or_not())
+        revision = self.log.revision
+        return Reading(revision, after is None, changes, proved_at, self._read_at, doubt)
+
     async def _follow(self) -> None:
         while True:
             began = awake_or_not()
-            error = await self._read(began)
-            if error is None:
-                self._connect(began)
-                now = awake_or_not()
+            source, error = await self._read()
+            now = awake_or_not()
+            if error is not None:
+                self._disconnect(error)
+                wait = RETRY * (0.5 + 0.5 * self._rng.random())
+            elif source == "store":
                 period = HURRIED_PERIOD if now < self._hurry_until else PERIOD
                 wait = max(0.05, period - (now - began))
             else:
-                self._disconnect(error)
-                wait = RETRY * (0.5 + 0.5 * self._rng.random())
+                wait = SHORTEST_PAUSE
             await asyncio.sleep(wait)
 
-    async def _read(self, began: float) -> StoreError | None:
-        if self._after is None:
-            return await self._read_whole(began)
-        found = await self._storage.changes(self._after)
-        if is_successful(found):
-            self._take(found.unwrap(), began)
-            return None
-        error = found.failure()
-        if isinstance(error, HistoryLostError):
-            self._records.note("store", "history lost", after=self._after)
-            self._after = None
-            return await self._read_whole(began)
-        return error
-
-    async def _read_whole(self, began: float) -> StoreError | None:
-        listings: list[Listing] = []
-        for follower in self._followers:
-            found = await self._storage.list(follower.prefix)
-            if not is_successful(found):
-                return found.failure()
-            listings.append(found.unwrap())
-        now = awake_or_not()
-        for follower, listing in zip(self._followers, listings, strict=True):
-            follower.replace(listing.items, now)
-        self._after = min(listing.revision for listing in listings)
-        self._read_at = began
-        self._currency.prove(began)
-        self._settled(now)
-        return None
-
-    def _take(self, found: Changes, began: float) -> None:
+    async def _read(self) -> tuple[str, StoreError | None]:
+        """Read from the first source that answers; return its name, or why the last one failed."""
+        error: StoreError = StoreUnavailableError("no source")
+        for source in await self._sources.in_order(awake_or_not()):
+            began = awake_or_not()
+            found = await source.read(self.log.revision, began)
+            if is_successful(found):
+                self._connect(source, began)
+                self._take(found.unwrap())
+                return source.name, None
+            error = found.failure()
+            self._sources.failed(source, awake_or_not())
+        return "", error
+
+    def _take(self, found: Reading) -> None:
         now = awake_or_not()
-        for change in found.changes:
-            follower = _follower_of(change.key, self._followers)
-            if follower is not None:
-                follower.change(change.key, change.value, change.revision, now)
-        self._after = found.revision
-        self._read_at = began
-        self._currency.prove(began - DEAF)
+        if found.doubt > 0:
+            self._doubt(now + found.doubt)
+        if found.whole:
+            self._replace(found, now)
+        else:
+            meant = [c for c in found.changes if self._change(c, now)]
+            self.log.take(found.revision, meant)
+            if meant:
+                self._hurry_until = now + HURRY_LASTS
+        self._read_at = max(self._read_at, found.read_at)
+        self._currency.prove(found.proved_at)
         self._settled(now)
+        self._done.set()
+        self._done.clear()
 
-    def _connect(self, began: float) -> None:
+    def _replace(self, found: Reading, now: float) -> None:
+        content = [c for c in found.changes if self._follower_of(c.key) is not None]
+        for follower in self._followers:
+            items = [
+                Item(c.key, c.value, c.revision)
+                for c in content
+                if c.value is not None and c.key.startswith(follower.prefix)
+            ]
+            follower.replace(items, now)
+        self.log.replace(found.revision, content)
+
+    def _change(self, change: Change, now: float) -> bool:
+        follower = self._follower_of(change.key)
+        if follower is None:
+            return False
+        return follower.change(change.key, change.value, change.revision, now)
+
+    def _follower_of(self, key: str) -> Follower | None:
+        return next((f for f in self._followers if key.startswith(f.prefix)), None)
+
+    def _doubt(self, until: float) -> None:
+        self._doubt_until = max(self._doubt_until, until)
+        self._doubted(self._doubt_until)
+
+    def _connect(self, source: Source, began: float) -> None:
         if self._connected:
             return
         self._connected = True
         self.connected_since = began
-        self._records.note("dependency", "regained", dependency="store", after=self._after)
+        self._records.note(
+            "dependency",
+            "regained",
+            dependency="store",
+            source=source.name,
+            after=self.log.revision,
+        )
         if self._was_lost:
-            for call in self.returned:
-                call(awake_or_not())
+            self._doubt(awake_or_not() + self._entry_return)
 
     def _disconnect(self, error: StoreError) -> None:
         if not self._connected:
@@ -176,57 +233,3 @@
         self.connected_since = float("inf")
         age = round(self.age(awake_or_not()), 2)
         self._records.note("dependency", "lost", dependency="store", reason=str(error), age_s=age)
-
-
-def _follower_of(key: str, followers: Sequence[Follower]) -> Follower | None:
-    for follower in followers:
-        if key.startswith(follower.prefix):
-            return follower
-    return None
-
-
-class KeyedCopy(Generic[Value]):
-    """Values by key, each at its newest revision, decoded as they come.
-
-    :param decode: returns a value, or raises ``ValueError`` for one that is malformed
-    """
-
-    def __init__(self, decode: Callable[[bytes], Value], records: Records) -> None:
-        self._decode = decode
-        self._records = records
-        self._held: dict[str, tuple[Value, int]] = {}
-
-    def replace(self, items: Sequence[Item], now: float) -> None:
-        """Take the whole content anew."""
-        del now
-        present = {item.key for item in items}
-        self._held = {k: h for k, h in self._held.items() if k in present}
-        for item in items:
-            self.put(item.key, item.value, item.revision)
-
-    def change(self, key: str, value: bytes | None, revision: int, now: float) -> None:
-        """Take one change."""
-        del now
-        if value is None:
-            self._held.pop(key, None)
-        else:
-            self.put(key, value, revision)
-
-    def put(self, key: str, value: bytes, revision: int) -> None:
-        """Take a value unless a newer one is held."""
-        held = self._held.get(key)
-        if held is not None and held[1] >= revision:
-            return
-        try:
-            self._held[key] = (self._decode(value), revision)
-        except ValueError as error:
-            self._records.note("store", "malformed", key=key, reason=str(error))
-
-    def get(self, key: str) -> tuple[Value, int] | None:
-        """Return a value and its revision."""
-        return self._held.get(key)
-
-    @property
-    def by_key(self) -> Mapping[str, Value]:
-        """Return the values."""
-        return {k: v for k, (v, _) in self._held.items()}
--- /dev/null
+++ b/src/oleanderhill/clients/relay.py
@@ -0,0 +1,197 @@
+"""Readings of the store passed on among entry hosts over HTTP.
+
+A peer asks with the revision that it has and gets what it lacks as soon as there is something, or
+once this host has read the store again. No clock is compared: the answer says how old the proof
+is, and the asker counts that age back from the moment at which it asked, so that no delay on the
+way makes a proof look younger than it is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+from urllib.parse import parse_qs, urlencode, urlsplit
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+
+from ..clock import awake_or_not
+from ..exceptions import StoreError, StoreUnavailableError
+from ..kernel import Kernel, Task
+from .httpcall import Call, HttpCaller
+from .mirror import PERIOD, Mirror
+from .readings import Reading
+from .storage import Change
+
+HOLD = PERIOD + 0.2
+"""Seconds for which a question waits for news: one reading of the store and a slow answer."""
+
+ANSWER_TIMEOUT = HOLD + 0.25
+"""Seconds for an answer; after that the asker reads the store itself. A change must be in force
+2 s after its write, and this leaves 0.9 s for that reading."""
+
+CONNECT_TIMEOUT = 0.25
+"""Seconds to connect to a peer of the same data centre, which takes a millisecond or is dead."""
+
+IDLE_TIMEOUT = 30.0
+"""Seconds for which a peer's idle connection is kept; it asks again at once."""
+
+
+class Passage(NamedTuple):
+    """A reading on its way: ages in place of times, as clocks differ.
+
+    :param proof_age: seconds since the content was proved to be the newest
+    :param read_age: seconds since the store was asked
+    :param doubt: seconds for which entries that are missing may yet come back
+    """
+
+    revision: int
+    whole: bool
+    changes: Sequence[Change]
+    proof_age: float
+    read_age: float
+    doubt: float
+
+
+_DECODER = msgspec.msgpack.Decoder(Passage)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class PeerSource:
+    """Reads what another entry host read.
+
+    :param address: ``ip:port`` of its :class:`RelayServer`
+    """
+
+    def __init__(self, name: str, address: str, caller: HttpCaller) -> None:
+        self.name = name
+        self._address = address
+        self._caller = caller
+
+    async def read(self, after: int | None, began: float) -> Result[Reading, StoreError]:
+        """Ask the peer for what changed after a revision."""
+        query = "" if after is None else "?" + urlencode({"after": after})
+        call = Call(
+            self._address,
+            "GET",
+            f"/readings{query}",
+            timeout=ANSWER_TIMEOUT,
+            reuse=True,
+            connect_timeout=CONNECT_TIMEOUT,
+        )
+        found = await self._caller.call(call)
+        if not is_successful(found):
+            return Failure(StoreUnavailableError(f"{self.name}: {found.failure().reason}"))
+        reply = found.unwrap()
+        if reply.status != 200:
+            return Failure(StoreUnavailableError(f"{self.name}: status {reply.status}"))
+        try:
+            passage = _DECODER.decode(reply.body)
+        except msgspec.DecodeError as error:
+            return Failure(StoreUnavailableError(f"{self.name}: malformed reading: {error}"))
+        if after is not None and passage.revision < after:
+            # The peer is behind. What it proves holds for the newer content held here too.
+            passage = passage._replace(revision=after, changes=())
+        return Success(
+            Reading(
+                passage.revision,
+                passage.whole,
+                passage.changes,
+                began - passage.proof_age,
+                began - passage.read_age,
+                passage.doubt,
+            )
+        )
+
+
+class _Question(HTTPMessageDelegate):
+    def __init__(self, server: RelayServer, connection: HTTPConnection) -> None:
+        self._server = server
+        self._connection = connection
+        self._path = ""
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        self._path = start_line.path
+
+    def finish(self) -> None:
+        self._server.spawn(self._server.answer(self._path, self._connection))
+
+
+class _Questions(HTTPServerConnectionDelegate):
+    def __init__(self, server: RelayServer) -> None:
+        self._server = server
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        return _Question(self._server, request_conn)
+
+
+class RelayServer(Task):
+    """Owns the server at which peers ask for readings.
+
+    :param address: ``ip:port``
+    """
+
+    name = "relay"
+
+    def __init__(self, kernel: Kernel, address: str, mirror: Mirror) -> None:
+        super().__init__(kernel)
+        self._address = address
+        self._mirror = mirror
+        self._http = HTTPServer(_Questions(self), idle_connection_timeout=IDLE_TIMEOUT)
+
+    async def start(self) -> None:
+        """Listen."""
+        ip, port = self._address.rsplit(":", 1)
+        self._http.listen(int(port), ip)
+
+    async def stop(self) -> None:
+        """Close the server."""
+        self._http.stop()
+        await self._http.close_all_connections()
+        await super().stop()
+
+    async def answer(self, path: str, connection: HTTPConnection) -> None:
+        """Answer one question: 200 with a reading, 400, or 503 where this host has none to give."""
+        after = parse_qs(urlsplit(path).query).get("after", [""])[0]
+        if after and not after.isdigit():
+            _reply(connection, 400, b"")
+            return
+        reading = await self._mirror.news(int(after) if after else None, HOLD)
+        if reading is None:
+            _reply(connection, 503, b"")
+            return
+        now = awake_or_not()
+        passage = Passage(
+            reading.revision,
+            reading.whole,
+            reading.changes,
+            now - reading.proved_at,
+            now - reading.read_at,
+            reading.doubt,
+        )
+        _reply(connection, 200, _ENCODER.encode(passage))
+
+
+def _reply(connection: HTTPConnection, status: int, body: bytes) -> None:
+    start = ResponseStartLine("HTTP/1.1", status, responses[status])
+    headers = HTTPHeaders({"Content-Length": str(len(body))})
+    written = connection.write_headers(start, headers, body)
+    # A peer that left hears nothing; it has asked another source by now.
+    written.add_done_callback(lambda w: w.cancelled() or w.exception())
+    connection.finish()
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -156,12 +156,6 @@
         self._probes_missed[instance] = self._probes_missed.get(instance, 0) + 1
         self._avoid_until[instance] = now + AVOID_SECONDS
 
-    def forming(self, plan: DomainPlan) -> bool:
-        """Tell whether a group is being formed or taken apart."""
-        return any(
-            g.name not in self._whole_once or g.name in self._fault_since for g in plan.groups
-        )
-
     def decide(
         self,
         now: float,
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -54,15 +54,14 @@
     its return. Taken at their word, they would empty the list and with it every service.
     """
 
-    def __init__(self, grace: float) -> None:
-        self._grace = grace
+    def __init__(self) -> None:
         self.by_instance: dict[str, TargetHost] = {}
         self._doubtful_until: dict[str, float] = {}
         self._doubt_ends = float("-inf")
 
-    def store_returned(self, now: float) -> None:
-        """Take note that the store answers again after it was away."""
-        self._doubt_ends = now + self._grace
+    def doubt(self, until: float) -> None:
+        """Take note that the store was away: entries that are missing may be back by a time."""
+        self._doubt_ends = max(self._doubt_ends, until)
 
     def put(self, host: TargetHost) -> TargetHost | None:
         """Take a host's entry; return the one before."""
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -10,7 +10,8 @@
 
 from returns.pipeline import is_successful
 
-from ..clients.mirror import KeyedCopy, Mirror
+from ..clients.keyed import KeyedCopy
+from ..clients.mirror import Mirror
 from ..clients.storage import Storage, StoreConflictError, Write
 from ..clock import awake_or_not
 from ..kernel import Kernel, Task
@@ -142,8 +143,6 @@
             if group.name not in self._probing and self._is_suspect(group.name):
                 self._probing.add(group.name)
                 self.spawn(self._probe(group, keeper))
-        if keeper.forming(plan):
-            self._mirror.hurry()
         for action in keeper.decide(now, plan, hosts, needs, self._first_loads_free()):
             self._carry_out(action, plan, revision, keeper)
 
--- a/src/oleanderhill/groups/presence.py
+++ b/src/oleanderhill/groups/presence.py
@@ -7,7 +7,7 @@
 
 from returns.pipeline import is_successful
 
-from ..clients.mirror import KeyedCopy
+from ..clients.keyed import KeyedCopy
 from ..clients.storage import LeaseEndedError, Storage, StoreConflictError, Write
 from ..kernel import Kernel, Task
 from ..records import Records
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -15,7 +15,9 @@
 
 from ..clients.currency import Currency
 from ..clients.httpcall import HttpCaller
-from ..clients.mirror import Follower, KeyedCopy, Mirror
+from ..clients.keyed import KeyedCopy
+from ..clients.mirror import Follower, Mirror
+from ..clients.relay import RelayServer
 from ..clients.storage import Item
 from ..clock import awake_or_not
 from ..exceptions import OleanderhillError
@@ -25,6 +27,7 @@
 from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
 from ..groups.plans import PLAN_PREFIX, decode_plan
 from ..groups.presence import PresenceTask
+from ..groups.readers import ReadingSources
 from ..kernel import Kernel
 from ..outcomes import Problem
 from ..records import Records, keep_flushing, log_bounded
@@ -46,7 +49,8 @@
 """Cyclic garbage is rare here; by default the heap is walked every few milliseconds of relaying."""
 
 ENTRY_RETURN = 2.2
-"""Seconds after the store's return in which hosts that live have their entries again."""
+"""Seconds after the store's return in which hosts that live have their entries again; the platform
+says about two."""
 
 FREE_LOADS_FOR = 9.0
 """Seconds after the first start of all in which loads don't count: traffic comes after twelve."""
@@ -81,22 +85,26 @@
         self._caller = HttpCaller()
         self._store = PlatformStore(s.store, HttpCaller())
         self._currency = Currency(s.key_removal)
-        self._inventory = Inventory(ENTRY_RETURN)
+        self._inventory = Inventory()
         self._plans = KeyedCopy(decode_plan, records)
         self._entries = KeyedCopy(decode_presence, records)
         self._view = ServingView(self._inventory, self._plans, rng)
         self._book = LoadBook(s.data_centre, rng)
         me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre)
+        followers = self._followers()
+        prefixes = [f.prefix for f in followers]
+        sources = ReadingSources(me, self._store, prefixes, self._entries, HttpCaller())
         self._mirror = Mirror(
             self.kernel,
-            self._store,
+            sources,
             self._currency,
-            self._followers(),
+            followers,
             self._settled,
+            self._inventory.doubt,
+            ENTRY_RETURN,
             records,
             rng,
         )
-        self._mirror.returned.append(self._inventory.store_returned)
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
         self._orders = EngineOrders(HttpCaller())
         limits = Limits(s.load_window, s.load_factor)
@@ -131,7 +139,8 @@
             self.kernel, s.callers, s.balancer, s.grace, self._codec, serving, records
         )
         gossip = GossipTask(self.kernel, me, self._book, self._presence.alive)
-        for service in (self.front, self._mirror, self._presence, gossip, owner):
+        relay = RelayServer(self.kernel, s.peers, self._mirror)
+        for service in (self.front, relay, self._presence, self._mirror, gossip, owner):
             self.kernel.register(service)
         self._show_gauges()
 
@@ -185,17 +194,18 @@
         for item in items:
             self._change_catalog(item.key, item.value, item.revision, now)
 
-    def _change_catalog(self, key: str, value: bytes | None, revision: int, now: float) -> None:
+    def _change_catalog(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
         """Take a configuration unless it is older than the one held; one never goes back."""
         if key != CONFIGURATION_KEY or value is None or revision <= self._catalog_revision:
-            return
+            return False
         try:
             self._catalog = decode_configuration(value)
         except ValueError as error:
             self._records.note("settings", "malformed", revision=revision, reason=str(error))
-            return
+            return False
         self._catalog_revision = revision
         self._records.note("settings", "in force", version=self._catalog.version, revision=revision)
+        return True
 
     def _replace_hosts(self, items: Sequence[Item], now: float) -> None:
         hosts = []
@@ -207,7 +217,7 @@
         for instance in self._inventory.replace(hosts, now):
             self._records.note("hosts", "gone", instance=instance)
 
-    def _change_host(self, key: str, value: bytes | None, revision: int, now: float) -> None:
+    def _change_host(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
         instance = key.removeprefix(HOSTS_PREFIX)
         if value is None:
             known = self._inventory.by_instance.get(instance)
@@ -215,22 +225,24 @@
             if known is not None and gone:
                 self._caller.forget(known.address)
             self._records.note("hosts", "gone" if gone else "doubtful", instance=instance)
-            return
+            return known is not None
         try:
             host = decode_host(key, value)
         except ValueError as error:
             self._records.note("hosts", "malformed", key=key, reason=str(error))
-            return
+            return False
         before = self._inventory.put(host)
-        if before is None or before != host:
-            self._records.note(
-                "hosts",
-                "seen",
-                instance=instance,
-                leaving=host.leaving,
-                membership=host.membership,
-                staged=host.staged,
-            )
+        if host == before:
+            return False
+        self._records.note(
+            "hosts",
+            "seen",
+            instance=instance,
+            leaving=host.leaving,
+            membership=host.membership,
+            staged=host.staged,
+        )
+        return True
 
     def _settled(self, now: float) -> None:
         for instance in self._inventory.expire(now):
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -8,37 +8,45 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
 
 from ..groups.ownership import Presence
 from ..kernel import Kernel, Task
-from .placing import LoadBook
+from .placing import PEER_COUNTS_LAST, LoadBook
+from .reports import (
+    MESH_MOST,
+    Audience,
+    LoadReport,
+    Scope,
+    add_up,
+    aged,
+    audience,
+    in_parts,
+    without,
+)
 
 EVERY = 0.05
 """Seconds between two reports: by them a silent target is told from a busy one, and a stream that
 stalls has 0.2 s to go on elsewhere. A report costs about 30 us at each end."""
 
-LONGEST = 1400
-"""Bytes of a datagram: what fits into one frame."""
+HUB_SILENT = 0.3
+"""Seconds without a total after which the next hub is told too: five totals lost in a row. The
+counts held run out after twice that."""
 
+IDLE_EVERY = 0.4
+"""Seconds between two reports of a host without requests. It stays subscribed to the totals, so
+that it places its next request as well as the others do."""
 
-class LoadReport(NamedTuple):
-    """What one entry host has with targets.
+HOPS_OF_TOTAL = 3
+"""Reports one after the other by which a total is late: to a hub, to another hub, to all."""
 
-    :param counts: requests in flight by target
-    :param suspects: targets that it saw stall
-    :param progress: seconds since a target last sent something, by target
-    :param turned_away: requests that found no target in the last second, by model
-    """
 
-    name: str
-    counts: dict[str, int]
-    suspects: list[str]
-    progress: dict[str, float]
-    turned_away: dict[str, int]
+class _Heard(NamedTuple):
+    at: float
+    report: LoadReport
 
 
 _DECODER = msgspec.msgpack.Decoder(LoadReport)
@@ -67,14 +75,21 @@
         kernel: Kernel,
         me: Presence,
         book: LoadBook,
-        peers: Callable[[], dict[str, Presence]],
+        peers: Callable[[], Mapping[str, Presence]],
     ) -> None:
         super().__init__(kernel)
         self._me = me
         self._book = book
         self._peers = peers
         self._transport: asyncio.DatagramTransport | None = None
-        self._was_idle = False
+        self._reported_at = float("-inf")
+        self._mesh = True
+        self._total_at = time.monotonic()
+        self._own = self._own_report(time.monotonic())
+        # What a total holds of this host is one report old.
+        self._own_in_total = self._own
+        self._near: dict[tuple[str, int], _Heard] = {}
+        self._far: dict[tuple[str, int], _Heard] = {}
 
     async def start(self) -> None:
         """Listen, and start to report."""
@@ -92,25 +107,63 @@
             self._transport.close()
 
     async def tick(self) -> None:
-        """Report to all peers; an idle host says so once."""
-        counts = dict(self._book.own)
+        """Report to whom it concerns."""
         now = time.monotonic()
-        suspects = self._book.own_suspects(now)
-        turned_away = self._book.own_turned_away(now)
-        idle = not counts and not suspects and not turned_away
-        if idle and self._was_idle:
-            return
-        self._was_idle = idle
-        progress = self._book.own_progress(now)
-        report = LoadReport(self._me.name, counts, suspects, progress, turned_away)
-        data = _ENCODER.encode(report)
-        if self._transport is None or len(data) > LONGEST:
+        alive = self._peers()
+        self._forget(now)
+        self._mesh = len(alive) <= MESH_MOST
+        near = {sender for sender, _ in self._near}
+        to = audience(self._me, alive, near, now - self._total_at > HUB_SILENT)
+        self._own_in_total, self._own = self._own, self._own_report(now)
+        busy = self._own.counts or self._own.suspects or self._own.turned_away
+        if busy or now - self._reported_at >= IDLE_EVERY:
+            self._reported_at = now
+            self._send(self._own, to.own, alive)
+        if to.hubs or to.neighbours:
+            self._tell_sums(now, to, alive)
+
+    def _own_report(self, now: float) -> LoadReport:
+        book = self._book
+        return LoadReport(
+            self._me.name,
+            Scope.OWN,
+            self._me.data_centre,
+            0,
+            dict(book.own),
+            book.own_suspects(now),
+            book.own_progress(now),
+            book.own_turned_away(now),
+        )
+
+    def _tell_sums(self, now: float, to: Audience, alive: Mapping[str, Presence]) -> None:
+        """Act as the hub of this data centre."""
+        me = self._me
+        near = [self._own, *(aged(h.report, now - h.at) for h in self._near.values())]
+        local = add_up(me.name, Scope.DATA_CENTRE, me.data_centre, near)
+        far = [aged(h.report, now - h.at) for h in self._far.values()]
+        total = add_up(me.name, Scope.TOTAL, me.data_centre, [local, *far])
+        self._send(local, to.hubs, alive)
+        self._send(total, to.neighbours, alive)
+        self._take_total(total, self._own, now)
+
+    def _send(
+        self, report: LoadReport, names: Iterable[str], alive: Mapping[str, Presence]
+    ) -> None:
+        addresses = [alive[n].address for n in names if n in alive]
+        if self._transport is None or not addresses:
             return
-        for peer in self._peers().values():
-            if peer.name != self._me.name:
-                ip, port = peer.address.rsplit(":", 1)
+        for part in in_parts(report):
+            data = _ENCODER.encode(part)
+            for address in addresses:
+                ip, port = address.rsplit(":", 1)
                 self._transport.sendto(data, (ip, int(port)))
 
+    def _forget(self, now: float) -> None:
+        self._book.forget_peers(now)
+        for heard in (self._near, self._far):
+            for key in [k for k, h in heard.items() if now - h.at > PEER_COUNTS_LAST]:
+                del heard[key]
+
     def _hear(self, data: bytes) -> None:
         try:
             report = _DECODER.decode(data)
@@ -118,6 +171,22 @@
             # Anybody may send datagrams here; what is not a report says nothing.
             return
         now = time.monotonic()
+        if report.scope == Scope.TOTAL:
+            self._take_total(report, self._own_in_total, now)
+        elif report.scope == Scope.DATA_CENTRE:
+            self._far[report.data_centre, report.part] = _Heard(now, report)
+        else:
+            if report.data_centre == self._me.data_centre:
+                self._near[report.sender, report.part] = _Heard(now, report)
+            if self._mesh:
+                self._take(f"{report.sender}/{report.part}", report, now)
+
+    def _take_total(self, total: LoadReport, own: LoadReport, now: float) -> None:
+        self._total_at = now
+        self._book.heard_later = HOPS_OF_TOTAL * EVERY
+        self._take(f"total/{total.part}", without(total, own), now)
+
+    def _take(self, peer: str, report: LoadReport, now: float) -> None:
         self._book.hear(
-            report.name, report.counts, report.suspects, report.progress, report.turned_away, now
+            peer, report.counts, report.suspects, report.progress, report.turned_away, now
         )
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -30,7 +30,8 @@
 caller gives up a stream without its first event (after two)."""
 
 HEARD_LATER = 0.06
-"""Seconds by which a peer's word of a target's progress is late: the time between two reports."""
+"""Seconds by which a peer's word of a target's progress is late: the time between two reports.
+Where reports are added up on their way, it is that much for each hop."""
 
 ELSEWHERE = 0.08
 """Load, in parts of a target's slots, by which a target in another data centre must be less busy:
@@ -56,6 +57,7 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
+        self.heard_later = HEARD_LATER
         self._own: dict[str, int] = {}
         self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._suspect_until: dict[str, float] = {}
@@ -120,7 +122,7 @@
         """
         if now - self._progress_at.get(target, float("-inf")) < within:
             return True
-        return now - self._heard_progress_at.get(target, float("-inf")) < within + HEARD_LATER
+        return now - self._heard_progress_at.get(target, float("-inf")) < within + self.heard_later
 
     def hear(
         self,
@@ -143,6 +145,12 @@
         for target in suspects:
             self._heard_suspect_until[target] = now + HEARD_SUSPECT_SECONDS
 
+    def forget_peers(self, now: float) -> None:
+        """Drop what peers reported too long ago to be used."""
+        for table in (self._peers, self._heard_turned_away):
+            for peer in [p for p, (at, _) in table.items() if now - at > PEER_COUNTS_LAST]:
+                del table[peer]
+
     def suspect(self, target: str, now: float) -> None:
         """Take note that a target was seen to stall or fail."""
         self._suspect_until[target] = now + SUSPECT_SECONDS
--- /dev/null
+++ b/src/oleanderhill/serving/reports.py
@@ -0,0 +1,160 @@
+"""What entry hosts tell each other of their load, how reports add up, and who tells whom.
+
+A few entry hosts each tell all others. Among many that costs the square of their number: at ninety
+160,000 datagrams a second, more than their links take. There, one host in each data centre adds up
+the reports of its neighbours, swaps sums with those of the other data centres, and tells its
+neighbours the total: each host sends one report, and gets one, whatever their number.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..groups.ownership import Presence
+from ..ownership import rendezvous
+
+MESH_MOST = 12
+"""Entry hosts up to which each tells all others: 132 datagrams each 50 ms, and news is one hop
+old. At twelve both ways cost a host the same within a tenth of a per cent of its processor."""
+
+PART_BYTES = 1100
+"""Bytes of the rows of one datagram: with the sender's name and what was turned away by model, a
+datagram stays under 1,400 and fits into one frame."""
+
+ROW_BYTES = 14
+"""Bytes of a row beside its target's name, which stands in it twice: a count and an age."""
+
+
+class Scope(StrEnum):
+    """Whose load a report is about."""
+
+    OWN = "own"
+    DATA_CENTRE = "data centre"
+    TOTAL = "total"
+
+
+class LoadReport(NamedTuple):
+    """What one entry host, or several, have with targets.
+
+    :param sender: name of the entry host that sends it
+    :param part: of a report that takes several datagrams; each part replaces the one before it
+    :param counts: requests in flight by target
+    :param suspects: targets that were seen to stall
+    :param progress: seconds since a target last sent something, by target
+    :param turned_away: requests that found no target in the last second, by model
+    """
+
+    sender: str
+    scope: Scope
+    data_centre: str
+    part: int
+    counts: dict[str, int]
+    suspects: list[str]
+    progress: dict[str, float]
+    turned_away: dict[str, int]
+
+
+class Audience(NamedTuple):
+    """To whom an entry host sends what.
+
+    :param own: get its own report
+    :param hubs: get the sum of its data centre
+    :param neighbours: get the total
+    """
+
+    own: tuple[str, ...] = ()
+    hubs: tuple[str, ...] = ()
+    neighbours: tuple[str, ...] = ()
+
+
+def hub_ranking(data_centre: str, alive: Mapping[str, Presence]) -> tuple[str, ...]:
+    """Return the first two entry hosts that add up a data centre's reports, best first."""
+    names = [p.name for p in alive.values() if p.data_centre == data_centre]
+    return rendezvous(f"hub/{data_centre}", names, 2)
+
+
+def audience(
+    me: Presence, alive: Mapping[str, Presence], reporters: Iterable[str], hub_silent: bool
+) -> Audience:
+    """Return to whom a host sends what now.
+
+    :param reporters: hosts of this data centre that sent their own reports here lately
+    :param hub_silent: nothing came from this data centre's hub lately; the next one is told too
+    """
+    others = [n for n in alive if n != me.name]
+    if len(alive) <= MESH_MOST:
+        return Audience(own=tuple(others))
+    ranked = hub_ranking(me.data_centre, alive)
+    neighbours = tuple(n for n in reporters if n in alive)
+    if me.name in ranked[:1] or neighbours:
+        data_centres = {p.data_centre for p in alive.values()} - {me.data_centre}
+        hubs = tuple(h for d in sorted(data_centres) for h in hub_ranking(d, alive)[:1])
+        return Audience(hubs=hubs, neighbours=neighbours)
+    asked = ranked if hub_silent else ranked[:1]
+    return Audience(own=tuple(n for n in asked if n != me.name))
+
+
+def add_up(
+    sender: str, scope: Scope, data_centre: str, reports: Iterable[LoadReport]
+) -> LoadReport:
+    """Return the sum of reports: counts are added, of progress the latest holds."""
+    counts: dict[str, int] = {}
+    suspects: set[str] = set()
+    progress: dict[str, float] = {}
+    turned_away: dict[str, int] = {}
+    for report in reports:
+        for target, count in report.counts.items():
+            counts[target] = counts.get(target, 0) + count
+        for target, age in report.progress.items():
+            progress[target] = min(age, progress.get(target, age))
+        for model, count in report.turned_away.items():
+            turned_away[model] = turned_away.get(model, 0) + count
+        suspects.update(report.suspects)
+    return LoadReport(
+        sender, scope, data_centre, 0, counts, sorted(suspects), progress, turned_away
+    )
+
+
+def without(total: LoadReport, own: LoadReport) -> LoadReport:
+    """Return a total less what one host last reported of itself."""
+    counts = {t: max(0, n - own.counts.get(t, 0)) for t, n in total.counts.items()}
+    turned_away = {m: max(0, n - own.turned_away.get(m, 0)) for m, n in total.turned_away.items()}
+    return total._replace(counts=counts, turned_away=turned_away)
+
+
+def in_parts(report: LoadReport) -> list[LoadReport]:
+    """Return a report as parts that each fit into one datagram."""
+    suspects = set(report.suspects)
+    return [
+        report._replace(
+            part=number,
+            counts={t: report.counts[t] for t in chunk if t in report.counts},
+            suspects=[t for t in chunk if t in suspects],
+            progress={t: report.progress[t] for t in chunk if t in report.progress},
+            turned_away={} if number else report.turned_away,
+        )
+        for number, chunk in enumerate(_chunks(report))
+    ]
+
+
+def _chunks(report: LoadReport) -> list[list[str]]:
+    """Return the targets of a report by the datagram that they go into."""
+    chunks: list[list[str]] = [[]]
+    size = 0
+    for target in sorted(report.counts.keys() | report.progress.keys() | set(report.suspects)):
+        row = 2 * len(target) + ROW_BYTES
+        if size + row > PART_BYTES:
+            chunks.append([])
+            size = 0
+        chunks[-1].append(target)
+        size += row
+    return chunks
+
+
+def aged(report: LoadReport, seconds: float) -> LoadReport:
+    """Return a report whose news are older by some seconds."""
+    return report._replace(
+        progress={t: round(age + seconds, 3) for t, age in report.progress.items()}
+    )
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-from ..clients.mirror import KeyedCopy
+from ..clients.keyed import KeyedCopy
 from ..groups.inventory import Inventory
 from ..groups.plans import DomainPlan
 from ..groups.router import serving_groups
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -81,7 +81,7 @@
             self.step(**options)
 
     def serving(self):
-        inventory = Inventory(0.0)
+        inventory = Inventory()
         for host_ in self.hosts.values():
             inventory.put(host_)
         return serving_groups([self.plan], inventory)
@@ -322,10 +322,10 @@
     def test_entries_that_lapsed_with_the_store_get_time_to_come_back(self):
         # The store is away and leases run out. Right after its return the list lacks hosts that
         # live; taken at its word, every service would lose all targets at once.
-        inventory = Inventory(2.2)
+        inventory = Inventory()
         inventory.put(host("a"))
         inventory.put(host("b"))
-        inventory.store_returned(100.0)
+        inventory.doubt(102.2)
         self.assertFalse(inventory.remove("a", 100.1))
         self.assertFalse(inventory.remove("b", 100.1))
         inventory.put(host("b"))
@@ -333,7 +333,7 @@
         self.assertEqual(list(inventory.by_instance), ["b"])
 
     def test_entry_that_goes_while_the_store_is_there_is_gone_at_once(self):
-        inventory = Inventory(2.2)
+        inventory = Inventory()
         inventory.put(host("a"))
         self.assertTrue(inventory.remove("a", 50.0))
 
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,252 @@
+"""Readings of the store passed on among entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from oleanderhill_dev.bench_site import free_address
+from oleanderhill_dev.users.site import StandInSite, until
+from returns.pipeline import is_successful
+from returns.result import Failure, Success
+
+from oleanderhill.clients.changelog import ChangeLog
+from oleanderhill.clients.currency import Currency
+from oleanderhill.clients.httpcall import HttpCaller
+from oleanderhill.clients.mirror import Follower, Mirror
+from oleanderhill.clients.readings import Reading
+from oleanderhill.clients.relay import PeerSource, RelayServer
+from oleanderhill.clients.storage import Change
+from oleanderhill.clock import awake_or_not
+from oleanderhill.exceptions import StoreUnavailableError
+from oleanderhill.groups.ownership import Presence
+from oleanderhill.groups.readers import reader_of, reading_order
+from oleanderhill.kernel import Kernel
+from oleanderhill.records import Records
+
+
+class ChangeLogTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.lists(st.tuples(st.sampled_from("abc"), st.one_of(st.none(), st.binary()))),
+            min_size=1,
+        ),
+        st.data(),
+    )
+    def test_content_and_changes_lead_to_the_same(self, readings, data):
+        # A peer that took the content at some reading and the changes from then on holds what the
+        # host holds that read it all.
+        log = ChangeLog()
+        start = data.draw(st.integers(0, len(readings) - 1))
+        held, after = {}, 0
+        for revision, changes in enumerate(readings, 1):
+            log.take(revision, [Change(k, v, revision) for k, v in changes])
+            if revision - 1 == start:
+                held, after = {c.key: c.value for c in log.content()}, revision
+        for change in log.since(after):
+            held[change.key] = change.value
+        held = {k: v for k, v in held.items() if v is not None}
+        self.assertEqual(held, {c.key: c.value for c in log.content()})
+
+    def test_content_read_anew_is_told_as_changes(self):
+        log = ChangeLog()
+        log.replace(5, [Change("a", b"1", 3), Change("b", b"1", 4)])
+        log.replace(9, [Change("a", b"1", 3), Change("c", b"1", 8)])
+        told = {c.key: c.value for c in log.since(5)}
+        self.assertEqual(told, {"b": None, "c": b"1"})
+
+    def test_what_is_no_longer_kept_is_not_made_up(self):
+        log = ChangeLog()
+        log.take(10, [])
+        self.assertIsNone(log.since(9))
+        self.assertEqual(log.since(10), [])
+
+
+class ReadingOrderTest(unittest.TestCase):
+    def setUp(self):
+        self.alive = {f"e{n}": Presence(f"e{n}", "l", f"x:{n}", "ab"[n % 2]) for n in range(8)}
+
+    def test_one_host_of_each_data_centre_reads_the_store_first(self):
+        first = [reading_order(p, self.alive)[0] for p in self.alive.values()]
+        self.assertEqual(first.count(None), 2)
+
+    def test_every_host_can_turn_to_the_store_and_to_another_data_centre(self):
+        for me in self.alive.values():
+            order = reading_order(me, self.alive)
+            self.assertIn(None, order)
+            self.assertIn(reader_of("b" if me.data_centre == "a" else "a", self.alive), order)
+            self.assertNotIn(me, order)
+
+    def test_host_that_knows_nobody_reads_the_store(self):
+        self.assertEqual(reading_order(self.alive["e0"], {}), [None])
+
+
+class _Source:
+    name = "store"
+
+    def __init__(self):
+        self.readings = []
+        self.asked = []
+
+    async def read(self, after, began):
+        self.asked.append(after)
+        if not self.readings:
+            await asyncio.sleep(0.05)
+            return Failure(StoreUnavailableError("away"))
+        return Success(self.readings.pop(0))
+
+
+class _Sources:
+    def __init__(self, *sources):
+        self.sources = sources
+
+    async def in_order(self, now):
+        return self.sources
+
+    def failed(self, source, now):
+        pass
+
+
+def make_mirror(sources, taken, doubts):
+    def replace(items, now):
+        taken.clear()
+        taken.update({i.key: i.value for i in items})
+
+    def change(key, value, revision, now):
+        taken[key] = value
+        return True
+
+    return Mirror(
+        Kernel(),
+        sources,
+        Currency(5.0),
+        [Follower("", replace, change)],
+        lambda now: None,
+        doubts.append,
+        2.0,
+        Records("here"),
+        random.Random(1),
+    )
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = _Source()
+        self.near = make_mirror(_Sources(self.store), {}, [])
+        address = free_address()
+        self.server = RelayServer(Kernel(), address, self.near)
+        await self.server.start()
+        self.peer = PeerSource("near", address, HttpCaller())
+        self.addAsyncCleanup(self.server.stop)
+
+    async def test_proof_is_never_younger_for_having_been_passed_on(self):
+        # The host that reads proved its content 2 s ago, and is slow to answer besides. A peer
+        # must not take the moment of the answer for that of the proof, or a key that was removed
+        # would live longer than the bound.
+        now = awake_or_not()
+        self.near._take(Reading(7, True, [Change("k", b"1", 7)], now - 2.0, now - 1.0))
+        asked = awake_or_not()
+        found = (await self.peer.read(None, asked)).unwrap()
+        self.assertLessEqual(found.proved_at, now - 2.0 + 0.001)
+        self.assertLessEqual(found.read_at, now - 1.0 + 0.001)
+        self.assertEqual(found.changes, [Change("k", b"1", 7)])
+
+    async def test_question_waits_for_news(self):
+        now = awake_or_not()
+        self.near._take(Reading(7, True, [], now, now))
+        asked = asyncio.ensure_future(self.peer.read(7, now))
+        await asyncio.sleep(0.1)
+        self.assertFalse(asked.done())
+        self.near._take(Reading(9, False, [Change("k", b"2", 8)], now, now))
+        found = (await asked).unwrap()
+        self.assertEqual((found.revision, found.changes), (9, [Change("k", b"2", 8)]))
+
+    async def test_host_that_is_behind_takes_nothing_back(self):
+        # The peer read the store itself and is ahead of the host that it asks. It keeps what it
+        # has, and does not go back to that host's revision.
+        now = awake_or_not()
+        self.near._take(Reading(7, True, [Change("k", b"1", 7)], now, now))
+        asked = asyncio.ensure_future(self.peer.read(9, now))
+        await asyncio.sleep(0.05)
+        self.near._take(Reading(8, False, [], now, now))
+        found = (await asked).unwrap()
+        self.assertEqual((found.revision, list(found.changes)), (9, []))
+
+    async def test_host_that_can_not_read_says_so_in_time(self):
+        # The host that reads for this data centre is cut off from the store. The peer hears so
+        # within a second, and reads the store itself well within the bound of 2 s.
+        now = awake_or_not()
+        self.near._take(Reading(7, True, [], now, now))
+        before = awake_or_not()
+        found = await self.peer.read(7, before)
+        self.assertFalse(is_successful(found))
+        self.assertLess(awake_or_not() - before, 1.2)
+
+    async def test_entries_that_may_come_back_are_doubted_at_the_peer_too(self):
+        # The store was away and entries of hosts lapsed meanwhile. A peer that only ever asked
+        # another host saw no outage; without the word of doubt it would take its groups for gone.
+        now = awake_or_not()
+        self.near._doubt(now + 2.0)
+        self.near._take(Reading(7, True, [], now, now))
+        doubts = []
+        far = make_mirror(_Sources(self.peer), {}, doubts)
+        await far._read()
+        self.assertAlmostEqual(doubts[-1], now + 2.0, delta=0.3)
+
+    async def test_outage_is_known_before_what_it_removed_is_taken(self):
+        # The first reading after an outage holds the removals that the outage caused.
+        taken, doubts = {}, []
+        mirror = make_mirror(_Sources(self.store), taken, doubts)
+        order = []
+        mirror._doubted = lambda until: order.append("doubt")
+        mirror._settled = lambda now: order.append("taken")
+        now = awake_or_not()
+        self.store.readings = [Reading(1, True, [], now, now)]
+        await mirror._read()
+        _, error = await mirror._read()
+        mirror._disconnect(error)
+        self.store.readings = [Reading(2, False, [], now, now)]
+        await mirror._read()
+        self.assertEqual(order, ["taken", "doubt", "taken"])
+
+
+class ReaderLostTest(unittest.IsolatedAsyncioTestCase):
+    async def test_configuration_is_in_force_in_time_though_the_reader_is_gone(self):
+        # Three entry hosts in one data centre; the one that reads for the others ends without a
+        # word, right before a key is taken away. The others notice its silence, read the store
+        # themselves, and have the change in force within its bound of 2 s.
+        site = StandInSite()
+        await site.start(hosts=6, entries=3)
+        self.addAsyncCleanup(site.stop)
+        await until(lambda: all(len(e._presence.alive()) == 3 for e in site.entries))
+        name = reader_of("hall", site.entries[0]._presence.alive()).name
+        reader = next(e for e in site.entries if e._settings.host == name)
+        others = [e for e in site.entries if e is not reader]
+        site.entries.remove(reader)
+        await reader.kernel.stop()
+        site.configure(2, {"hall": ["key-new"]})
+        await until(lambda: all(e._catalog.version == 2 for e in others), 2.0)
+
+    async def test_followers_ask_little_of_the_store(self):
+        # Benchmark: readings of the store by 3 hosts in 3 s. Each for itself: 18; one for all: 6.
+        site = StandInSite()
+        await site.start(hosts=6, entries=3)
+        self.addAsyncCleanup(site.stop)
+        await until(lambda: all(len(e._presence.alive()) == 3 for e in site.entries))
+        await asyncio.sleep(2.5)
+
+        def readings():
+            return [e._store.calls_by_kind.get("changes", 0) for e in site.entries]
+
+        before = readings()
+        await asyncio.sleep(3.0)
+        grown = [b - a for a, b in zip(before, readings(), strict=True)]
+        self.assertEqual(sorted(grown)[:2], [0, 0])
+        self.assertLessEqual(sum(grown), 13)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,111 @@
+"""Reports of load among entry hosts: who tells whom, and what sums say."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderhill.groups.ownership import Presence
+from oleanderhill.serving.gossip import _ENCODER
+from oleanderhill.serving.reports import (
+    MESH_MOST,
+    LoadReport,
+    Scope,
+    add_up,
+    audience,
+    hub_ranking,
+    in_parts,
+    without,
+)
+
+
+def presences(count, data_centres=("a", "b", "c")):
+    return {
+        f"e{n}": Presence(f"e{n}", "l", f"10.0.0.{n}:1", data_centres[n % len(data_centres)])
+        for n in range(count)
+    }
+
+
+def report(sender, counts, data_centre="a", progress=None, suspects=(), turned_away=None):
+    return LoadReport(
+        sender,
+        Scope.OWN,
+        data_centre,
+        0,
+        counts,
+        list(suspects),
+        progress or {},
+        turned_away or {},
+    )
+
+
+class AudienceTest(unittest.TestCase):
+    def test_few_tell_all_others(self):
+        alive = presences(MESH_MOST)
+        self.assertEqual(len(audience(alive["e0"], alive, (), False).own), MESH_MOST - 1)
+
+    def test_many_send_one_report_each(self):
+        # Ninety hosts that each tell all others sent 160,000 datagrams a second, more than their
+        # links take. With hubs it is under two thousandths of that times the hosts.
+        alive = presences(90)
+        sent = 0
+        reporters = {}
+        for me in alive.values():
+            if hub_ranking(me.data_centre, alive)[0] != me.name:
+                for hub in audience(me, alive, (), False).own:
+                    reporters.setdefault(hub, []).append(me.name)
+                    sent += 1
+        for hub, names in reporters.items():
+            to = audience(alive[hub], alive, names, False)
+            sent += len(to.hubs) + len(to.neighbours)
+        self.assertEqual(len(reporters), 3)
+        self.assertLessEqual(sent, 2 * 90 + 6)
+
+    def test_silent_hub_is_stood_in_for(self):
+        alive = presences(30)
+        first, second = hub_ranking("a", alive)
+        me = next(p for p in alive.values() if p.name not in (first, second) and p[3] == "a")
+        self.assertEqual(audience(me, alive, (), False).own, (first,))
+        self.assertEqual(audience(me, alive, (), True).own, (first, second))
+        # Whoever is sent reports adds them up, whether or not it knows of the silence.
+        self.assertEqual(audience(alive[second], alive, [me.name], False).neighbours, (me.name,))
+
+
+class SumTest(unittest.TestCase):
+    @given(st.lists(st.dictionaries(st.sampled_from("pqrs"), st.integers(1, 9)), min_size=1))
+    def test_total_less_own_is_what_all_others_have(self, counts):
+        each = [report(f"e{n}", c) for n, c in enumerate(counts)]
+        total = add_up("hub", Scope.TOTAL, "a", each)
+        left = without(total, each[0]).counts
+        for target in "pqrs":
+            others = sum(c.get(target, 0) for c in counts[1:])
+            self.assertEqual(left.get(target, 0), others)
+
+    def test_latest_progress_and_all_suspects_hold(self):
+        one = report("e1", {"p": 1}, progress={"p": 0.3}, suspects=["p"], turned_away={"m": 2})
+        two = report("e2", {"p": 1}, progress={"p": 0.1}, suspects=["q"], turned_away={"m": 1})
+        total = add_up("hub", Scope.TOTAL, "a", [one, two])
+        self.assertEqual(total.progress, {"p": 0.1})
+        self.assertEqual(total.suspects, ["p", "q"])
+        self.assertEqual(total.turned_away, {"m": 3})
+
+    def test_parts_fit_into_datagrams_and_hold_it_all(self):
+        rng = random.Random(1)
+        targets = [f"data-centre-{n % 4}-d{n % 8}.{n}" for n in range(300)]
+        whole = report(
+            "front-data-centre-17",
+            {t: rng.randint(1, 13) for t in targets},
+            progress=dict.fromkeys(targets, 0.123),
+            suspects=targets[:5],
+        )
+        parts = in_parts(whole)
+        self.assertLessEqual(max(len(_ENCODER.encode(p)) for p in parts), 1400)
+        self.assertEqual({t: n for p in parts for t, n in p.counts.items()}, whole.counts)
+        self.assertEqual(len({p.part for p in parts}), len(parts))
+
+
+if __name__ == "__main__":
+    unittest.main()
