Add a fault soak of real entry hosts as processes

The users ask for it with the grown deployments. Three entry hosts run as separate processes against stand-ins of store, engine hosts and targets; each reaches the store through a loopback link that is slowed, reset, cut one way or silenced; processes are killed, paused, terminated, restarted and told to reload; hosts are lost, orders and writes late, answers reset, keys removed, all overlapping.

Checked from what callers and targets saw: no group serves that was not whole, nothing that may run once runs twice, "not run" is true, streams are whole or don't look so, removed keys are dead after their bound, no process ends by itself, and at the end requests are answered again.

Test addresses come from a net of the process's own: two runs side by side listened on the same.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES := $(shell find src -name '*.py')
 export PYTHONPATH := dev:.
 
-.PHONY: demo platform-demo days test bench fuzz matrix mutants slopes experiments load site dist format clean
+.PHONY: demo platform-demo soak days test bench fuzz matrix mutants slopes experiments load site dist format clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -68,6 +68,11 @@
 platform-demo: $(VENV)/ready
 	$(BIN)/python -m oleanderhill_dev.users.demo
 
+COUNT ?= 5
+
+soak: $(VENV)/ready
+	$(BIN)/python -m oleanderhill_dev.users.soak $(SEED) $(COUNT)
+
 SITE ?=
 
 days: $(VENV)/ready
--- a/dev/oleanderhill_dev/bench_site.py
+++ b/dev/oleanderhill_dev/bench_site.py
@@ -24,6 +24,8 @@
 OPERATOR_KEY = "operator-key"
 _addresses = itertools.count()
 MODEL_HOSTS = 4
+FIRST_NET, NETS = 20, 200
+"""Nets of loopback that :func:`free_address` uses; those below are the sites' own."""
 
 
 class EntryAddress(NamedTuple):
@@ -236,11 +238,13 @@
 def free_address() -> str:
     """Return a loopback address that nothing else uses.
 
-    Each call gives another IP number of a net of its own. A free port of 127.0.0.1 would not do:
-    an outgoing connection of any process may take it before it is listened on.
+    Each call gives another IP number of a net of its own, and each process has another net, so
+    that two test runs side by side don't meet. A free port of 127.0.0.1 would not do: an outgoing
+    connection of any process may take it before it is listened on.
     """
     number = next(_addresses)
-    return f"127.8.{number // 250}.{1 + number % 250}:7100"
+    net = FIRST_NET + os.getpid() % NETS
+    return f"127.{net}.{number // 250}.{1 + number % 250}:7100"
 
 
 def new_key() -> str:
--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -27,6 +27,7 @@
     """A request that began to run.
 
     :param members_ready: so many members stood in the group when it began
+    :param never_ready: members that had never been ready in this group by then
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     account: str
     resumed_after: int | None
     members_ready: int
+    never_ready: tuple[str, ...] = ()
 
 
 class OrderFaults:
@@ -149,6 +151,7 @@
     def _joined(self, group: dict[str, Any]) -> None:
         if self.group is group:
             group["state"] = "ready"
+            self.site.ready_once.add((group["name"], group["epoch"], self.instance))
             self.staged = [self.model]
             self.publish()
 
@@ -203,6 +206,7 @@
         self.withdraw = withdraw
         self.host_by_instance: dict[str, StandInHost] = {}
         self.runs: list[RunRecord] = []
+        self.ready_once: set[tuple[str, int, str]] = set()
         self.pieces = 10
         self.tear_after = 0
         """Events after which the next stream is cut in the middle of one, 0 for never."""
@@ -264,6 +268,11 @@
             headers.get("Tenant", ""),
             int(last) if last else None,
             host.whole(),
+            tuple(
+                m
+                for m in host.members
+                if (host.group["name"], host.group["epoch"], m) not in host.site.ready_once
+            ),
         )
         host.site.runs.append(record)
         self.set_header("Content-Type", "text/event-stream")
