--- a/dev/oleanderhill_dev/capacity.py
+++ b/dev/oleanderhill_dev/capacity.py
@@ -113,7 +113,7 @@
             s.at("membership.cpu", NODES_OF_A_CENTRE) / 1e6,
             s.at("membership.memory", NODES_OF_A_CENTRE + 9 * DATA_CENTRES) / 1024,
             s.at("membership.bytes", NODES_OF_A_CENTRE),
-            "`membership`, `members`",
+            "`membership`, `task`",
         ),
         Row(
             "domain owner: probes",
@@ -140,7 +140,7 @@
             heard * s.at("view.learn", GROUPS_OF_A_DOMAIN) / 1e6,
             s.at("view.memory", GROUPS_IN_VIEW + GROUPS_FAR) / 1024,
             0.0,
-            "`dispatch`, `evidence`, `routing`",
+            "`dispatch`, `evidence`, `router`",
         ),
         Row(
             "planner (one node of a data centre)",
@@ -167,7 +167,7 @@
             s.at("limits.cpu", ACCOUNTS_ACTIVE) / 1e6,
             0.1,
             DEMAND_FANOUT * s.at("limits.bytes", ACCOUNTS_ACTIVE),
-            "`limits`, `limiting`",
+            "`accounts`, `limiting`",
         ),
     ]
 
@@ -356,7 +356,7 @@
   demand is known to all after 52 s, and longer where contacts of other data centres are counted
   in. The shape to come, if that is too slow: collectors of a data centre, by rendezvous hash of the
   account, which answer with shares, and contacts that carry the sums between data centres.
-  `limits` stays as it is; the change is in `limiting`. Until then a data centre at that size also
+  `accounts` stays as it is; the change is in `limiting`. Until then a data centre at that size also
   divides a rate by what it knows of the others (9 contacts each), not by all of them.
 - **Memory.** Settings of more than about 8,000 entries pass 64 MB with the libraries that are
   loaded. The checker (`jsonschema`) and the command line (`defopt`) take some 13 MB between them;
