Say in the log when readings come from another source

The users ask for a line at each dependency lost or regained; the entry host that reads the store for a data centre is one. Without it, a host whose reader is gone showed only a growing number of calls. One line for each change, none while nothing changes; no decision is different.

--- a/src/oleanderhill/clients/mirror.py
+++ b/src/oleanderhill/clients/mirror.py
@@ -93,6 +93,7 @@
         self._read_at = float("-inf")
         self._doubt_until = float("-inf")
         self._connected = False
+        self._source = ""
         self._was_lost = False
         self.connected_since = float("inf")
         self._hurry_until = float("-inf")
@@ -218,7 +219,10 @@
 
     def _connect(self, source: Source, began: float) -> None:
         if self._connected:
+            if source.name != self._source:
+                self._note_source(source)
             return
+        self._source = source.name
         self._connected = True
         self.connected_since = began
         self._records.note(
@@ -231,6 +235,19 @@
         if self._was_lost:
             self._doubt(awake_or_not() + self._entry_return)
 
+    def _note_source(self, source: Source) -> None:
+        """Say that the content comes from elsewhere now: the source before had no answer."""
+        self._records.note(
+            "dependency",
+            "source changed",
+            dependency="store",
+            source=source.name,
+            before=self._source,
+            after=self.log.revision,
+            age_s=round(self.age(awake_or_not()), 2),
+        )
+        self._source = source.name
+
     def _disconnect(self, error: StoreError) -> None:
         if not self._connected:
             return
