--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -83,8 +83,16 @@
         return Reading(NOT_RUN in headers or status == 421, SEAL in headers)
 
     def belongs(self, request_id: str, headers: HTTPHeaders) -> bool:
-        """Tell whether a reply answers this request. One without an id is a target's refusal."""
-        return headers.get(REQUEST_ID, request_id) == request_id
+        """Tell whether a reply answers this request.
+
+        A target's own answer names the request. One that is signed and names none is a late extra
+        answer to a request that had no id: taken for this one's, its caller got another's answer.
+        A refusal, which is not signed, may come without an id.
+        """
+        named = headers.get(REQUEST_ID)
+        if named is None:
+            return not request_id or SEAL not in headers
+        return named == request_id
 
     def to_caller(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers with which a target's answer goes to the caller."""
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -140,6 +140,7 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         self._front.idle.discard(self)
+        self._front.underway.add(self)
         self._start = start_line
         self._headers = headers
         self._arrived = time.monotonic()
@@ -155,6 +156,7 @@
         sink = CallerSink(self._connection, front.codec, facts, front)
         if self._size > front.serving.max_body():
             sink.refuse(too_large(front.serving.max_body()))
+            front.underway.discard(self)
             return
         incoming = Incoming(
             self._start.method,
@@ -170,9 +172,12 @@
         if isinstance(self._connection, HTTP1Connection):
             self._connection.set_close_callback(self.on_connection_close)
         self._task = front.spawn(front.run(incoming, host, path, sink))
+        self._task.add_done_callback(lambda _: front.underway.discard(self))
 
     def on_connection_close(self) -> None:
         self._front.idle.discard(self)
+        if self._task is None:
+            self._front.underway.discard(self)
         if self._task is not None:
             self._task.cancel()
 
@@ -237,7 +242,7 @@
         self.serving = serving
         self._records = records
         self.stopping = False
-        self.in_flight = 0
+        self.underway: set[_Message] = set()
         self.idle: WeakSet[_Message] = WeakSet()
         self._servers: list[HTTPServer] = []
 
@@ -261,6 +266,15 @@
             await server.close_all_connections()
         await super().stop()
 
+    @property
+    def in_flight(self) -> int:
+        """Return the requests whose head has come and whose answer has not ended.
+
+        They count from their head on. Counted from the start of their task, one that came in the
+        moment in which a drain saw none was cut by the end of the process, its target at work.
+        """
+        return len(self.underway)
+
     @property
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -287,7 +301,6 @@
 
     async def run(self, incoming: Incoming, host: str, path: str, sink: CallerSink) -> None:
         """Run a request to its final answer; every failure gets one."""
-        self.in_flight += 1
         try:
             await self.serving.serve(incoming, host, path, sink)
         except Exception as error:  # a fault of ours must not leave the caller without an answer
@@ -298,5 +311,3 @@
                 sink.cut()
             elif not sink.finished:
                 sink.refuse(Problem("internal", 502, Ran.UNKNOWN, "an internal failure"))
-        finally:
-            self.in_flight -= 1
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -365,8 +365,37 @@
             self.assertEqual(await reader.read(), b"")
         writer.close()
 
+    async def test_request_whose_head_has_come_is_waited_for(self):
+        # A caller's request begins to arrive in the moment in which the drain looks for work. Not
+        # counted yet, it was read and passed on while the process ended, and its connection cut
+        # with the target at work.
+        ip, port = self.entry.callers.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = f"POST /open/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+        drained = asyncio.create_task(self.entry.front.drain())
+        await asyncio.sleep(2.4)
+        writer.write(f"{head}Attempt-Id: late\r\n\r\n".encode())
+        await asyncio.sleep(0.6)
+        self.assertFalse(drained.done())
+        writer.write(b"x")
+        async with asyncio.timeout(2.0):
+            self.assertIn(b"200", await reader.readline())
+        await asyncio.wait_for(drained, 2.0)
+        writer.close()
+
 
 class DecodingTest(unittest.TestCase):
+    def test_signed_answer_that_names_no_request_is_another_ones(self):
+        # A request without an id ran at a target, which later sends an extra answer on the kept
+        # connection, where the next request's is due. Its caller got the answer of another.
+        codec = HeaderCodec()
+        extra = HTTPHeaders({"Response-Seal": "s"})
+        self.assertFalse(codec.belongs("r1", extra))
+        self.assertTrue(codec.belongs("", extra))
+        self.assertFalse(codec.belongs("r1", HTTPHeaders({"Attempt-Id": "r0"})))
+        self.assertTrue(codec.belongs("r1", HTTPHeaders({"Attempt-Id": "r1"})))
+        self.assertTrue(codec.belongs("r1", HTTPHeaders({"Not-Executed": "1"})))
+
     def test_malformed_values_are_typed_errors(self):
         for data in (b"{", b"[]", b'{"version": "x"}'):
             with self.assertRaises(ValueError):
