--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -152,6 +152,11 @@
 
     def finish(self) -> None:
         front = self._front
+        if isinstance(self._connection, HTTP1Connection) and self._connection.stream.closed():
+            # Read in the moment in which the connection was closed as an idle one: nobody is left
+            # to take the answer, and a target would work for it in vain.
+            front.underway.discard(self)
+            return
         facts = front.codec.read_request(self._headers)
         sink = CallerSink(self._connection, front.codec, facts, front)
         if self._size > front.serving.max_body():
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -383,6 +383,28 @@
         await asyncio.wait_for(drained, 2.0)
         writer.close()
 
+    async def test_request_that_crosses_the_close_of_its_connection_is_not_passed_on(self):
+        # A request has been read from the socket when its connection, idle until then, is closed
+        # at the end of a drain. Passed on all the same, a target ran it and its caller, who may
+        # not repeat it, got nothing.
+        ip, port = self.entry.callers.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        await until(lambda: list(self.entry.front.idle))
+        (message,) = list(self.entry.front.idle)
+        received = message.headers_received
+
+        def receive_and_close(start_line, headers):
+            received(start_line, headers)
+            message.close()
+
+        message.headers_received = receive_and_close
+        writer.write(f"GET /open/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: cross\r\n\r\n".encode())
+        self.assertEqual(await reader.read(), b"")
+        await asyncio.sleep(0.2)
+        self.assertNotIn("cross", [i for t in self.site.targets for i in t.ran])
+        self.assertEqual(self.entry.front.in_flight, 0)
+        writer.close()
+
 
 class DecodingTest(unittest.TestCase):
     def test_signed_answer_that_names_no_request_is_another_ones(self):
