Tell the lives of a target host apart, and take no foreign entry for one

A replica may start again under its id, then holds nothing and its counts start anew (born, ms of its start); and others may write into the list. Everything here was kept by id: plans, inventory, word of leaving, wholeness, suspicion, counts, probes, staging. A member that had restarted stood in its old group if a write of its earlier life came late, and a malformed entry left the one before in use, an unknown state counted as leaving.

Change: one life is Instance(name, born) in all types; a later life ends the earlier one, also while entries are in doubt, and an earlier one is never taken again; a probe is answered only by the life that was asked. An entry that lacks a field each entry has, has one of another type, a state or name that can't be, or is nested too deeply names no host, and takes the place of what lay there. Hosts of services that are not configured are no engines, and an engine's entry without a domain no target.

Ruled out: requiring born.

Walk over what is kept by instance: inventory (newest life by name, bounded), plans and let-go, whole-once by group, probes missed, avoided, ordered, staging (all by life now), addresses (rebuilt at each look), load counts and doubt of plain targets (named by life), kept connections (closed for the address of a life that ended, at the callers' and at the orders' client).

--- a/dev/oleanderhill_dev/users/demo.py
+++ b/dev/oleanderhill_dev/users/demo.py
@@ -64,7 +64,7 @@
         asked.append(asyncio.create_task(_ask(site, caller, number)))
         await asyncio.sleep(0.05)
         if number == REQUESTS // 3:
-            head = site.entries[0].candidates("pool", LARGE)[0].host.instance
+            head = site.entries[0].candidates("pool", LARGE)[0].host.instance.name
             lost = site.engines.host_by_instance[head].members[1]
             site.lose_host(lost)
             print(f"host {lost} loses power")
--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -21,6 +21,8 @@
 LOAD_SECONDS = 0.4
 FORM_SECONDS = 0.05
 STALL_SECONDS = 4.0
+FIRST_BORN = 1_788_000_000_000
+"""Unix milliseconds before the first host's start."""
 
 
 class RunRecord(NamedTuple):
@@ -53,6 +55,7 @@
     def __init__(self, site: EngineSite, instance: str, domain: str, data_centre: str) -> None:
         self.site = site
         self.instance = instance
+        self.born = site.next_born()
         self.domain = domain
         self.data_centre = data_centre
         self.address = ""
@@ -76,6 +79,8 @@
                 "address": self.address,
                 "zone": self.data_centre,
                 "version": "v1",
+                "born": self.born,
+                "cold_remaining_ms": 0,
                 "max_batch": 13,
                 "state": "draining" if self.leaving else "ready",
                 "sequence": len(self.orders),
@@ -95,6 +100,15 @@
         """Stop to answer, as a host without power does; the entry goes later."""
         self.alive = False
 
+    def restart(self) -> None:
+        """Crash and start again at once, under the same name and address."""
+        self.born = self.site.next_born()
+        self.group, self.members, self.model = None, [], ""
+        self.seen_epoch = self.seen_fence = 0
+        self.orders = []
+        self.site.ready_once = {r for r in self.site.ready_once if r[2] != self.instance}
+        self.publish()
+
     def take(self, order: dict[str, Any]) -> int:
         """Take an order; return the status."""
         fence = order.get("fencing_token", 0)
@@ -207,10 +221,16 @@
         self.host_by_instance: dict[str, StandInHost] = {}
         self.runs: list[RunRecord] = []
         self.ready_once: set[tuple[str, int, str]] = set()
+        self._born = FIRST_BORN
         self.pieces = 10
         self.tear_after = 0
         """Events after which the next stream is cut in the middle of one, 0 for never."""
 
+    def next_born(self) -> int:
+        """Return the moment of a start, in Unix milliseconds."""
+        self._born += 1
+        return self._born
+
     def later(self, seconds: float, call: Callable[[], None]) -> None:
         """Do something later."""
         asyncio.get_running_loop().call_later(seconds, call)
@@ -233,7 +253,8 @@
 class _Report(_Handler):
     def get(self) -> None:
         host = self.host
-        self.finish({"phase": "unified", "group": host.group, "staged": host.staged})
+        held = {"phase": "unified", "group": host.group, "staged": host.staged}
+        self.finish({**held, "born": host.born})
 
 
 class _Order(_Handler):
@@ -278,10 +299,14 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Response-Seal", f"seal-{host.instance}")
+        born = host.born
         try:
             for number in range(first, host.site.pieces):
+                if host.born != born:
+                    raise StreamClosedError  # this life is over, and its connections with it
                 await self._piece(number)
         except StreamClosedError:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
             return
 
     async def _piece(self, number: int) -> None:
--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -73,7 +74,7 @@
     def __init__(self) -> None:
         self.store = StandInStore()
         self.store_address = ""
-        self.engines = EngineSite("pool", self._publish, self._withdraw)
+        self.engines = EngineSite("pool", self.write_entry, self._withdraw)
         self.targets: list[StandInTarget] = []
         self.entries: list[EntryHost] = []
         self._servers: list[Any] = []
@@ -116,8 +117,18 @@
         """Add a plain target."""
         target = StandInTarget(instance)
         address = self.listen(make_target_application(target))
-        entry = {"service": "desk", "address": address, "zone": "hall", "max_batch": 6}
-        self._publish(instance, json.dumps({**entry, "state": "ready"}).encode())
+        entry = {
+            "service": "desk",
+            "address": address,
+            "zone": "hall",
+            "version": "v1",
+            "born": self.engines.next_born(),
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "max_batch": 6,
+            "state": "ready",
+        }
+        self.write_entry(instance, json.dumps(entry).encode())
         self.targets.append(target)
         return target
 
@@ -160,7 +171,8 @@
         """Let a host lose power: it stops to answer, and its entry goes after a while."""
         self.engines.host_by_instance[instance].die()
 
-    def _publish(self, instance: str, entry: bytes) -> None:
+    def write_entry(self, instance: str, entry: bytes) -> None:
+        """Write whatever into the list of hosts, as anybody may."""
         self.store.put(f"servers/{instance}", entry)
 
     def _withdraw(self, instance: str) -> None:
@@ -173,6 +185,24 @@
                 host.publish()
 
 
+def garbage(rng: random.Random, sound: bytes) -> bytes:
+    """Return what another writer might put into the list, made from a sound entry."""
+    entry = json.loads(sound)
+    name = rng.choice(sorted(entry))
+    match rng.randrange(5):
+        case 0:
+            del entry[rng.choice(("service", "address", "zone", "version", "state", "sequence"))]
+        case 1:
+            entry[name] = rng.choice([{"a": 1}, [[]]])
+        case 2:
+            entry["state"] = "sleeping"
+        case 3:
+            entry["service"] = "not-configured"
+        case 4:
+            return sound[: rng.randrange(1, len(sound))]
+    return json.dumps(entry).encode()
+
+
 async def until(condition: Callable[[], Any], seconds: float = 15.0) -> Any:
     """Wait until a condition holds and return its value.
 
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -29,7 +29,7 @@
 
 from ..bench_site import free_address
 from .faulty_link import FaultyLink, LinkState
-from .site import LARGE, SMALL, StandInSite, until
+from .site import LARGE, SMALL, StandInSite, garbage, until
 
 ROOT = Path(__file__).resolve().parents[3]
 ENTRIES = 3
@@ -113,6 +113,18 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
+    def ignores(self, number: int) -> bool:
+        """Tell whether the process has come so far as to ignore a signal."""
+        if self._process is None:
+            return False
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        ignored = next(x for x in status.splitlines() if x.startswith("SigIgn:")).split()[1]
+        return bool(int(ignored, 16) >> (number - 1) & 1)
+
+    def log(self) -> str:
+        """Return what the process has written so far."""
+        return (self._folder / f"{self.name}.log").read_text()
+
     def ended(self) -> bool:
         """Tell whether the process has ended."""
         return self._process is None or self._process.poll() is not None
@@ -285,6 +297,8 @@
             self._lose_writes,
             self._forget_history,
             self._lose_host,
+            self._restart_host,
+            self._write_garbage,
             self._late_orders,
             self._reset_targets,
             self._shed,
@@ -351,6 +365,19 @@
         self._new_hosts += 1
         self.site.add_host(f"i-{self._new_hosts}", "d0")
 
+    async def _restart_host(self) -> None:
+        alive = [h for h in self.site.engines.host_by_instance.values() if h.alive]
+        host = self._rng.choice(alive)
+        old = host.entry()
+        host.restart()
+        if self._rng.random() < 0.5:
+            # The entry of the life before was on its way, and shows the host in its old group.
+            self.site.write_entry(host.instance, old)
+
+    async def _write_garbage(self) -> None:
+        host = self._rng.choice(list(self.site.engines.host_by_instance.values()))
+        self.site.write_entry(f"other-{self._rng.randint(0, 9)}", garbage(self._rng, host.entry()))
+
     async def _late_orders(self) -> None:
         for host in self.site.engines.host_by_instance.values():
             if self._rng.random() < 0.3:
--- a/src/oleanderhill/groups/composing.py
+++ b/src/oleanderhill/groups/composing.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from .inventory import Instance
 from .plans import DomainPlan
 
 LOAD_WEIGHS = 1.2
@@ -58,7 +59,7 @@
         counted with, as it will be free in a moment
     """
 
-    instance: str
+    instance: Instance
     model: str
     at_hand: bool
 
@@ -171,13 +172,13 @@
 
 def loads_to_order(
     plan: DomainPlan, free: Sequence[FreeHost], aim: Standard, needs: Sequence[ModelNeed]
-) -> list[tuple[str, str]]:
+) -> list[tuple[Instance, str]]:
     """Return which free hosts are to load which model's weights, the most urgent first.
 
     :param plan: the domain's plan, of its sound groups only
     """
     left = list(free)
-    orders: list[tuple[str, str]] = []
+    orders: list[tuple[Instance, str]] = []
     while True:
         staged = Counter(h.model for h in left)
         need = _next_goal(plan, staged, len(left), aim, needs)
@@ -221,7 +222,7 @@
 
 def _spares(
     plan: DomainPlan, left: Sequence[FreeHost], needs: Sequence[ModelNeed]
-) -> list[tuple[str, str]]:
+) -> list[tuple[Instance, str]]:
     """Return what hosts beyond all groups load: a spare for each model before a second for one."""
     spares = Counter(h.model for h in left)
     orders = []
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -12,12 +12,12 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
 from .composing import FreeHost, ModelNeed, loads_to_order, next_first, next_model, standard
-from .inventory import MemberState, TargetHost
+from .inventory import Instance, MemberState, TargetHost
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup
 
@@ -47,7 +47,7 @@
 
 AVOID_SECONDS = 3.0
 """Seconds for which a host that did not answer an order or probe is given to no group: it is dead
-and still listed, or it carries its orders out late."""
+and still listed, another answers at its address, or it carries its orders out late."""
 
 STAGING_PATIENCE = 3.0
 """Times its load time after which a host that still lacks the weights is ordered to load again:
@@ -61,14 +61,14 @@
     """Order a host into a group."""
 
     group: PlannedGroup
-    instance: str
+    instance: Instance
 
 
 class Open(NamedTuple):
     """Order a head to serve."""
 
     group: PlannedGroup
-    instance: str
+    instance: Instance
 
 
 class Leave(NamedTuple):
@@ -76,14 +76,14 @@
 
     group: str
     epoch: int
-    instance: str
+    instance: Instance
 
 
 class Stage(NamedTuple):
     """Order a host to load a model's weights, to have them at hand."""
 
     model: str
-    instance: str
+    instance: Instance
 
 
 class Replan(NamedTuple):
@@ -128,18 +128,18 @@
         self._since: dict[str, float] = {}
         self._fault_since: dict[str, float] = {}
         self._whole_once: set[str] = set()
-        self._let_go_at: dict[tuple[str, str], float] = {}
+        self._let_go_at: dict[tuple[str, Instance], float] = {}
         self._condemned: set[str] = set()
-        self._probes_missed: dict[str, int] = {}
+        self._probes_missed: dict[Instance, int] = {}
         self._answered_at = float("-inf")
-        self._avoid_until: dict[str, float] = {}
-        self._staging: dict[str, tuple[str, float]] = {}
+        self._avoid_until: dict[Instance, float] = {}
+        self._staging: dict[Instance, tuple[str, float]] = {}
 
     def ended(self, order: Order, end: OrderEnd, now: float) -> None:
         """Take note of how an order ended."""
-        if end == OrderEnd.SILENT:
+        if end in (OrderEnd.SILENT, OrderEnd.GONE):
             self._avoid_until[order.instance] = now + AVOID_SECONDS
-        else:
+        if end != OrderEnd.SILENT:
             self._answered_at = now
         if not isinstance(order, Leave):
             return
@@ -147,7 +147,7 @@
             self._let_go_at[order.group, order.instance] = now
             self._condemned.add(order.group)
 
-    def probed(self, instance: str, answered: bool, now: float) -> None:
+    def probed(self, instance: Instance, answered: bool, now: float) -> None:
         """Take note of whether a host answered a probe."""
         if answered:
             self._answered_at = now
@@ -160,15 +160,17 @@
         self,
         now: float,
         plan: DomainPlan,
-        host_by_instance: Mapping[str, TargetHost],
+        host_by_instance: Mapping[Instance, TargetHost],
         needs: Sequence[ModelNeed],
         first: Mapping[str, int] | None,
+        ended: Collection[Instance] = (),
     ) -> list[Action]:
         """Return what to do now.
 
         :param host_by_instance: the hosts of the domain that the list shows
         :param first: how many groups of each model to form while loads are quick and free, of any
             hosts, none while the list is not complete; ``None`` once loads count
+        :param ended: members whose hosts have started again since, and so have left their groups
         """
         loads_free = first is not None
         self._forget(plan, host_by_instance)
@@ -184,7 +186,7 @@
             self._fault_since.setdefault(group.name, now)
             if self._let_be(now, group, fault):
                 continue
-            if self._may_dissolve(now, group, host_by_instance):
+            if self._may_dissolve(now, group, host_by_instance, ended):
                 dissolved.append(f"{group.name} {fault.value}")
                 plan = plan.without_group(group.name)
             else:
@@ -201,7 +203,7 @@
             actions.extend(self._stage_spares(now, plan, host_by_instance, needs, loads_free))
         return actions
 
-    def _forget(self, plan: DomainPlan, hosts: Mapping[str, TargetHost]) -> None:
+    def _forget(self, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> None:
         names = {g.name for g in plan.groups}
         self._probes_missed = {i: n for i, n in self._probes_missed.items() if i in hosts}
         self._avoid_until = {i: t for i, t in self._avoid_until.items() if i in hosts}
@@ -217,7 +219,7 @@
         self,
         now: float,
         group: PlannedGroup,
-        hosts: Mapping[str, TargetHost],
+        hosts: Mapping[Instance, TargetHost],
         needs: Sequence[ModelNeed],
     ) -> Fault | None:
         # Once a member has left, the group is past mending: ordered in again, the member would be
@@ -251,7 +253,7 @@
         self,
         now: float,
         group: PlannedGroup,
-        hosts: Mapping[str, TargetHost],
+        hosts: Mapping[Instance, TargetHost],
         loads_free: bool,
     ) -> list[Action]:
         members = [hosts[i] for i in group.members]
@@ -283,21 +285,29 @@
         return fault == Fault.MEMBER_LEAVING and now - self._fault_since[group.name] < LEAVING_GRACE
 
     def _may_dissolve(
-        self, now: float, group: PlannedGroup, hosts: Mapping[str, TargetHost]
+        self,
+        now: float,
+        group: PlannedGroup,
+        hosts: Mapping[Instance, TargetHost],
+        ended: Collection[Instance],
     ) -> bool:
         """Tell whether all hosts of a group that can be asked have left it.
 
-        Where none can be, it is likely the way there that is cut, and the group may be whole.
+        Where none can be, it is likely the way there that is cut, and the group may be whole,
+        unless all of them are known to have started again.
         """
         present = [i for i in group.members if i in hosts]
         if not present:
-            return now - self._fault_since[group.name] > KEPT_ABSENT
+            return (
+                all(i in ended for i in group.members)
+                or now - self._fault_since[group.name] > KEPT_ABSENT
+            )
         asked = [i for i in present if now >= self._avoid_until.get(i, 0.0)]
         left = [i for i in present if (group.name, i) in self._let_go_at]
         return bool(left) and all(i in left for i in asked)
 
     def _break_up(
-        self, now: float, group: PlannedGroup, hosts: Mapping[str, TargetHost]
+        self, now: float, group: PlannedGroup, hosts: Mapping[Instance, TargetHost]
     ) -> list[Action]:
         present = [i for i in group.members if i in hosts]
         staying = [i for i in present if (group.name, i) not in self._let_go_at]
@@ -308,7 +318,7 @@
         return [action for order in orders for action in self._once(now, order)]
 
     def _send_off_strays(
-        self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
+        self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
     ) -> list[Action]:
         """Order hosts out of groups that are not planned: they came back, or joined late."""
         held = {i for g in plan.groups for i in g.members}
@@ -343,7 +353,7 @@
         self,
         now: float,
         plan: DomainPlan,
-        hosts: Mapping[str, TargetHost],
+        hosts: Mapping[Instance, TargetHost],
         needs: Sequence[ModelNeed],
         first: Mapping[str, int] | None,
     ) -> tuple[DomainPlan, str] | None:
@@ -368,7 +378,7 @@
         return (plan, "; ".join(reasons)) if reasons else None
 
     def _free(
-        self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
+        self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
     ) -> list[TargetHost]:
         """Return the hosts that may be given to a group."""
         held = {i for g in plan.groups for i in g.members}
@@ -390,7 +400,7 @@
         self,
         now: float,
         plan: DomainPlan,
-        hosts: Mapping[str, TargetHost],
+        hosts: Mapping[Instance, TargetHost],
         needs: Sequence[ModelNeed],
         loads_free: bool,
     ) -> list[Action]:
@@ -422,7 +432,7 @@
         return len(self._staging) < self._pacer.at_once and self._pacer.take(now)
 
     def _left_over(
-        self, now: float, plan: DomainPlan, hosts: Mapping[str, TargetHost]
+        self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
     ) -> list[FreeHost]:
         """Return the hosts in no sound group, those that will be free in a moment among them."""
         free = [FreeHost(h.instance, self._weights(h), True) for h in self._free(now, plan, hosts)]
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
+NAMES_KEPT = 4_000
+"""Hosts beyond those listed whose last start is remembered: five days of the 760 failures and
+restarts a day that are expected of the largest deployment. A write that lasted longer on its way is
+unheard of."""
+
 
 class MemberState(StrEnum):
     """Where a host stands in the group it reports."""
@@ -26,16 +31,34 @@
     state: MemberState
 
 
+class Instance(NamedTuple):
+    """One life of a target host, from a start of its process to its end.
+
+    A host may start again under the name that it had. It then holds nothing of before, and its
+    counts start anew: whatever is kept about a host is kept by this pair, so that nothing known
+    of one life is taken for the other.
+
+    :param name: the platform's name of the host
+    :param born: Unix milliseconds of the start, 0 where the platform says none; there a restart
+        gets another name
+    """
+
+    name: str
+    born: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.name}@{self.born}" if self.born else self.name
+
+
 class TargetHost(NamedTuple):
-    """A target host in one life: a restart gives it another instance.
+    """A target host in one life.
 
-    :param instance: names the life; never used again
     :param slots: requests it runs at once
     :param domain: fabric domain, empty for a target of a plain service
     :param staged: models whose weights lie on the host
     """
 
-    instance: str
+    instance: Instance
     service: str
     address: str
     data_centre: str
@@ -47,6 +70,27 @@
     membership: Membership | None = None
 
 
+class Taken(NamedTuple):
+    """What became of an entry.
+
+    :param current: it was taken; ``False`` for one of a life that is over
+    :param before: the entry of the same life before it
+    :param ended: an earlier life under this name that was still listed
+    """
+
+    current: bool
+    before: TargetHost | None
+    ended: Removal | None
+
+
+class Removal(NamedTuple):
+    """A life whose entry is missing; ``gone`` is ``False`` while it may yet come back."""
+
+    instance: Instance
+    address: str
+    gone: bool
+
+
 class Inventory:
     """The hosts by instance, with a grace for those whose entry went while the store was away.
 
@@ -55,51 +99,84 @@
     """
 
     def __init__(self) -> None:
-        self.by_instance: dict[str, TargetHost] = {}
-        self._doubtful_until: dict[str, float] = {}
+        self.by_instance: dict[Instance, TargetHost] = {}
+        self._doubtful_until: dict[Instance, float] = {}
+        self._life_by_name: dict[str, Instance] = {}
+        self._newest_born: dict[str, int] = {}
         self._doubt_ends = float("-inf")
 
     def doubt(self, until: float) -> None:
         """Take note that the store was away: entries that are missing may be back by a time."""
         self._doubt_ends = max(self._doubt_ends, until)
 
-    def put(self, host: TargetHost) -> TargetHost | None:
-        """Take a host's entry; return the one before."""
-        self._doubtful_until.pop(host.instance, None)
-        before = self.by_instance.get(host.instance)
-        self.by_instance[host.instance] = host
-        return before
-
-    def remove(self, instance: str, now: float) -> bool:
-        """Take a host's end; return whether it is gone now, ``False`` while that is doubtful."""
-        if instance not in self.by_instance:
-            return False
+    def put(self, host: TargetHost) -> Taken:
+        """Take a host's entry, unless a later life under its name is known.
+
+        A host that was cut off and started again may have an entry of its life before still on the
+        way. Taken, it would show the host in a group that it knows nothing of any more.
+        """
+        instance = host.instance
+        if instance.born < self._newest_born.get(instance.name, 0):
+            return Taken(False, None, None)
+        # The name goes to the end: the first ones are those not heard of for the longest time.
+        self._newest_born.pop(instance.name, None)
+        self._newest_born[instance.name] = instance.born
+        self._bound_names()
+        # A newer life proves the end of the older one, also while entries are in doubt.
+        known = self.life_of(instance.name)
+        ended = self.discard(instance.name) if known != instance else None
+        self._doubtful_until.pop(instance, None)
+        before = self.by_instance.get(instance)
+        self.by_instance[instance] = host
+        self._life_by_name[instance.name] = instance
+        return Taken(True, before, ended)
+
+    def life_of(self, name: str) -> Instance | None:
+        """Return the life of a host that the list shows."""
+        return self._life_by_name.get(name)
+
+    def remove(self, name: str, now: float) -> Removal | None:
+        """Take a host's end, ``None`` for one that was not listed."""
+        instance = self.life_of(name)
+        if instance is None:
+            return None
         if now < self._doubt_ends:
             self._doubtful_until.setdefault(instance, self._doubt_ends)
-            return False
-        del self.by_instance[instance]
-        return True
-
-    def replace(self, hosts: Iterable[TargetHost], now: float) -> list[str]:
-        """Take the whole list anew; return the instances that are gone."""
-        found = {h.instance: h for h in hosts}
-        missing = [i for i in self.by_instance if i not in found]
-        for host in found.values():
-            self.put(host)
-        return [i for i in missing if self.remove(i, now)]
-
-    def expire(self, now: float) -> list[str]:
-        """Drop the hosts whose entries did not come back in time; return their instances."""
-        gone = [i for i, until in self._doubtful_until.items() if now >= until]
-        for instance in gone:
-            del self._doubtful_until[instance]
-            self.by_instance.pop(instance, None)
-        return gone
-
-    def of_domain(self, domain: str) -> list[TargetHost]:
-        """Return the hosts of a fabric domain."""
-        return [h for h in self.by_instance.values() if h.domain == domain]
-
-    def domains(self) -> set[str]:
-        """Return the fabric domains."""
-        return {h.domain for h in self.by_instance.values() if h.domain}
+            return Removal(instance, self.by_instance[instance].address, False)
+        return self.discard(name)
+
+    def discard(self, name: str) -> Removal | None:
+        """Drop a host at once, whatever is in doubt; ``None`` for one that was not listed."""
+        instance = self._life_by_name.pop(name, None)
+        if instance is None:
+            return None
+        self._doubtful_until.pop(instance, None)
+        return Removal(instance, self.by_instance.pop(instance).address, True)
+
+    def replace(self, hosts: Iterable[TargetHost], now: float) -> list[Removal]:
+        """Take the whole list anew; return the lives that are gone."""
+        found = list(hosts)
+        listed = {h.instance.name for h in found}
+        missing = [n for n in self._life_by_name if n not in listed]
+        removals = [*(self.put(h).ended for h in found), *(self.remove(n, now) for n in missing)]
+        return [r for r in removals if r is not None and r.gone]
+
+    def expire(self, now: float) -> list[Removal]:
+        """Drop the hosts whose entries did not come back in time."""
+        due = [i for i, until in self._doubtful_until.items() if now >= until]
+        return [removal for i in due if (removal := self.discard(i.name)) is not None]
+
+    def ended(self, instance: Instance) -> bool:
+        """Tell whether a life is surely over: the host started again since."""
+        return instance.born < self._newest_born.get(instance.name, 0)
+
+    def _bound_names(self) -> None:
+        if len(self._newest_born) > NAMES_KEPT + len(self._life_by_name):
+            unlisted = (n for n in self._newest_born if n not in self._life_by_name)
+            oldest = next(unlisted, None)
+            if oldest is not None:
+                del self._newest_born[oldest]
+
+    def of_services(self, services: Collection[str]) -> list[TargetHost]:
+        """Return the hosts of some services that are in a fabric domain."""
+        return [h for h in self.by_instance.values() if h.domain and h.service in services]
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -19,7 +19,7 @@
 from ..settings.catalog import Catalog
 from .composing import ModelNeed, first_mix
 from .forming import Action, DomainKeeper, Order, OrderEnd, Replan
-from .inventory import Inventory
+from .inventory import Instance, Inventory, TargetHost
 from .ownership import Presence, owns, should_take, taken
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, plan_key
@@ -42,8 +42,8 @@
     async def give(self, order: Order, address: str, term: int) -> OrderEnd:
         """Give an order and return how it ended."""
 
-    async def answers(self, instance: str, address: str) -> bool:
-        """Tell whether a host answers."""
+    async def answers(self, instance: Instance, address: str) -> bool:
+        """Tell whether a host answers, in this life."""
 
 
 class Limits(NamedTuple):
@@ -103,7 +103,7 @@
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
         self._probing: set[str] = set()
-        self._address_by_instance: dict[str, str] = {}
+        self._address_by_instance: dict[Instance, str] = {}
         self._most_listed = 0
         self._grew_at = float("-inf")
 
@@ -119,10 +119,21 @@
         if catalog is None or not self._mirror.fresh(now):
             return
         alive = self._alive()
-        for domain in sorted(self._inventory.domains()):
+        hosts = self._engine_hosts(catalog)
+        self._address_by_instance = {h.instance: h.address for h in hosts}
+        for domain in sorted({h.domain for h in hosts}):
             if domain not in self._writing:
                 self._look(now, domain, alive, catalog)
 
+    def _engine_hosts(self, catalog: Catalog) -> list[TargetHost]:
+        """Return the hosts of engine services.
+
+        Anybody may write into the list. A host of a service that is not configured is no engine of
+        ours: given to a group, it would never join, and the others would wait for it.
+        """
+        engines = {s.name for s in catalog.service_by_name.values() if s.engine is not None}
+        return self._inventory.of_services(engines)
+
     def _look(
         self, now: float, domain: str, alive: Mapping[str, Presence], catalog: Catalog
     ) -> None:
@@ -137,24 +148,26 @@
             self._write(plan, revision, taken(plan, self._me), f"owner {plan.owner!r} is gone")
 
     def _keep(self, now: float, plan: DomainPlan, revision: int, catalog: Catalog) -> None:
-        hosts = {h.instance: h for h in self._inventory.of_domain(plan.domain)}
-        for host in hosts.values():
-            self._address_by_instance[host.instance] = host.address
+        listed = self._engine_hosts(catalog)
+        hosts = {h.instance: h for h in listed if h.domain == plan.domain}
         needs = self._needs(plan.domain, catalog, {h.service for h in hosts.values()})
         keeper = self._keeper_by_domain.get(plan.domain)
         if keeper is None:
-            keeper = DomainKeeper(self._pacer(catalog, needs))
+            domains = len({h.domain for h in listed})
+            keeper = DomainKeeper(self._pacer(catalog, needs, domains))
             self._keeper_by_domain[plan.domain] = keeper
         for group in plan.groups:
             if group.name not in self._probing and self._is_suspect(group.name):
                 self._probing.add(group.name)
                 self.spawn(self._probe(group, keeper))
-        first = self._first_mix(now, plan.domain, needs)
-        for action in keeper.decide(now, plan, hosts, needs, first):
+        first = self._first_mix(now, plan.domain, listed, needs)
+        members = {i for g in plan.groups for i in g.members}
+        ended = {i for i in members if self._inventory.ended(i)}
+        for action in keeper.decide(now, plan, hosts, needs, first, ended):
             self._carry_out(action, plan, revision, keeper)
 
     def _first_mix(
-        self, now: float, domain: str, needs: Sequence[ModelNeed]
+        self, now: float, domain: str, hosts: Sequence[TargetHost], needs: Sequence[ModelNeed]
     ) -> Mapping[str, int] | None:
         """Return the first groups that a domain is to have, ``None`` once loads count.
 
@@ -163,8 +176,7 @@
         """
         if not self._first_loads_free():
             return None
-        hosts_by_domain = Counter(h.domain for h in self._inventory.by_instance.values())
-        del hosts_by_domain[""]
+        hosts_by_domain = Counter(h.domain for h in hosts)
         listed = hosts_by_domain.total()
         if listed > self._most_listed:
             self._most_listed, self._grew_at = listed, now
@@ -185,12 +197,12 @@
             for instance, answered in zip(known, await asyncio.gather(*asked), strict=True):
                 keeper.probed(instance, answered, awake_or_not())
                 if not answered:
-                    self._records.note("probe", "silent", instance=instance, group=group.name)
+                    self._records.note("probe", "silent", instance=str(instance), group=group.name)
             await asyncio.sleep(PROBE_PAUSE)
         finally:
             self._probing.discard(group.name)
 
-    def _pacer(self, catalog: Catalog, needs: Sequence[ModelNeed]) -> LoadPacer:
+    def _pacer(self, catalog: Catalog, needs: Sequence[ModelNeed], domains: int) -> LoadPacer:
         engines = [
             s.engine
             for s in catalog.service_by_name.values()
@@ -200,7 +212,6 @@
         at_once = min((e.loads_at_once for e in engines), default=1)
         limits = self._limits
         per_window = rate * limits.load_window * limits.load_factor + limits.load_extra
-        domains = len(self._inventory.domains())
         return LoadPacer(per_window, limits.load_window, domains, at_once)
 
     def _needs(self, domain: str, catalog: Catalog, services: set[str]) -> list[ModelNeed]:
@@ -245,7 +256,7 @@
             order=type(order).__name__.lower(),
             domain=plan.domain,
             term=plan.term,
-            instance=order.instance,
+            instance=str(order.instance),
             about=getattr(order, "model", None) or _group_name(order),
             list_age_s=round(self._mirror.age(now), 2),
         )
--- a/src/oleanderhill/groups/plans.py
+++ b/src/oleanderhill/groups/plans.py
@@ -11,11 +11,13 @@
 
 import msgspec
 
+from .inventory import Instance
+
 PLAN_PREFIX = "oleanderhill/plan/"
 
 
 class PlannedGroup(NamedTuple):
-    """A group; ``members[0]`` is its head. Members are instances, so a restarted host is another.
+    """A group; ``members[0]`` is its head. Members are lives, so a restarted host is another.
 
     :param epoch: of the domain's plan; rises with each group, so that it also names the group
     """
@@ -23,10 +25,10 @@
     name: str
     epoch: int
     model: str
-    members: tuple[str, ...]
+    members: tuple[Instance, ...]
 
     @property
-    def head(self) -> str:
+    def head(self) -> Instance:
         """Return the instance that takes requests."""
         return self.members[0]
 
@@ -48,7 +50,7 @@
     groups: tuple[PlannedGroup, ...] = ()
     write_id: str = ""
 
-    def with_group(self, model: str, members: tuple[str, ...]) -> DomainPlan:
+    def with_group(self, model: str, members: tuple[Instance, ...]) -> DomainPlan:
         """Return the plan with one more group."""
         epoch = self.last_epoch + 1
         group = PlannedGroup(f"{self.domain}.{epoch}", epoch, model, members)
--- a/src/oleanderhill/groups/router.py
+++ b/src/oleanderhill/groups/router.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from .inventory import Inventory, MemberState, TargetHost
+from .inventory import Instance, Inventory, MemberState, TargetHost
 from .plans import DomainPlan, PlannedGroup
 
 
@@ -42,7 +42,7 @@
     return head if all(_stands(group, i, inventory) for i in group.members) else None
 
 
-def _stands(group: PlannedGroup, instance: str, inventory: Inventory) -> bool:
+def _stands(group: PlannedGroup, instance: Instance, inventory: Inventory) -> bool:
     host = inventory.by_instance.get(instance)
     if host is None or host.leaving or host.membership is None:
         return False
--- a/src/oleanderhill/platform/decoding.py
+++ b/src/oleanderhill/platform/decoding.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated, Literal, TypeVar
+
 import msgspec
 
-from ..groups.inventory import Membership, MemberState, TargetHost
+from ..groups.inventory import Instance, Membership, MemberState, TargetHost
 from ..settings.catalog import (
     Account,
     Backend,
@@ -26,6 +29,14 @@
     "streaming": Repeatable.STREAM,
 }
 
+_MOST = 2**53
+"""Largest whole number that all writers of JSON hold exactly. A larger one can't be passed on."""
+
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=_MOST)]
+
+_NAME = re.compile(r"[!-~]{1,200}")
+_ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}")
+
 _DEFAULT_TIMEOUT_MS = 60_000
 """Milliseconds for a route that names no time-out, as the product's own interface has it."""
 
@@ -95,29 +106,44 @@
 
 class _Group(msgspec.Struct):
     name: str
-    epoch: int
-    rank: int
+    epoch: _Whole
+    rank: _Whole
     state: str
 
 
 class _ModelHeld(msgspec.Struct):
     name: str
+    version: int = 0
+    adapters: list[str] = []
 
 
 class _Entry(msgspec.Struct):
     service: str
     address: str
-    zone: str = ""
-    max_batch: int = 1
-    state: str = "ready"
+    zone: str
+    version: str
+    max_batch: Annotated[int, msgspec.Meta(ge=1, le=_MOST)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: _Whole
+    # A platform that says nothing of it gives a restarted host another id.
+    born: _Whole = 0
+    phase: str = ""
     domain: str = ""
     staged: list[str] = []
     models: list[_ModelHeld] = []
     group: _Group | None = None
 
 
+class _Report(msgspec.Struct):
+    born: _Whole | None = None
+
+
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
 _ENTRY = msgspec.json.Decoder(_Entry)
+_REPORT = msgspec.json.Decoder(_Report)
+
+_Kind = TypeVar("_Kind")
 
 
 def decode_configuration(data: bytes) -> Catalog:
@@ -125,7 +151,7 @@
 
     :raises msgspec.DecodeError: if it is malformed
     """
-    found = _CONFIGURATION.decode(data)
+    found = _decoded(_CONFIGURATION, data)
     tenants = found.tenants or []
     accounts = {key: Account(t.name, t.priority) for t in tenants for key in t.api_keys}
     return make_catalog(
@@ -141,19 +167,26 @@
 def decode_host(key: str, data: bytes) -> TargetHost:
     """Return the entry of a target host.
 
-    :raises msgspec.DecodeError: if it is malformed
+    Others than hosts may write into the list. What lacks a field that each entry has, has one of
+    another type, or says a state that we don't know, is none.
+
+    :raises msgspec.DecodeError: if it is no sound entry
     """
-    found = _ENTRY.decode(data)
+    found = _decoded(_ENTRY, data)
+    name = key.removeprefix(HOSTS_PREFIX)
+    # Both go into requests as they are: a line break in the name would end the header.
+    if not _NAME.fullmatch(name) or not _ADDRESS.fullmatch(found.address):
+        raise msgspec.ValidationError(f"no host is named {name!r} at {found.address!r}")
     group = found.group
     membership = None
     if group is not None:
         membership = Membership(group.name, group.epoch, group.rank, _member_state(group.state))
     return TargetHost(
-        key.removeprefix(HOSTS_PREFIX),
+        Instance(name, found.born),
         found.service,
         found.address,
         found.zone,
-        found.state != "ready",
+        found.state == "draining",
         found.max_batch,
         found.domain,
         tuple(found.staged),
@@ -162,6 +195,23 @@
     )
 
 
+def report_born(data: bytes) -> int | None:
+    """Return the start that a host's report names, ``None`` where it names none.
+
+    :raises msgspec.DecodeError: if the report is malformed
+    """
+    return _decoded(_REPORT, data).born
+
+
+def _decoded(decoder: msgspec.json.Decoder[_Kind], data: bytes) -> _Kind:
+    try:
+        return decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
+    except UnicodeDecodeError as error:
+        raise msgspec.DecodeError(str(error)) from error
+
+
 def _member_state(text: str) -> MemberState:
     try:
         return MemberState(text)
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -22,7 +22,7 @@
 from ..clock import awake_or_not
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
-from ..groups.inventory import Inventory
+from ..groups.inventory import Inventory, Removal, TargetHost
 from ..groups.owner import Limits, OwnerTask
 from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
 from ..groups.plans import PLAN_PREFIX, decode_plan
@@ -56,6 +56,9 @@
 """Seconds after the first start of all in which loads may be free. They are until the first request
 comes to any entry host; without requests nothing tells, and a load then takes a tenth at most."""
 
+LOGGED_KEY = 80
+"""Characters of a key in the log: whoever writes into the list may choose a long one."""
+
 METRICS_PORT = 9464
 """Port of the metrics; the deploy file names it too."""
 
@@ -210,36 +213,47 @@
         return True
 
     def _replace_hosts(self, items: Sequence[Item], now: float) -> None:
-        hosts = []
-        for item in items:
-            try:
-                hosts.append(decode_host(item.key, item.value))
-            except ValueError as error:
-                self._records.note("hosts", "malformed", key=item.key, reason=str(error))
-        for instance in self._inventory.replace(hosts, now):
-            self._records.note("hosts", "gone", instance=instance)
+        found = [self._decode_host(item.key, item.value) for item in items]
+        for removal in self._inventory.replace([h for h in found if h is not None], now):
+            self._take_leave(removal)
 
-    def _change_host(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
-        instance = key.removeprefix(HOSTS_PREFIX)
-        if value is None:
-            known = self._inventory.by_instance.get(instance)
-            gone = self._inventory.remove(instance, now)
-            if known is not None and gone:
-                self._caller.forget(known.address)
-            self._records.note("hosts", "gone" if gone else "doubtful", instance=instance)
-            return known is not None
+    def _decode_host(self, key: str, value: bytes) -> TargetHost | None:
         try:
-            host = decode_host(key, value)
+            return decode_host(key, value)
         except ValueError as error:
-            self._records.note("hosts", "malformed", key=key, reason=str(error))
+            self._records.note("hosts", "malformed", key=key[:LOGGED_KEY], reason=str(error))
+            return None
+
+    def _take_leave(self, removal: Removal) -> None:
+        """Forget a life that is over; what is kept open to its address leads to nobody."""
+        if removal.gone:
+            self._caller.forget(removal.address)
+            self._orders.forget(removal.address)
+        what = "gone" if removal.gone else "doubtful"
+        self._records.note("hosts", what, instance=str(removal.instance))
+
+    def _change_host(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
+        name = key.removeprefix(HOSTS_PREFIX)
+        host = None if value is None else self._decode_host(key, value)
+        if host is None:
+            # What is written over an entry takes its place, also while missing ones are in doubt.
+            inventory = self._inventory
+            removal = inventory.remove(name, now) if value is None else inventory.discard(name)
+            if removal is not None:
+                self._take_leave(removal)
+            return removal is not None
+        taken = self._inventory.put(host)
+        if not taken.current:
+            self._records.note("hosts", "entry of an ended life", instance=str(host.instance))
             return False
-        before = self._inventory.put(host)
-        if host == before:
+        if taken.ended is not None:
+            self._take_leave(taken.ended)
+        if host == taken.before:
             return False
         self._records.note(
             "hosts",
             "seen",
-            instance=instance,
+            instance=str(host.instance),
             leaving=host.leaving,
             membership=host.membership,
             staged=host.staged,
@@ -247,8 +261,8 @@
         return True
 
     def _settled(self, now: float) -> None:
-        for instance in self._inventory.expire(now):
-            self._records.note("hosts", "gone", instance=instance)
+        for removal in self._inventory.expire(now):
+            self._take_leave(removal)
         self._count_hosts()
         self._asked = self._asked or self._book.any_load()
         self._view.refresh(self._catalog)
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -10,6 +10,8 @@
 
 from ..clients.httpcall import Call, HttpCaller
 from ..groups.forming import Join, Leave, Open, Order, OrderEnd, Stage
+from ..groups.inventory import Instance
+from .decoding import report_born
 from .headers import EXPECT_INSTANCE
 
 ORDER_TIMEOUT = 0.8
@@ -40,7 +42,7 @@
         "group": group.name,
         "epoch": group.epoch,
         "model": group.model,
-        "members": list(group.members),
+        "members": [m.name for m in group.members],
     }
 
 
@@ -75,7 +77,7 @@
         """
         self.given += 1
         body = msgspec.json.encode({**_body(order), "fencing_token": term})
-        headers = {"Content-Type": "application/json", EXPECT_INSTANCE: order.instance}
+        headers = {"Content-Type": "application/json", EXPECT_INSTANCE: order.instance.name}
         call = Call(
             address,
             "POST",
@@ -92,9 +94,13 @@
         # A refused connection proves nothing: a partition may refuse where the host lives on.
         return OrderEnd.SILENT
 
-    async def answers(self, instance: str, address: str) -> bool:
+    def forget(self, address: str) -> None:
+        """Close the kept connections to an address whose owner is gone."""
+        self._caller.forget(address)
+
+    async def answers(self, instance: Instance, address: str) -> bool:
         """Tell whether a host answers under this address in this life."""
-        headers = {EXPECT_INSTANCE: instance}
+        headers = {EXPECT_INSTANCE: instance.name}
         call = Call(
             address,
             "GET",
@@ -105,4 +111,10 @@
             connect_timeout=PROBE_TIMEOUT,
         )
         found = await self._caller.call(call)
-        return is_successful(found) and found.unwrap().status == 200
+        if not is_successful(found) or found.unwrap().status != 200:
+            return False
+        try:
+            return report_born(found.unwrap().body) in (None, instance.born)
+        except ValueError:
+            # Who sends what can't be read is there; whether it serves, its group's requests show.
+            return True
--- a/src/oleanderhill/platform/store.py
+++ b/src/oleanderhill/platform/store.py
@@ -198,7 +198,11 @@
 
 
 def _value(found: _Item) -> bytes:
-    return base64.b64decode(found.value)
+    try:
+        return base64.b64decode(found.value, validate=True)
+    except ValueError:
+        # No value of ours or of a host is empty: it counts as malformed, and its page holds.
+        return b""
 
 
 def _as_written(write: Write) -> dict[str, Any]:
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -248,7 +248,7 @@
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
             return NoChoice(reason, full, full)
         host = found.host
-        member = Member(host.instance, host.address, host.instance)
+        member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
 
     async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -57,10 +57,15 @@
         plain: dict[str, list[Candidate]] = {}
         for host in self._inventory.by_instance.values():
             if not host.domain and not host.leaving:
-                plain.setdefault(host.service, []).append(Candidate(host.instance, host))
-        self._by_service = plain
+                plain.setdefault(host.service, []).append(Candidate(str(host.instance), host))
         if catalog is not None:
+            # An entry of an engine service without a domain names no engine. Taken for a plain
+            # target, it alone would get all the service's requests.
+            for service in catalog.service_by_name.values():
+                if service.engine is not None:
+                    plain.pop(service.name, None)
             self._expected_by_model = self._expected(catalog)
+        self._by_service = plain
 
     def _expected(self, catalog: Catalog) -> Mapping[str, float]:
         """Return how many groups of each model the hosts would make up by the expected work.
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -17,7 +17,13 @@
     standard,
 )
 from oleanderhill.groups.forming import DomainKeeper, Join, Leave, Open, OrderEnd, Replan, Stage
-from oleanderhill.groups.inventory import Inventory, Membership, MemberState, TargetHost
+from oleanderhill.groups.inventory import (
+    Instance,
+    Inventory,
+    Membership,
+    MemberState,
+    TargetHost,
+)
 from oleanderhill.groups.ownership import Presence, owns, preferred_owner, should_take, taken
 from oleanderhill.groups.pacing import LoadPacer
 from oleanderhill.groups.plans import DomainPlan, decode_plan, encode_plan
@@ -28,9 +34,10 @@
 NO_SPARES = Standard(0, {})
 
 
-def host(instance, staged=(), membership=None, leaving=False, domain="d"):
+def host(name, staged=(), membership=None, leaving=False, domain="d", born=0):
+    life = Instance(name, born)
     return TargetHost(
-        instance, "pool", f"10.0.0.{instance}", "here", leaving, 13, domain, staged, "", membership
+        life, "pool", f"10.0.0.{name}", "here", leaving, 13, domain, staged, "", membership
     )
 
 
@@ -139,7 +146,7 @@
         # for the third; ordered to load ahead, it completes the group when it is ready, and the
         # two can mend another group until then.
         world = World(host("a", ("large",)), host("b", ("large",)), host("c"))
-        self.assertEqual(world.step(obey=False), [Stage("large", "c")])
+        self.assertEqual(world.step(obey=False), [Stage("large", Instance("c"))])
         self.assertEqual(world.step(20.0, obey=False), [])
 
     def test_first_loads_are_part_of_forming(self):
@@ -196,8 +203,10 @@
 
     def test_host_that_comes_back_in_a_group_that_is_no_longer_planned_leaves_first(self):
         world = staged_world(2, 0)
-        world.hosts["x"] = host("x", ("large",), Membership("d.99", 99, 0, MemberState.OPEN))
-        self.assertIn(Leave("d.99", 99, "x"), world.step())
+        world.hosts[Instance("x")] = host(
+            "x", ("large",), Membership("d.99", 99, 0, MemberState.OPEN)
+        )
+        self.assertIn(Leave("d.99", 99, Instance("x")), world.step())
         world.run(6)
         self.assertEqual(world.broken_rules, [])
         self.assertEqual(len(world.plan.groups), 1)
@@ -271,7 +280,7 @@
                     world.keeper = keeper()
                 case "new":
                     name = f"n{len(world.hosts)}-{world.now}"
-                    world.hosts[name] = host(name)
+                    world.hosts[Instance(name)] = host(name)
             world.probe()
             world.run(data.draw(st.integers(1, 5)), seconds=data.draw(st.floats(0.1, 2.0)))
         self.assertEqual(world.broken_rules, [])
@@ -399,16 +408,16 @@
         inventory.put(host("a"))
         inventory.put(host("b"))
         inventory.doubt(102.2)
-        self.assertFalse(inventory.remove("a", 100.1))
-        self.assertFalse(inventory.remove("b", 100.1))
+        self.assertFalse(inventory.remove("a", 100.1).gone)
+        self.assertFalse(inventory.remove("b", 100.1).gone)
         inventory.put(host("b"))
-        self.assertEqual(inventory.expire(102.3), ["a"])
-        self.assertEqual(list(inventory.by_instance), ["b"])
+        self.assertEqual([r.instance.name for r in inventory.expire(102.3)], ["a"])
+        self.assertEqual([i.name for i in inventory.by_instance], ["b"])
 
     def test_entry_that_goes_while_the_store_is_there_is_gone_at_once(self):
         inventory = Inventory()
         inventory.put(host("a"))
-        self.assertTrue(inventory.remove("a", 50.0))
+        self.assertTrue(inventory.remove("a", 50.0).gone)
 
 
 class RouterTest(unittest.TestCase):
@@ -463,7 +472,7 @@
         self.assertEqual(taken(self.plan, takers[0]).term, 2)
 
     def test_plan_survives_its_way_through_the_store(self):
-        plan = self.plan.with_group("m", ("a", "b"))
+        plan = self.plan.with_group("m", (Instance("a", 17), Instance("b")))
         self.assertEqual(decode_plan(encode_plan(plan)), plan)
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from oleanderhill.clients.currency import PROOF_MARGIN, Currency
-from oleanderhill.groups.inventory import TargetHost
+from oleanderhill.groups.inventory import Instance, TargetHost
 from oleanderhill.outcomes import Problem
 from oleanderhill.requests.attempts import (
     Chosen,
@@ -65,7 +65,9 @@
 
 
 def target(name, data_centre="here", slots=10):
-    return Candidate(name, TargetHost(name, "s", "127.0.0.1:1", data_centre, False, slots))
+    return Candidate(
+        name, TargetHost(Instance(name), "s", "127.0.0.1:1", data_centre, False, slots)
+    )
 
 
 class CatalogTest(unittest.TestCase):
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -179,7 +179,7 @@
         # One of the three hosts of the only group of a model loses power; one spare is there.
         # The group is whole again without anybody's help, and never served without a member.
         (candidate,) = self.entry.candidates("pool", LARGE)
-        head = self.site.engines.host_by_instance[candidate.host.instance]
+        head = self.site.engines.host_by_instance[candidate.host.instance.name]
         lost = head.members[2]
         self.site.lose_host(lost)
         await self.reply("/read/x", "POST", model=LARGE)
