Pass on what a reader of the store wrote itself

Cause: a host that reads the store for its data centre may own a fabric domain too. It holds the plan that it writes from the moment of the answer, so the reading that brings the plan told it nothing new, and what is not news was left out of what its peers are told.

Ruled out: the first formation (all six domains had written theirs), the order of the listings.

Test: fails before, passes after.

--- a/src/oleanderhill/clients/keyed.py
+++ b/src/oleanderhill/clients/keyed.py
@@ -31,10 +31,18 @@
             self.put(item.key, item.value, item.revision)
 
     def change(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
-        """Take one change; return whether anything is different now."""
+        """Take one change; return whether it is news, here or to whoever reads from this host.
+
+        A write of this host is held from the moment of its answer. The reading that brings it is
+        the first that the others hear of it: counted as known, it would never reach them. Seen as
+        two of six fabric domains whose groups six of eight entry hosts sent no requests to.
+        """
         del now
         if value is None:
             return self._held.pop(key, None) is not None
+        held = self._held.get(key)
+        if held is not None and held[1] == revision:
+            return True
         return self.put(key, value, revision)
 
     def put(self, key: str, value: bytes, revision: int) -> bool:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -207,6 +207,19 @@
         self.assertLessEqual(found.read_at, now - 1.0 + 0.001)
         self.assertEqual(found.changes, [Change("k", b"1", 7)])
 
+    async def test_what_the_reader_writes_itself_reaches_its_peers(self):
+        # The host that reads the store for its data centre owns a fabric domain too, and forms
+        # groups there. It holds the plan from the moment of its write, so the reading that brings
+        # the plan tells it nothing new. Its peers had no other way to hear of it: they sent no
+        # request to these groups until they read everything anew.
+        copy = KeyedCopy(lambda value: value, Records("here"))
+        mirror = make_mirror(_Sources(self.store), {}, [])
+        mirror._followers = [Follower("", copy.replace, copy.change)]
+        mirror._take(Reading(10, True, [Change("plan", b"old", 9)], 0.0, 0.0))
+        copy.put("plan", b"new", 12)
+        mirror._take(Reading(14, False, [Change("plan", b"new", 12)], 0.0, 0.0))
+        self.assertEqual(list(mirror.log.since(10)), [Change("plan", b"new", 12)])
+
     async def test_question_waits_for_news(self):
         now = awake_or_not()
         self.near._take(Reading(7, True, [], now, now))
