Let a refused order to load hold up no other, and share the loads among all domains

Its owner had restarted and ordered a host to load that was loading by its earlier order; the host refused, and the refused order counted as a load that runs, for three times its length, while a domain may have one at a time. Besides, an owner that saw the first domain alone at the start took the bound on loads of all six for itself, for good (three orders at once).

Change: an order to load that was not taken is forgotten and the host left alone for 3 s; the share of the bound follows the most domains seen.

Two tests, each fails before.

--- a/src/oleanderhill/groups/composing.py
+++ b/src/oleanderhill/groups/composing.py
@@ -211,10 +211,10 @@
     """Return the hosts that make up a group, those that have its weights first, and the rest."""
     others = Counter(h.model for h in left)
 
-    def rank(host: FreeHost) -> tuple[bool, bool, int]:
+    def rank(host: FreeHost) -> tuple[bool, bool, bool, int]:
         # Of the wrong weights those go first of which there are the fewest: they are the least
         # of a group.
-        return host.model != need.model, bool(host.model), others[host.model]
+        return host.model != need.model, bool(host.model), not host.at_hand, others[host.model]
 
     ordered = sorted(left, key=rank)
     return ordered[: need.hosts], ordered[need.hosts :]
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -49,6 +49,10 @@
 """Seconds for which a host that did not answer an order or probe is given to no group: it is dead
 and still listed, another answers at its address, or it carries its orders out late."""
 
+LOAD_AGAIN = 3.0
+"""Seconds after which a host that refused an order to load, or did not answer it, is ordered again.
+One that refused is loading by an earlier owner's order, which takes up to 16 s and shows then."""
+
 STAGING_PATIENCE = 3.0
 """Times its load time after which a host that still lacks the weights is ordered to load again:
 several loads at once slow each other down."""
@@ -123,7 +127,7 @@
     """Keeps one domain."""
 
     def __init__(self, pacer: LoadPacer) -> None:
-        self._pacer = pacer
+        self.pacer = pacer
         self._ordered_at: dict[tuple[type[Order], Order], float] = {}
         self._since: dict[str, float] = {}
         self._fault_since: dict[str, float] = {}
@@ -134,6 +138,7 @@
         self._answered_at = float("-inf")
         self._avoid_until: dict[Instance, float] = {}
         self._staging: dict[Instance, tuple[str, float]] = {}
+        self._load_again_at: dict[Instance, float] = {}
 
     def ended(self, order: Order, end: OrderEnd, now: float) -> None:
         """Take note of how an order ended."""
@@ -141,12 +146,23 @@
             self._avoid_until[order.instance] = now + AVOID_SECONDS
         if end != OrderEnd.SILENT:
             self._answered_at = now
+        if isinstance(order, Stage) and end != OrderEnd.DONE:
+            self._not_loading(order.instance, now)
         if not isinstance(order, Leave):
             return
         if end in (OrderEnd.DONE, OrderEnd.UNFIT, OrderEnd.GONE):
             self._let_go_at[order.group, order.instance] = now
             self._condemned.add(order.group)
 
+    def _not_loading(self, instance: Instance, now: float) -> None:
+        """Take note that an order to load began nothing.
+
+        Counted as a load that runs, it took the one load that a domain may have for three times
+        its length: a group that lacked one host stayed so for 19 s, with two empty hosts beside it.
+        """
+        self._staging.pop(instance, None)
+        self._load_again_at[instance] = now + LOAD_AGAIN
+
     def probed(self, instance: Instance, answered: bool, now: float) -> None:
         """Take note of whether a host answered a probe."""
         if answered:
@@ -207,6 +223,7 @@
         names = {g.name for g in plan.groups}
         self._probes_missed = {i: n for i, n in self._probes_missed.items() if i in hosts}
         self._avoid_until = {i: t for i, t in self._avoid_until.items() if i in hosts}
+        self._load_again_at = {i: t for i, t in self._load_again_at.items() if i in hosts}
         for table in (self._since, self._fault_since):
             for name in [n for n in table if n not in names]:
                 del table[name]
@@ -274,7 +291,7 @@
         order = Join(group, host.instance)
         if not self._due(now, order):
             return None
-        if group.model not in host.staged and not loads_free and not self._pacer.take(now):
+        if group.model not in host.staged and not loads_free and not self.pacer.take(now):
             return None
         self._ordered_at[type(order), order] = now
         self._let_go_at.pop((group.name, host.instance), None)
@@ -429,13 +446,17 @@
         return actions
 
     def _may_load(self, now: float) -> bool:
-        return len(self._staging) < self._pacer.at_once and self._pacer.take(now)
+        return len(self._staging) < self.pacer.at_once and self.pacer.take(now)
 
     def _left_over(
         self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
     ) -> list[FreeHost]:
         """Return the hosts in no sound group, those that will be free in a moment among them."""
-        free = [FreeHost(h.instance, self._weights(h), True) for h in self._free(now, plan, hosts)]
+        again = self._load_again_at
+        free = [
+            FreeHost(h.instance, self._weights(h), now >= again.get(h.instance, 0.0))
+            for h in self._free(now, plan, hosts)
+        ]
         faulty = [g for g in plan.groups if g.name in self._fault_since]
         soon = [
             FreeHost(i, g.model, False)
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -151,11 +151,12 @@
         listed = self._engine_hosts(catalog)
         hosts = {h.instance: h for h in listed if h.domain == plan.domain}
         needs = self._needs(plan.domain, catalog, {h.service for h in hosts.values()})
+        domains = len({h.domain for h in listed})
         keeper = self._keeper_by_domain.get(plan.domain)
         if keeper is None:
-            domains = len({h.domain for h in listed})
             keeper = DomainKeeper(self._pacer(catalog, needs, domains))
             self._keeper_by_domain[plan.domain] = keeper
+        keeper.pacer.share_among(domains)
         for group in plan.groups:
             if group.name not in self._probing and self._is_suspect(group.name):
                 self._probing.add(group.name)
--- a/src/oleanderhill/groups/pacing.py
+++ b/src/oleanderhill/groups/pacing.py
@@ -22,12 +22,29 @@
     """
 
     def __init__(self, per_window: float, window: float, domains: int, at_once: int = 1000) -> None:
-        share = per_window * PART_USED / max(1, domains)
-        self._cap = max(1.0, share * 0.65)
-        self._rate = max(0.02, (share - self._cap) / window)
-        self._tokens = self._cap
-        self.at_once = max(1, at_once // max(1, domains))
+        self._per_window = per_window
+        self._window = window
+        self._all_at_once = at_once
+        self._domains = 0
         self._at: float | None = None
+        self._tokens = float("inf")
+        self.share_among(domains)
+
+    def share_among(self, domains: int) -> None:
+        """Take note of how many domains share the bound; it is never shared among fewer again.
+
+        At the first start domains show one after the other. An owner that saw the first one alone
+        took the whole bound for itself, and went on to order six loads at once.
+        """
+        domains = max(1, domains)
+        if domains <= self._domains:
+            return
+        self._domains = domains
+        share = self._per_window * PART_USED / domains
+        self._cap = max(1.0, share * 0.65)
+        self._rate = max(0.02, (share - self._cap) / self._window)
+        self._tokens = min(self._tokens, self._cap)
+        self.at_once = max(1, self._all_at_once // domains)
 
     def take(self, now: float) -> bool:
         """Take one load; return whether it may begin."""
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -149,6 +149,22 @@
         self.assertEqual(world.step(obey=False), [Stage("large", Instance("c"))])
         self.assertEqual(world.step(20.0, obey=False), [])
 
+    def test_load_that_was_refused_does_not_hold_up_the_next_one(self):
+        # An owner restarts and orders a host to load that is loading already, by its earlier
+        # order. The host refuses. Counted as loading, it took the one load that the domain may
+        # have at a time, and the group that lacks one host stayed short for 19 s.
+        world = World(host("a", ("large",)), host("b", ("large",)), host("c"), host("d"))
+        world.keeper = DomainKeeper(LoadPacer(1000.0, 5.0, 1, 1))
+        (refused,) = world.step(obey=False)
+        world.keeper.ended(refused, OrderEnd.UNFIT, world.now)
+        (second,) = world.step(obey=False)
+        self.assertEqual((type(second), second.model), (Stage, "large"))
+        self.assertNotEqual(second.instance, refused.instance)
+        self.assertEqual((world.step(obey=False)), [])
+        world.keeper.ended(second, OrderEnd.SILENT, world.now)
+        (third,) = world.step(forming.LOAD_AGAIN, obey=False)
+        self.assertEqual(third.instance, refused.instance)
+
     def test_first_loads_are_part_of_forming(self):
         world = World(host("a"), host("b"), host("c"))
         world.run(3, loads_free=True)
@@ -399,6 +415,18 @@
         self.assertLessEqual(most, 27.75)
         self.assertGreater(len(began) / 60, 1.0)
 
+    def test_owner_that_came_first_shares_with_the_domains_that_show_later(self):
+        # At the first start the list shows one domain, then six. The owner of the first one took
+        # the whole bound for itself for as long as it lived.
+        first = LoadPacer(27.75, 5.0, 1, 6)
+        first.share_among(6)
+        first.share_among(2)
+        self.assertEqual(first.at_once, 1)
+        pacers = [first, *(LoadPacer(27.75, 5.0, 6, 6) for _ in range(5))]
+        began = [n * 0.1 for n in range(300) for pacer in pacers if pacer.take(n * 0.1)]
+        most = max(sum(1 for t in began if at <= t < at + 5.0) for at in began)
+        self.assertLessEqual(most, 27.75)
+
 
 class InventoryTest(unittest.TestCase):
     def test_entries_that_lapsed_with_the_store_get_time_to_come_back(self):
