Make a group that lost a member whole again in half the time

Change, three parts: the second probe goes out 0.1 s after the first; an owner looks again 20 ms after an order's end, a written plan or a reading; a free host with weights joins a group of its own once and leaves it (Warm), after which it joins with the same model in 0.2 s.

Ruled out: asking each host's report in place of the list (it is 0.2 s old), a shorter time-out of probes (a failed try of before). A name for each warm group: with one name for all, a host that had left it once counted as free while it was in it again (found by the property test on two groups).

--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -57,6 +57,9 @@
 """Times its load time after which a host that still lacks the weights is ordered to load again:
 several loads at once slow each other down."""
 
+WARM_PATIENCE = 4.0
+"""Seconds in which a spare warms up; twice the longest time that weights at hand take."""
+
 FORM_PATIENCE = 12.0
 """Seconds beyond its load time that a group may take to form before its hosts are used anew."""
 
@@ -68,6 +71,13 @@
     instance: Instance
 
 
+class Warm(NamedTuple):
+    """Order a free host into a group of its own, so that it joins the next one sooner."""
+
+    group: PlannedGroup
+    instance: Instance
+
+
 class Open(NamedTuple):
     """Order a head to serve."""
 
@@ -97,7 +107,7 @@
     reason: str
 
 
-Order = Join | Open | Leave | Stage
+Order = Join | Warm | Open | Leave | Stage
 Action = Order | Replan
 
 
@@ -139,6 +149,9 @@
         self._avoid_until: dict[Instance, float] = {}
         self._staging: dict[Instance, tuple[str, float]] = {}
         self._load_again_at: dict[Instance, float] = {}
+        self._warm: dict[Instance, str] = {}
+        self._warming: dict[Instance, float] = {}
+        self._warmed_up = 0
 
     def ended(self, order: Order, end: OrderEnd, now: float) -> None:
         """Take note of how an order ended."""
@@ -163,13 +176,13 @@
         self._staging.pop(instance, None)
         self._load_again_at[instance] = now + LOAD_AGAIN
 
-    def probed(self, instance: Instance, answered: bool, now: float) -> None:
-        """Take note of whether a host answered a probe."""
-        if answered:
+    def probed(self, instance: Instance, unanswered: int, now: float) -> None:
+        """Take note of how many probes in a row a host left unanswered, 0 if it answered."""
+        if not unanswered:
             self._answered_at = now
             self._probes_missed.pop(instance, None)
             return
-        self._probes_missed[instance] = self._probes_missed.get(instance, 0) + 1
+        self._probes_missed[instance] = self._probes_missed.get(instance, 0) + unanswered
         self._avoid_until[instance] = now + AVOID_SECONDS
 
     def decide(
@@ -190,6 +203,7 @@
         """
         loads_free = first is not None
         self._forget(plan, host_by_instance)
+        self._note_warm(now, host_by_instance)
         actions: list[Action] = []
         dissolved: list[str] = []
         for group in plan.groups:
@@ -217,8 +231,47 @@
             return [*actions, Replan(plan, "; ".join(reasons))]
         if first is None or first:
             actions.extend(self._stage_spares(now, plan, host_by_instance, needs, loads_free))
+            actions.extend(self._warm_spare(now, plan, host_by_instance))
         return actions
 
+    def _warm_spare(
+        self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
+    ) -> list[Action]:
+        """Order a spare to join a group of its own, which is never opened.
+
+        It then leaves like any host in a group that is not planned. A host joins in 0.2 s where the
+        model is that of its last group, in 1.1 or 1.6 s where it only has the weights at hand: a
+        third of the time in which a group that lost a member is whole again. One at a time, as a
+        spare that warms up can't be given to a group.
+        """
+        if self._warming:
+            return []
+        for host in self._free(now, plan, hosts):
+            if host.membership is None and host.staged and host.instance not in self._staging:
+                model = host.staged[-1]
+                if self._warm.get(host.instance) != model:
+                    # A name of its own each time: a host that left a group once may be shown in it
+                    # for a while, and counts as free.
+                    self._warmed_up += 1
+                    name = f"{plan.domain}.warm.{plan.term}.{self._warmed_up}"
+                    group = PlannedGroup(name, plan.last_epoch, model, (host.instance,))
+                    self._warming[host.instance] = now
+                    return self._once(now, Warm(group, host.instance))
+        return []
+
+    def _note_warm(self, now: float, host_by_instance: Mapping[Instance, TargetHost]) -> None:
+        """Take note of which hosts have been in a group, and with which model."""
+        for instance, host in host_by_instance.items():
+            if host.membership is not None and host.membership.state != MemberState.JOINING:
+                self._warming.pop(instance, None)
+                if host.staged:
+                    self._warm[instance] = host.staged[-1]
+        table = self._warming
+        self._warming = {
+            i: t for i, t in table.items() if i in host_by_instance and now - t < WARM_PATIENCE
+        }
+        self._warm = {i: m for i, m in self._warm.items() if i in host_by_instance}
+
     def _forget(self, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> None:
         names = {g.name for g in plan.groups}
         self._probes_missed = {i: n for i, n in self._probes_missed.items() if i in hosts}
@@ -343,6 +396,8 @@
         for host in hosts.values():
             if host.instance in held or host.membership is None or self._left(now, host):
                 continue
+            if host.instance in self._warming:
+                continue
             membership = host.membership
             actions += self._once(now, Leave(membership.group, membership.epoch, host.instance))
         return actions
@@ -405,6 +460,7 @@
             if h.instance not in held
             and not h.leaving
             and self._left(now, h)
+            and h.instance not in self._warming
             and now >= self._avoid_until.get(h.instance, 0.0)
         ]
 
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -6,6 +6,7 @@
 import secrets
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from typing import NamedTuple, Protocol
 
 from returns.pipeline import is_successful
@@ -23,6 +24,7 @@
 from .ownership import Presence, owns, should_take, taken
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, plan_key
+from .probing import silences
 
 SETTLE = 1.5
 """Seconds after the store's return in which no domain is taken: leases may have run out meanwhile,
@@ -32,6 +34,9 @@
 """Seconds without a new host after which the list counts as complete at the first start: 54 hosts
 show within 1.3 s, 222 within four, one every 20 ms."""
 
+LOOK_SOON = 0.02
+"""Seconds between news and the look at it, so that news that come together are looked at once."""
+
 PROBE_PAUSE = 0.1
 """Seconds between two probes of a group under suspicion."""
 
@@ -106,13 +111,28 @@
         self._address_by_instance: dict[Instance, str] = {}
         self._most_listed = 0
         self._grew_at = float("-inf")
+        self._looks_soon = False
 
     async def start(self) -> None:
         """Start to look after domains."""
         self.spawn(self._tick_loop())
 
+    def look_soon(self) -> None:
+        """Look at each domain in a moment, as something is new.
+
+        Each step of a group's repair waits for the one before: an order's end, a written plan, a
+        reading. Seen at the next look only, each costs half of the time between two.
+        """
+        if not self._looks_soon:
+            self._looks_soon = True
+            asyncio.get_running_loop().call_later(LOOK_SOON, self._look_at_all)
+
     async def tick(self) -> None:
         """Look at each domain once."""
+        self._look_at_all()
+
+    def _look_at_all(self) -> None:
+        self._looks_soon = False
         now = awake_or_not()
         catalog = self._catalog()
         # A copy that is old is no base for orders: the plan may have another owner by now.
@@ -194,15 +214,19 @@
         """
         try:
             known = [i for i in group.members if i in self._address_by_instance]
-            asked = [self._orders.answers(i, self._address_by_instance[i]) for i in known]
-            for instance, answered in zip(known, await asyncio.gather(*asked), strict=True):
-                keeper.probed(instance, answered, awake_or_not())
-                if not answered:
+            asked = [silences(partial(self._answers, i)) for i in known]
+            for instance, unanswered in zip(known, await asyncio.gather(*asked), strict=True):
+                keeper.probed(instance, unanswered, awake_or_not())
+                if unanswered:
                     self._records.note("probe", "silent", instance=str(instance), group=group.name)
             await asyncio.sleep(PROBE_PAUSE)
         finally:
             self._probing.discard(group.name)
 
+    async def _answers(self, instance: Instance) -> bool:
+        address = self._address_by_instance.get(instance)
+        return address is not None and await self._orders.answers(instance, address)
+
     def _pacer(self, catalog: Catalog, needs: Sequence[ModelNeed], domains: int) -> LoadPacer:
         engines = [
             s.engine
@@ -262,6 +286,7 @@
             list_age_s=round(self._mirror.age(now), 2),
         )
         keeper.ended(order, end, now)
+        self.look_soon()
 
     def _write(self, plan: DomainPlan, revision: int, new: DomainPlan, reason: str) -> None:
         self._writing.add(plan.domain)
@@ -292,6 +317,7 @@
             )
         finally:
             self._writing.discard(plan.domain)
+            self.look_soon()
 
 
 def _group_name(order: Order) -> str:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -113,7 +113,7 @@
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
         self._orders = EngineOrders(HttpCaller())
         limits = Limits(s.load_window, s.load_factor)
-        owner = OwnerTask(
+        self._owner = owner = OwnerTask(
             self.kernel,
             me,
             self._store,
@@ -266,6 +266,7 @@
         self._count_hosts()
         self._asked = self._asked or self._book.any_load()
         self._view.refresh(self._catalog)
+        self._owner.look_soon()
         at = time.monotonic()
         self._view.measure(
             lambda target: self._book.load(target, at),
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 
 from ..clients.httpcall import Call, HttpCaller
-from ..groups.forming import Join, Leave, Open, Order, OrderEnd, Stage
+from ..groups.forming import Join, Leave, Open, Order, OrderEnd, Stage, Warm
 from ..groups.inventory import Instance
 from .decoding import report_born
 from .headers import EXPECT_INSTANCE
@@ -34,8 +34,9 @@
     raise TypeError(f"unknown order {order!r}")
 
 
-@_body.register
-def _(order: Join) -> dict[str, Any]:
+@_body.register(Join)
+@_body.register(Warm)
+def _(order: Join | Warm) -> dict[str, Any]:
     group = order.group
     return {
         "operation": "join",
