--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES := $(shell find src -name '*.py')
 export PYTHONPATH := dev:.
 
-.PHONY: demo platform-demo soak days test bench fuzz matrix mutants slopes experiments load site dist format clean
+.PHONY: demo platform-demo soak days test bench fuzz matrix mutants slopes experiments load losses model site dist format clean
 
 $(VENV)/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -74,9 +74,18 @@
 	$(BIN)/python -m oleanderhill_dev.users.soak $(SEED) $(COUNT)
 
 SITE ?=
+BENCH ?=
 
 days: $(VENV)/ready
-	$(BIN)/python -m oleanderhill_dev.users.days $(SITE)
+	$(BIN)/python -m oleanderhill_dev.users.days $(BENCH) $(SITE)
+
+LOG ?=
+
+losses: $(VENV)/ready
+	$(BIN)/python -m oleanderhill_dev.users.losses $(LOG)
+
+model: $(VENV)/ready
+	$(BIN)/python -m oleanderhill_dev.model.compare --seeds $(COUNT)
 
 load: $(VENV)/ready
 	$(BIN)/python -m oleanderhill_dev.load
