--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -41,7 +41,7 @@
 from .patience import stall_after
 from .placing import Candidate, LoadBook
 from .retries import SharedRetryBudget
-from .standing import Room, room, standing
+from .standing import Room, Standing, room, standing
 
 CONNECT_TIMEOUT = 0.12
 """Seconds to connect to a target; within a region the way there and back is under 20 ms, and a
@@ -243,7 +243,7 @@
         found = self.tools.book.choose(candidates, self._tried, time.monotonic(), places)
         if found is None:
             full = bool(candidates)
-            reason = "no untried target has room" if full else "no target serves"
+            reason = self._fullness(candidates) if full else "no target serves"
             if not self.machine.arrived:
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
             return NoChoice(reason, full, full)
@@ -251,10 +251,22 @@
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
 
+    def _fullness(self, candidates: Sequence[Candidate]) -> str:
+        """Return why none of the targets takes the request: what was counted there."""
+        now = time.monotonic()
+        load = min(self.tools.book.load(c.target, now) for c in candidates)
+        suspects = sum(self.tools.book.is_suspect(c.target, now) for c in candidates)
+        slots = candidates[0].host.slots
+        return (
+            f"no untried target has room: {len(candidates)} targets, {suspects} doubtful, "
+            f"least busy {load} of {slots}, tried {len(self._tried)}"
+        )
+
+    def _stands(self) -> Standing:
+        return standing(self._returned, self.machine.arrived, self._first_event_at is not None)
+
     def _room(self) -> Room:
-        begun = self._first_event_at is not None
-        stands = standing(self._returned, self.machine.arrived, begun)
-        return room(stands, self._accepted.route.generates)
+        return room(self._stands(), self._accepted.route.generates)
 
     async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
         book = self.tools.book
@@ -407,6 +419,7 @@
         shown: Mapping[str, object] = {
             "route": self._accepted.route.name,
             "status": status,
+            "standing": self._stands().value,
             "path": self._path,
             "ms": round((now - self._in.arrived) * 1000),
             "first_ms": None if first is None else round((first - self._in.arrived) * 1000),
