Work out from the engine's terms how many may wait for a place and still be on time

Cause: two of thirteen that may wait is a figure of one deployment: goals of 0.2 to 0.4 s, places that come free every 0.1 s. Another pace, batch or goal needs another, and nobody would know.

Change: serving/prediction.py, pure: from the steps, passes and usual sizes of the configuration, when a request shows its first event at a full group and how often a place comes free there; the room for fresh requests follows from their route's goal. Without these terms the figure holds.

--- a/src/oleanderhill/platform/decoding.py
+++ b/src/oleanderhill/platform/decoding.py
@@ -13,6 +13,7 @@
     Backend,
     Catalog,
     EngineShape,
+    EngineTimes,
     ModelShape,
     Repeatable,
     Route,
@@ -73,8 +74,20 @@
     warm_s: float = 0.0
 
 
+class _Usual(msgspec.Struct):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
 class _Engine(msgspec.Struct):
     max_batch: int = 1
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    # Milliseconds for each 1,000 tokens of context.
+    context_per_k: float = 0.0
+    read_per_s: float = 0.0
+    stride: int = 1
+    usual: _Usual = msgspec.field(default_factory=_Usual)
     loads_per_s: float = 1.0
     loads_at_once: int = 1
     models: list[_Model] = []
@@ -249,5 +262,21 @@
         m.name: ModelShape(m.name, m.size, m.traffic_share, m.pace, m.load_s, m.warm_s)
         for m in engine.models
     }
-    shape = EngineShape(engine.max_batch, engine.loads_per_s, engine.loads_at_once, models)
+    shape = EngineShape(
+        engine.max_batch, engine.loads_per_s, engine.loads_at_once, models, _times(engine)
+    )
     return Service(found.name, found.max_connections, shape)
+
+
+def _times(engine: _Engine) -> EngineTimes | None:
+    if min(engine.step_ms, engine.read_per_s, engine.usual.answer) <= 0:
+        return None
+    return EngineTimes(
+        engine.step_ms / 1000,
+        engine.per_seq_ms / 1000,
+        engine.context_per_k / 1e6,
+        max(1, engine.stride),
+        1 / engine.read_per_s,
+        engine.usual.prompt,
+        engine.usual.answer,
+    )
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -136,6 +136,7 @@
             self._book,
             records,
             self._view.candidates,
+            self._view.waiting,
             self._view.come_back,
             self.exposition.request,
         )
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -92,6 +92,8 @@
     """What all requests of a process share.
 
     :param candidates: returns the targets that serve a service and model now
+    :param waiting: returns how many requests may wait at a model's group for the last to be on time
+        by a goal, in parts of its slots, ``None`` where that is not known
     :param come_back: returns the seconds after which a refused caller may come back to them
     :param report: takes route, outcome and seconds of a request that has ended
     """
@@ -101,6 +103,7 @@
     book: LoadBook
     records: Records
     candidates: Callable[[str, str], Sequence[Candidate]]
+    waiting: Callable[[str, float], float | None]
     come_back: Callable[[str, str], float]
     report: Callable[[str, str, float], None]
 
@@ -266,7 +269,9 @@
         return standing(self._returned, self.machine.arrived, self._first_event_at is not None)
 
     def _room(self) -> Room:
-        return room(self._stands(), self._accepted.route.generates)
+        route = self._accepted.route
+        waiting = self.tools.waiting(self._in.facts.model, route.goal)
+        return room(self._stands(), route.generates, waiting)
 
     async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
         book = self.tools.book
--- a/src/oleanderhill/serving/standing.py
+++ b/src/oleanderhill/serving/standing.py
@@ -78,9 +78,16 @@
     return Standing.LATE if returned or arrived else Standing.FRESH
 
 
-def room(standing: Standing, generates: bool) -> Room:
+def room(standing: Standing, generates: bool, waiting: float | None = None) -> Room:
     """Return the room for a request.
 
     :param generates: it runs in an engine, for a second and more
+    :param waiting: requests that may wait so that the last is on time, in parts of what the target
+        runs at once; ``None`` where that is not known
     """
-    return (ROOM_AT_ENGINE if generates else ROOM_AT_PLAIN)[standing]
+    if not generates:
+        return ROOM_AT_PLAIN[standing]
+    found = ROOM_AT_ENGINE[standing]
+    if standing == Standing.FRESH and waiting is not None:
+        return found._replace(places=1 + waiting)
+    return found
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -13,6 +13,7 @@
 from ..settings.catalog import Catalog
 from .comeback import come_back
 from .placing import Candidate
+from .prediction import Prediction, may_wait, predict
 
 DEMAND_SMOOTHING = 0.15
 """Weight of the newest count of requests in flight: with a reading of the store every 0.65 s, the
@@ -37,6 +38,7 @@
         self._by_service: Mapping[str, Sequence[Candidate]] = {}
         self._demand_by_model: dict[str, float] = {}
         self._expected_by_model: Mapping[str, float] = {}
+        self._prediction_by_model: Mapping[str, Prediction] = {}
         self._slots = 1
 
     def refresh(self, catalog: Catalog | None) -> None:
@@ -57,6 +59,7 @@
                 if service.engine is not None:
                     plain.pop(service.name, None)
             self._expected_by_model = self._expected(catalog)
+            self._prediction_by_model = _predictions(catalog)
         self._by_service = plain
 
     def _expected(self, catalog: Catalog) -> Mapping[str, float]:
@@ -85,6 +88,17 @@
             return plain
         return [c for c in self._by_model.get(model, ()) if c.host.service == service]
 
+    def waiting(self, model: str, goal: float) -> float | None:
+        """Return how many requests may wait at a group of a model, in parts of its slots.
+
+        :param goal: seconds within which the last of them is to show its first event
+        :return: ``None`` where the configuration does not say how long an engine takes
+        """
+        prediction = self._prediction_by_model.get(model)
+        if prediction is None:
+            return None
+        return may_wait(prediction, goal, self._slots) / max(1, self._slots)
+
     def come_back(self, service: str, model: str) -> float:
         """Return the seconds after which a refused caller may come back, spread out."""
         return come_back(bool(self.candidates(service, model)), self._rng)
@@ -114,3 +128,9 @@
         """Return how many groups of a model the load would fill."""
         expected = self._expected_by_model.get(model, 0.0)
         return EXPECTED_PART * expected + self._demand_by_model.get(model, 0.0)
+
+
+def _predictions(catalog: Catalog) -> dict[str, Prediction]:
+    shapes = [s.engine for s in catalog.service_by_name.values() if s.engine is not None]
+    found = {m.name: predict(e, m) for e in shapes for m in e.model_by_name.values()}
+    return {name: prediction for name, prediction in found.items() if prediction is not None}
--- a/src/oleanderhill/settings/catalog.py
+++ b/src/oleanderhill/settings/catalog.py
@@ -79,18 +79,39 @@
     staged_seconds: float
 
 
+class EngineTimes(NamedTuple):
+    """How long an engine's group takes, in seconds, before the pace of its model.
+
+    :param step: of a token step, ``step_per_writer`` more for each request that is writing and
+        ``step_per_context`` for each token of its context
+    :param steps: of a pass; each writer shows an event a pass
+    :param read: to read a token of a prompt
+    :param usual_prompt: tokens in the mean, ``usual_answer`` those written
+    """
+
+    step: float
+    step_per_writer: float
+    step_per_context: float
+    steps: int
+    read: float
+    usual_prompt: float
+    usual_answer: float
+
+
 class EngineShape(NamedTuple):
     """What is known beforehand of the engines of a service.
 
     :param batch: requests that a group runs at once
     :param loads_per_second: loads that may begin in a second, over all hosts
     :param loads_at_once: loads beyond which each takes longer
+    :param times: ``None`` where the configuration does not say
     """
 
     batch: int
     loads_per_second: float
     loads_at_once: int
     model_by_name: Mapping[str, ModelShape]
+    times: EngineTimes | None = None
 
 
 class Service(NamedTuple):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -26,10 +26,15 @@
 from oleanderhill.serving.forwarding import Facts
 from oleanderhill.serving.patience import stall_after
 from oleanderhill.serving.placing import Candidate, LoadBook
+from oleanderhill.serving.prediction import may_wait, predict
 from oleanderhill.serving.retries import SharedRetryBudget
+from oleanderhill.serving.standing import Standing, room, standing
 from oleanderhill.settings.catalog import (
     Account,
     Backend,
+    EngineShape,
+    EngineTimes,
+    ModelShape,
     Repeatable,
     Route,
     Service,
@@ -121,6 +126,64 @@
         )
 
 
+TIMES = EngineTimes(5.95e-3, 0.089e-3, 0.01626e-6, 7, 1 / 50_700, 1115, 178)
+"""An engine's terms: steps of 6 ms, seven to a pass, prompts of 1,115 tokens, answers of 178."""
+
+
+def shape(batch=13, times=TIMES):
+    return EngineShape(batch, 4.5, 6, {}, times)
+
+
+class PredictionTest(unittest.TestCase):
+    def test_first_event_at_a_full_group_is_predicted_from_the_engines_terms(self):
+        # In peace callers of these two models saw 0.116 and 0.066 s in the median, way included.
+        large = predict(shape(), ModelShape("large", 4, 0.6, 1.0, 16.0, 1.6))
+        small = predict(shape(), ModelShape("small", 3, 0.4, 0.6, 12.0, 1.1))
+        self.assertAlmostEqual(large.first_event, 0.10, delta=0.01)
+        self.assertAlmostEqual(small.first_event, 0.06, delta=0.01)
+        self.assertAlmostEqual(large.place_every, 0.12, delta=0.01)
+
+    def test_so_many_may_wait_that_the_last_is_on_time(self):
+        # Places come free every 0.12 s. A caller that expects its first event within 0.3 s can wait
+        # for one of them, one within 0.4 s for two; within 0.1 s it must find a place at once.
+        large = predict(shape(), ModelShape("large", 4, 0.6, 1.0, 16.0, 1.6))
+        waiting = [may_wait(large, goal, 13) for goal in (0.1, 0.2, 0.3, 0.4)]
+        self.assertEqual([int(w) for w in waiting], [0, 0, 1, 2])
+        self.assertLessEqual(may_wait(large, 60.0, 13), 6.5)
+
+    def test_without_the_engines_terms_nothing_is_predicted(self):
+        self.assertIsNone(predict(shape(times=None), ModelShape("m", 1, 1.0, 1.0, 1.0, 1.0)))
+
+
+class StandingTest(unittest.TestCase):
+    def test_who_has_a_part_of_a_stream_goes_first_and_who_came_back_last(self):
+        begun, fresh, late = (
+            room(standing(*facts), True)
+            for facts in ((True, 1, True), (False, 0, False), (True, 0, False))
+        )
+        self.assertGreater(begun.places, fresh.places)
+        self.assertGreater(fresh.places, late.places)
+        self.assertLess(begun.urgency, fresh.urgency)
+        self.assertLess(fresh.urgency, late.urgency)
+
+    def test_late_request_leaves_places_for_those_that_can_be_on_time(self):
+        book = LoadBook("here", random.Random(1))
+        for _ in range(12):
+            book.begin("a")
+        full = [target("a", slots=13)]
+        late, fresh = room(Standing.LATE, True), room(Standing.FRESH, True)
+        self.assertIsNone(book.choose(full, (), 0.0, late.places))
+        self.assertEqual(book.choose(full, (), 0.0, fresh.places).target, "a")
+
+    def test_fresh_request_waits_where_it_is_on_time_all_the_same(self):
+        self.assertEqual(room(Standing.FRESH, True, 0.2).places, 1.2)
+        self.assertEqual(room(Standing.LATE, True, 0.2), room(Standing.LATE, True))
+
+    def test_request_moved_from_a_target_counts_as_late_unless_its_stream_has_begun(self):
+        self.assertEqual(standing(False, 1, False), Standing.LATE)
+        self.assertEqual(standing(False, 1, True), Standing.BEGUN)
+
+
 class CurrencyTest(unittest.TestCase):
     def test_proof_runs_out_before_the_bound(self):
         # A key is taken away at 10.0, and the host hears nothing from then on. A request sent at
