--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -106,7 +106,8 @@
         self.group, self.members, self.model = None, [], ""
         self.seen_epoch = self.seen_fence = 0
         self.orders = []
-        self.site.ready_once = {r for r in self.site.ready_once if r[2] != self.instance}
+        # It stays among those that were ready once: a request that begins in the moment before
+        # the news of its restart finds a group that lost a member, not one that never was whole.
         self.publish()
 
     def take(self, order: dict[str, Any]) -> int:
