Take out sixteen safeguards of the users' path and see their proofs fail

Cause: 'make mutants' covered the product's own interface only; what this work added had tests that failed first, and nothing that shows it again.

Change: dev/oleanderhill_dev/users/mutants.py; the pieces that both lists need are in proving.py. Two proofs did not need their safeguard, one failed in another way, and are stricter now: the silence of all hosts must lead to no order to leave (before, the plan stayed either way); patience comes in any order (before, rising, so that each was the longest so far); the refused load's test compares what is ordered.

The mutants of the own interface were not run again.

--- a/dev/oleanderhill_dev/mutants.py
+++ b/dev/oleanderhill_dev/mutants.py
@@ -8,10 +8,8 @@
 from __future__ import annotations
 
 import sys
-import unittest
-from collections.abc import Callable
 from contextlib import ExitStack
-from typing import Any, NamedTuple
+from typing import Any
 from unittest import mock
 
 import defopt
@@ -33,28 +31,13 @@
 from .fuzz_domain import DomainMachine
 from .fuzz_requests import RequestsMachine
 from .fuzz_settings import SettingsMachine
+from .proving import Mutant, Proof, testing
+from .users.mutants import mutants as of_users_path
 
 SEEDS = 12
 CREATED = ("max", "leaving_hosts", "fleet")
 """Names that the target does not have itself: a builtin, attributes of instances."""
 
-Patch = tuple[Any, str, Any]
-
-
-class Proof(NamedTuple):
-    """A proof by name, and how to run it; it fails by raising."""
-
-    name: str
-    run: Callable[[], None]
-
-
-class Mutant(NamedTuple):
-    """A safeguard and how to take it out."""
-
-    safeguard: str
-    patches: list[Patch]
-    proof: Proof
-
 
 def fuzzing(machine: type[RuleBasedStateMachine], examples: int = 40, steps: int = 40) -> Proof:
     """Return the proof by a state machine, over a fixed set of seeds."""
@@ -66,22 +49,6 @@
     return Proof(f"fuzz:{machine.__name__}", run)
 
 
-def testing(name: str) -> Proof:
-    """Return the proof by one unit test."""
-
-    def run() -> None:
-        result = unittest.TestResult()
-        unittest.defaultTestLoader.loadTestsFromName(f"tests.{name}").run(result)
-        if not result.testsRun:
-            raise LookupError(f"no test {name}")
-        for _, text in result.errors:
-            raise RuntimeError(text)
-        for _, text in result.failures:
-            raise AssertionError(text)
-
-    return Proof(f"test:{name}", run)
-
-
 def mutants() -> list[Mutant]:
     """Return all mutants."""
     domain = fuzzing(DomainMachine)
@@ -313,7 +280,7 @@
 
     :param only: only safeguards whose name holds this
     """
-    chosen = [m for m in mutants() if only in m.safeguard]
+    chosen = [m for m in [*mutants(), *of_users_path()] if only in m.safeguard]
     count = 0
     for mutant in chosen:
         ok = caught(mutant)
--- /dev/null
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -0,0 +1,161 @@
+"""The safeguards of the path on the users' platform, each with the proof that needs it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from oleanderhill.clients import currency, keyed
+from oleanderhill.groups import forming, inventory, owner, pacing, spares
+from oleanderhill.platform import decoding
+from oleanderhill.serving import admission, placing, retries, standing
+
+from ..proving import Mutant, testing
+
+
+def mutants() -> list[Mutant]:
+    """Return the mutants of this path."""
+    life = "test_lives.LifeTest"
+    form = "test_groups.FormingTest"
+    return [
+        Mutant(
+            "newest life of a name",
+            [(inventory.Inventory, "put", _put_any)],
+            testing(f"{life}.test_late_entry_of_an_ended_life_revives_nothing"),
+        ),
+        Mutant(
+            "members that started again have left",
+            [(inventory.Inventory, "ended", lambda self, instance: False)],
+            testing(f"{life}.test_later_life_takes_the_place_of_the_earlier_one"),
+        ),
+        Mutant(
+            "grace for entries that lapsed with the store",
+            [(inventory.Inventory, "doubt", lambda self, until: None)],
+            testing(
+                "test_groups.InventoryTest"
+                ".test_entries_that_lapsed_with_the_store_get_time_to_come_back"
+            ),
+        ),
+        Mutant(
+            "names that go into headers",
+            [(decoding, "_NAME", _Anything())],
+            testing("test_lives.DecodingTest.test_what_names_no_host"),
+        ),
+        Mutant(
+            "own writes are told to those that read here",
+            [(keyed.KeyedCopy, "change", _only_news_to_itself)],
+            testing("test_relay.RelayTest.test_what_the_reader_writes_itself_reaches_its_peers"),
+        ),
+        Mutant(
+            "a host is free once it left",
+            [(forming.DomainKeeper, "_left", lambda self, now, host: True)],
+            testing(f"{form}.test_no_host_is_ever_in_two_groups_whatever_happens"),
+        ),
+        Mutant(
+            "a group that is broken up is past mending",
+            [(forming.DomainKeeper, "ended", _ended_without_condemning)],
+            testing(f"{form}.test_group_that_is_being_broken_up_is_not_formed_again"),
+        ),
+        Mutant(
+            "silence of all proves nothing",
+            [(forming, "REACHED_WITHIN", 1e9)],
+            testing(f"{form}.test_silence_of_all_is_not_taken_for_loss"),
+        ),
+        Mutant(
+            "refused loads don't count",
+            [(spares.Spares, "ended", lambda self, order, end, now: None)],
+            testing(f"{form}.test_load_that_was_refused_does_not_hold_up_the_next_one"),
+        ),
+        Mutant(
+            "loads are shared by the domains that show later",
+            [(pacing.LoadPacer, "share_among", _share_once)],
+            testing(
+                "test_groups.PacingTest"
+                ".test_owner_that_came_first_shares_with_the_domains_that_show_later"
+            ),
+        ),
+        Mutant(
+            "pause after a write that failed",
+            [(owner, "WRITE_AGAIN", 0.0)],
+            testing(
+                "test_users_site.FailureTest.test_store_that_refuses_is_not_pressed_with_plans"
+            ),
+        ),
+        Mutant(
+            "late requests leave places free",
+            [(standing, "ROOM_AT_ENGINE", dict.fromkeys(standing.Standing, _LONG_QUEUE))],
+            testing(
+                "test_serving.StandingTest"
+                ".test_late_request_leaves_places_for_those_that_can_be_on_time"
+            ),
+        ),
+        Mutant(
+            "who uses a connection again did not come back",
+            [(admission.ReturningCallers, "came_back", _by_patience_alone)],
+            testing(
+                "test_serving.ReturningTest"
+                ".test_first_attempts_differ_in_patience_and_still_count_as_first"
+            ),
+        ),
+        Mutant(
+            "age of the proof that keys hold",
+            [(currency, "PROOF_MARGIN", -0.5)],
+            testing("test_serving.CurrencyTest.test_proof_runs_out_before_the_bound"),
+        ),
+        Mutant(
+            "a part of the slack for each host",
+            [(retries.SharedRetryBudget, "left", lambda self, now: 1e9)],
+            testing("test_serving.RetryTest.test_shares_of_all_hosts_stay_under_the_bound"),
+        ),
+        Mutant(
+            "progress that peers report",
+            [(placing.LoadBook, "goes_on", lambda self, target, now, within: False)],
+            testing(
+                "test_serving.PlacingTest.test_target_that_sends_to_others_is_busy_and_not_stuck"
+            ),
+        ),
+    ]
+
+
+_LONG_QUEUE = standing.Room(1.8, 0)
+
+
+class _Anything:
+    def fullmatch(self, text: str) -> bool:
+        return True
+
+
+def _put_any(self: Any, host: Any) -> Any:
+    before = self.by_instance.get(host.instance)
+    self.by_instance[host.instance] = host
+    self._life_by_name[host.instance.name] = host.instance
+    return inventory.Taken(True, before, None)
+
+
+def _only_news_to_itself(self: Any, key: str, value: Any, revision: int, now: float) -> bool:
+    if value is None:
+        return self._held.pop(key, None) is not None
+    return self.put(key, value, revision)
+
+
+def _ended_without_condemning(self: Any, order: Any, end: Any, now: float) -> None:
+    condemned = set(self._condemned)
+    _ENDED(self, order, end, now)
+    self._condemned = condemned
+
+
+_ENDED = forming.DomainKeeper.ended
+
+
+def _share_once(self: Any, domains: int) -> None:
+    if not self._domains:
+        _SHARE(self, domains)
+
+
+_SHARE = pacing.LoadPacer.share_among
+
+
+def _by_patience_alone(self: Any, route: str, patience: float | None, first: bool) -> bool:
+    return _CAME_BACK(self, route, patience, True)
+
+
+_CAME_BACK = admission.ReturningCallers.came_back
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -167,8 +167,9 @@
         world.keeper = DomainKeeper(LoadPacer(1000.0, 5.0, 1, 1))
         (refused,) = but_warm(world.step(obey=False))
         world.keeper.ended(refused, OrderEnd.UNFIT, world.now)
-        (second,) = but_warm(world.step(obey=False))
-        self.assertEqual((type(second), second.model), (Stage, "large"))
+        ordered = but_warm(world.step(obey=False))
+        self.assertEqual([(type(o), o.model) for o in ordered], [(Stage, "large")])
+        (second,) = ordered
         self.assertNotEqual(second.instance, refused.instance)
         self.assertEqual(but_warm(world.step(obey=False)), [])
         world.keeper.ended(second, OrderEnd.SILENT, world.now)
@@ -283,8 +284,9 @@
         world.now += 5.0
         world.probe()
         world.probe()
-        world.run(8)
+        ordered = [order for _ in range(8) for order in world.step()]
         self.assertEqual(len(world.plan.groups), 1)
+        self.assertEqual([o for o in ordered if isinstance(o, Leave)], [])
 
     def test_leaving_member_leaves_time_for_the_work_in_hand(self):
         world = staged_world(4, 0)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -191,6 +191,7 @@
         # free. Whoever uses a kept connection did not come back.
         returning = ReturningCallers()
         patience = [4.25 + 0.75 * n / 99 for n in range(100)]
+        random.Random(1).shuffle(patience)
         self.assertFalse(any(returning.came_back("r", p, False) for p in patience))
 
     def test_caller_that_comes_back_is_told_by_a_new_connection_and_less_patience(self):
