--- a/src/oleanderhill/serving/comeback.py
+++ b/src/oleanderhill/serving/comeback.py
@@ -10,7 +10,7 @@
 
 LATER = 1.2
 """Seconds after which a caller may come back where nothing serves: a group that lost a host is
-whole again in two to six seconds, and callers come back several times."""
+whole again in about that time where a warm spare is at hand."""
 
 SPREAD = 0.25
 """Part by which the time is drawn longer or shorter: callers that were refused together would come
--- a/src/oleanderhill/serving/standing.py
+++ b/src/oleanderhill/serving/standing.py
@@ -3,10 +3,10 @@
 When more is asked than the engines can run, the requests that come back after a refusal are late
 whatever happens, and those that wait in a queue become late. Taken in the order of their coming,
 they fill every place, the fresh ones behind them become late too, and the overload outlives its
-cause.
-So an engine's group takes no more than it runs at once, and a late request only where it leaves
-places free for those that can be on time. It answers the load of a shortage: some of the groups
-lost, or more callers than all of them can serve. In peace all find a place at once.
+cause. So an engine's group takes no more than it runs at once and the few that are on time though
+they wait for a place, and a late request only where it leaves places free for those that can be on
+time. It answers the load of a shortage: some of the groups lost, or more callers than all of them
+can serve. In peace all find a place at once.
 """
 
 from __future__ import annotations
@@ -50,9 +50,10 @@
 }
 """Room at a group of an engine.
 
-Worth of five days with trouble of one deployment, two seeds each: a late one up to 0.7 of the slots
-0.645, up to 0.85 0.636, up to all of them 0.641; a fresh one only where a place is free 0.630 in
-place of 0.636. As it was before, a queue of two for fresh ones and of ten for late ones: 0.603.
+Mean worth of nine plays of five days with trouble of one deployment: a late one up to 0.7 of the
+slots 0.645, up to 0.85 0.636, up to all of them 0.641; a fresh one only where a place is free 0.630
+in place of 0.636. As it was before, a queue of two for fresh ones and of ten for those taken for
+returned: 0.603 in the mean of ten.
 """
 
 ROOM_AT_PLAIN: Mapping[Standing, Room] = {
