Ask a suspected group whose members all answer ever less often

A group is suspected for two seconds after anybody's request stalled in it, and its owner asked all members every 0.1 s: twenty rounds of 32. Most suspected groups are whole and busy. Ruled out: readiness checks (none of ours), orders (5,563). A lost member shows in the first round; while all answer, pauses double to 0.8 s: five rounds of a suspicion in place of twenty (test).

--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -27,7 +27,7 @@
 from .ownership import Presence, owns, should_take, taken
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, plan_key
-from .probing import silences
+from .probing import Rounds, silences
 
 SETTLE = 1.5
 """Seconds after the store's return in which no domain is taken: leases may have run out meanwhile,
@@ -49,9 +49,6 @@
 """Times the length of a look that lie between two of them: looks at news take a twentieth of the
 processor at most, however many hosts are listed."""
 
-PROBE_PAUSE = 0.1
-"""Seconds between two probes of a group under suspicion."""
-
 
 class Orders(Protocol):
     """Gives orders to engine hosts."""
@@ -120,7 +117,7 @@
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
         self._write_again_at: dict[str, float] = {}
-        self._probing: set[str] = set()
+        self._rounds = Rounds()
         self._engine_hosts = EngineHosts(inventory)
         self._most_listed = 0
         self._grew_at = float("-inf")
@@ -165,6 +162,7 @@
             return
         alive = self._alive()
         hosts_by_domain = self._engine_hosts.by_domain(catalog)
+        self._rounds.forget_all_but({g.name for p in self._plans.by_key.values() for g in p.groups})
         for domain in sorted(hosts_by_domain):
             if domain not in self._writing and now >= self._write_again_at.get(domain, 0.0):
                 self._look(now, domain, hosts_by_domain, alive, catalog)
@@ -204,8 +202,9 @@
             self._keeper_by_domain[plan.domain] = keeper
         keeper.pacer.share_among(domains)
         for group in plan.groups:
-            if group.name not in self._probing and self._is_suspect(group.name):
-                self._probing.add(group.name)
+            if not self._is_suspect(group.name):
+                self._rounds.trust(group.name)
+            elif self._rounds.begin(group.name, now):
                 self.spawn(self._probe(group, keeper))
         first = self._first_mix(now, plan.domain, hosts_by_domain, needs)
         members = {i for g in plan.groups for i in g.members}
@@ -238,16 +237,18 @@
         a stall; asking finds it in a second. Each member is asked: those that answer show that it
         is not this entry host that is cut off.
         """
+        silent = False
         try:
             known = [i for i in group.members if i in self._inventory.by_instance]
             asked = [silences(partial(self._answers, i)) for i in known]
             for instance, unanswered in zip(known, await asyncio.gather(*asked), strict=True):
                 keeper.probed(instance, unanswered, awake_or_not())
                 if unanswered:
+                    silent = True
                     self._records.note("probe", "silent", instance=str(instance), group=group.name)
-            await asyncio.sleep(PROBE_PAUSE)
         finally:
-            self._probing.discard(group.name)
+            self._rounds.end(group.name, silent, awake_or_not())
+            self.look_soon()
 
     async def _answers(self, instance: Instance) -> bool:
         host = self._inventory.by_instance.get(instance)
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -30,7 +30,7 @@
 from oleanderhill.groups.ownership import Presence, owns, preferred_owner, should_take, taken
 from oleanderhill.groups.pacing import LoadPacer
 from oleanderhill.groups.plans import DomainPlan, decode_plan, encode_plan
-from oleanderhill.groups.probing import silences
+from oleanderhill.groups.probing import Rounds, silences
 from oleanderhill.groups.router import serving_groups
 from oleanderhill.groups.spares import LOAD_AGAIN
 
@@ -353,6 +353,37 @@
         self.assertEqual(world.broken_rules, [])
 
 
+class RoundsTest(unittest.TestCase):
+    def rounds(self, silent):
+        """Return at which times of a suspicion of two seconds the members are asked."""
+        rounds, asked = Rounds(), []
+        for step in range(200):
+            now = step / 100
+            if rounds.begin("g", now):
+                asked.append(now)
+                rounds.end("g", silent, now)
+        return asked
+
+    def test_members_that_all_answer_are_asked_ever_less_often(self):
+        # A busy group is suspected for two seconds. Its 32 members were asked twenty times each,
+        # which took them and the owner more than the requests did. Benchmark: 20 rounds before, 5
+        # now; a lost member shows in the first of them.
+        self.assertEqual(len(self.rounds(silent=False)), 5)
+
+    def test_silent_member_is_asked_again_soon(self):
+        self.assertEqual(len(self.rounds(silent=True)), 20)
+
+    def test_next_suspicion_is_asked_about_at_once(self):
+        rounds = Rounds()
+        for now in (0.0, 0.15, 0.4):
+            self.assertTrue(rounds.begin("g", now))
+            rounds.end("g", False, now)
+        self.assertFalse(rounds.begin("g", 0.5))
+        rounds.trust("g")
+        self.assertTrue(rounds.begin("g", 0.5))
+        self.assertFalse(rounds.begin("g", 0.5))
+
+
 class ComposingTest(unittest.TestCase):
     def test_least_supplied_model_goes_first(self):
         plan = DomainPlan("d").with_group("large", ("a", "b", "c"))
