Let requests that come before the first configuration wait for it

Ruled out: groups (they stand, the engines kept them), processor (starts took 0.16 s of it).

Change: a request waits for the first reading, 1.5 s and a third of its caller's patience at most, then is refused as not run, as before. Not measured by itself.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -58,6 +58,15 @@
 """Seconds after the first start of all in which loads may be free. They are until the first request
 comes to any entry host; without requests nothing tells, and a load then takes a tenth at most."""
 
+AWAIT_CONFIGURATION = 1.5
+"""Seconds for which a request waits in a process that has just started for its first
+configuration, which takes one reading of the store, 0.1 to 0.5 s. The balancer sends callers to all
+hosts of a data centre when most of them are down, ready or not: refused at once, those that come
+within two seconds of a power failure find the next host no further."""
+
+WAIT_OF_PATIENCE = 0.3
+"""Part of a caller's patience that such a wait takes at most; the rest is for its answer."""
+
 METRICS_PORT = 9464
 """Port of the metrics; the deploy file names it too."""
 
@@ -76,6 +85,7 @@
         self._started = awake_or_not()
         self._catalog: Catalog | None = None
         self._catalog_revision = 0
+        self._configured = asyncio.Event()
         self._budget_by_service: dict[str, SharedRetryBudget] = {}
         self._returning = ReturningCallers()
         self._most_hosts = 1
@@ -211,6 +221,7 @@
             self._records.note("settings", "malformed", revision=revision, reason=str(error))
             return False
         self._catalog_revision = revision
+        self._configured.set()
         self._records.note("settings", "in force", version=self._catalog.version, revision=revision)
         return True
 
@@ -255,8 +266,9 @@
         return self._catalog.max_body if self._catalog is not None else 4 * 1024 * 1024
 
     async def _serve(self, incoming: Incoming, host: str, path: str, sink: CallerSink) -> None:
-        now = awake_or_not()
         self._asked = True
+        await self._await_configuration(incoming)
+        now = awake_or_not()
         current = self._currency.holds(now)
         accepted = admit(self._catalog, current, incoming.facts, host, path)
         if isinstance(accepted, Problem):
@@ -282,6 +294,18 @@
         )
         await Exchange(self._tools, incoming, accepted, service, budget, sink, returned).run()
 
+    async def _await_configuration(self, incoming: Incoming) -> None:
+        """Wait for the first configuration, as long as the caller can spare the time."""
+        if self._catalog is not None:
+            return
+        patience = incoming.facts.patience
+        seconds = AWAIT_CONFIGURATION
+        if patience is not None:
+            seconds = min(seconds, patience * WAIT_OF_PATIENCE)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._configured.wait()
+
     def _reload(self) -> None:
         try:
             read_settings()
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -143,6 +143,37 @@
         self.assertLess(time.monotonic() - began, 0.5)
 
 
+class StartTest(SiteTest):
+    def start_again(self):
+        """Bring the entry host to where a process is before its first reading."""
+        self.entry._catalog, catalog = None, self.entry._catalog
+        self.entry._configured.clear()
+        return catalog
+
+    async def test_request_that_comes_before_the_first_configuration_waits_for_it(self):
+        # All entry hosts lost power and start again. The balancer finds none of them ready, and
+        # sends callers to all. Those that came in the half second before the first reading were
+        # refused, as no route was known; they wait for it now.
+        catalog = self.start_again()
+
+        def read():
+            self.entry._catalog = catalog
+            self.entry._configured.set()
+
+        asyncio.get_running_loop().call_later(0.3, read)
+        reply, _ = await self.reply("/scan/1")
+        self.assertEqual(reply.status, 200)
+
+    async def test_request_is_refused_in_time_where_no_configuration_comes(self):
+        # The store is down beside. The caller has 1.2 s; it hears after a third of them that its
+        # request has not run, and has time to turn to another host.
+        self.start_again()
+        began = time.monotonic()
+        reply, _ = await self.reply("/scan/1", Deadline_Ms="1200")
+        self.assertEqual(reply.status, 503)
+        self.assertLess(time.monotonic() - began, 0.6)
+
+
 class FailureTest(SiteTest):
     async def test_member_dies_under_a_stream_and_it_goes_on_elsewhere(self):
         # The caller sees every event once. A member other than the head loses power; the head
