Prefer a target to which a connection is kept, unless it is busier

Ruled out: orders (5,563), probes (kept connections).

Change: a target without a kept connection counts as busier by 0.15 of its slots.

--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -198,6 +198,12 @@
             return Failure(CallFailure(FailureKind.LOST, True, "the reply was cut"))
         return Success(Reply(collector.status, collector.reply_headers, b"".join(collector.chunks)))
 
+    def keeps(self, address: str) -> bool:
+        """Tell whether a connection to an address is kept that a call may well use."""
+        now = time.monotonic()
+        idle = self._idle_by_address.get(address, ())
+        return any(now < i.until and not i.stream.closed() for i in idle)
+
     def close(self) -> None:
         """Close the idle connections."""
         for address in list(self._idle_by_address):
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -245,7 +245,9 @@
     def _choose(self) -> Choice | NoChoice:
         candidates = self.tools.candidates(self._service, self._in.facts.model)
         places = self._room().places
-        found = self.tools.book.choose(candidates, self._tried, time.monotonic(), places)
+        now = time.monotonic()
+        connected = self.tools.caller.keeps
+        found = self.tools.book.choose(candidates, self._tried, now, places, connected)
         if found is None:
             full = bool(candidates)
             reason = self._fullness(candidates) if full else "no target serves"
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter, deque
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from ..groups.inventory import TargetHost
@@ -30,6 +30,13 @@
 about one request of thirteen. Bytes between data centres are paid for; the way itself is short."""
 
 
+NOT_CONNECTED = 0.15
+"""Load, in parts of a target's slots, by which a target must be less busy to be preferred to one to
+which a connection is kept: one or two requests of eleven. A new connection takes a turn more, has
+its price at the target, and may hold a place there. In a fleet of 195 entry hosts and 75 groups
+each host has a request for a group every twelve seconds, and few find a connection."""
+
+
 class Candidate(NamedTuple):
     """A target that could take a request.
 
@@ -175,6 +182,7 @@
         tried: Collection[str],
         now: float,
         places: float = 1.0,
+        connected: Callable[[str], bool] = lambda address: True,
     ) -> Candidate | None:
         """Return the target that takes a request, ``None`` if none that is left has room.
 
@@ -182,18 +190,21 @@
         most likely waits for its caller to give up.
 
         :param places: requests that a target may have, in parts of what it runs at once
+        :param connected: tells whether a connection to an address is kept
         """
         left = [c for c in candidates if c.target not in tried]
         sound = [c for c in left if not self.is_suspect(c.target, now)]
         roomy = [c for c in sound or left if self._has_room(c, now, places)]
         if not roomy:
             return None
-        return min(roomy, key=lambda c: (self._rank(c, now), self._rng.random()))
+        return min(roomy, key=lambda c: (self._rank(c, now, connected), self._rng.random()))
 
     def _has_room(self, candidate: Candidate, now: float, places: float) -> bool:
         return self.load(candidate.target, now) < candidate.host.slots * places
 
-    def _rank(self, candidate: Candidate, now: float) -> float:
-        load = self.load(candidate.target, now) / max(1, candidate.host.slots)
-        far = candidate.host.data_centre != self._data_centre
-        return load + (ELSEWHERE if far else 0.0)
+    def _rank(self, candidate: Candidate, now: float, connected: Callable[[str], bool]) -> float:
+        host = candidate.host
+        load = self.load(candidate.target, now) / max(1, host.slots)
+        far = ELSEWHERE if host.data_centre != self._data_centre else 0.0
+        new = 0.0 if connected(host.address) else NOT_CONNECTED
+        return load + far + new
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -246,6 +246,22 @@
         self.book.begin("near")
         self.assertEqual(self.book.choose([far, near], (), 0.0).target, "far")
 
+    def test_target_with_a_kept_connection_goes_first_until_it_is_busier(self):
+        # Benchmark: 1,304 new connections for 2,512 requests of a day with 23 entry hosts before,
+        # 932 for 2,489 with this.
+        other, kept = target("other"), target("kept")
+        kept = kept._replace(host=kept.host._replace(address="10.0.0.2:80"))
+
+        def chosen():
+            connected = kept.host.address.__eq__
+            return self.book.choose([other, kept], (), 0.0, 1.0, connected).target
+
+        self.assertEqual(chosen(), "kept")
+        self.book.begin("kept")
+        self.assertEqual(chosen(), "kept")
+        self.book.begin("kept")
+        self.assertEqual(chosen(), "other")
+
     def test_suspect_goes_last_until_it_is_seen_to_go_on(self):
         self.book.suspect("a", 10.0)
         self.assertEqual(self.book.choose([target("a"), target("b")], (), 10.1).target, "b")
