Keep spares for the groups that stand, and give them up only for a model that is all but full

A domain keeps nine spares to mend them; 9 of 15 domains had made theirs into a fifth group of 8 by then. The rule gives spares up for a model with fewer than 1.25 groups for each that its need fills; need counts four tenths of all groups that are expected of it besides its load, so groups that were 58% full counted as too few.

Change: what the requests of the last seconds fill decides on spares, without what is expected. The test of pressed models names both now; a case with much expected and half full groups is added, which failed before.

--- a/src/oleanderhill/groups/composing.py
+++ b/src/oleanderhill/groups/composing.py
@@ -31,14 +31,15 @@
 
 
 SHORT = 1.25
-"""Groups for each that the load would fill below which a model has too few: four fifths of all
-their slots are taken then, and the first request that meets a busy group waits."""
+"""Groups for each that the load fills below which a model has too few: four fifths of all their
+slots are taken then, and the first request that meets a busy group waits."""
 
 
 class ModelNeed(NamedTuple):
     """A model as it concerns a domain.
 
-    :param need: how many groups of it the load would fill, over all domains
+    :param need: its part of all groups: what the load fills, and a part of what is expected
+    :param filled: how many groups of it the requests of the last seconds fill, over all domains
     :param elsewhere: its groups in the other domains, as a mean of one domain
     :param others: its groups in the other domains
     """
@@ -49,6 +50,7 @@
     load_seconds: float
     elsewhere: float = 0.0
     others: int = 0
+    filled: float = 0.0
 
 
 class FreeHost(NamedTuple):
@@ -111,14 +113,16 @@
     Spares mend the groups that stand. Made into one more small group, as any five free hosts could
     be, they were missing when a group of 16 lost one member, and none of the five such groups that
     broke in a day came back while requests came. They are given up only to have as many groups as
-    there should be, or for a model that has too few anywhere.
+    there should be, or for a model whose groups are all but full. What is expected of it is no
+    reason: its groups were half full, spares of nine domains went into more of them, and of 15
+    groups of 32 that lost a member one after the other none was formed again for lack of one host.
     """
     if need.need <= 0 or need.hosts > free:
         return False
     own = sum(1 for g in plan.groups if g.model == need.model)
     if free - need.hosts >= aim.spares or own < aim.mix.get(need.model, 0):
         return True
-    return own + need.others < SHORT * need.need
+    return own + need.others < SHORT * need.filled
 
 
 def first_mix(
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -77,7 +77,7 @@
 
     :param first_loads_free: tells whether loads don't count against the bound yet
     :param is_suspect: tells whether a group was seen to stall, by this or another entry host
-    :param demand: returns how many groups of a model the load would fill
+    :param demand: returns a model's part of all groups, ``filled`` how many its requests fill now
     """
 
     name = "owner"
@@ -98,6 +98,7 @@
         first_loads_free: Callable[[], bool],
         is_suspect: Callable[[str], bool],
         demand: Callable[[str], float],
+        filled: Callable[[str], float],
         records: Records,
     ) -> None:
         super().__init__(kernel)
@@ -113,6 +114,7 @@
         self._first_loads_free = first_loads_free
         self._is_suspect = is_suspect
         self._demand = demand
+        self._filled = filled
         self._records = records
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
@@ -279,6 +281,7 @@
                 model.load_seconds,
                 planned[model.name] / max(1, len(others)),
                 planned[model.name],
+                self._filled(model.name),
             )
             for service in shapes
             if service.engine is not None
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -137,6 +137,7 @@
             self._first_loads_free,
             lambda group: self._book.is_suspect(group, time.monotonic()),
             self._view.demand,
+            self._view.filled,
             records,
         )
         self._codec = HeaderCodec()
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -164,9 +164,12 @@
             self._demand_by_model[model] = held + DEMAND_SMOOTHING * (filled - held)
 
     def demand(self, model: str) -> float:
-        """Return how many groups of a model the load would fill."""
-        expected = self._expected_by_model.get(model, 0.0)
-        return EXPECTED_PART * expected + self._demand_by_model.get(model, 0.0)
+        """Return a model's part of all groups: what its requests fill, and what is expected."""
+        return EXPECTED_PART * self._expected_by_model.get(model, 0.0) + self.filled(model)
+
+    def filled(self, model: str) -> float:
+        """Return how many groups of a model the requests of the last seconds fill."""
+        return self._demand_by_model.get(model, 0.0)
 
 
 def _predictions(catalog: Catalog) -> dict[str, Prediction]:
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -442,8 +442,11 @@
         free = [FreeHost(f"f{n}", "", True) for n in range(5)]
         loads = Counter(model for _, model in loads_to_order(plan, free, aim, [large, small]))
         self.assertGreaterEqual(min(loads["large"], loads["small"]), 2)
+        # More of them may be expected; that their groups are half full says that there are enough.
+        expected = small._replace(need=40.0, filled=12.0)
+        self.assertIsNone(next_model(plan, staged, 5, aim, [large, expected]))
         # Where callers of the small model find all its groups busy, the spares serve them.
-        pressed = small._replace(need=22.0)
+        pressed = small._replace(need=22.0, filled=22.0)
         self.assertEqual(next_model(plan, staged, 5, aim, [large, pressed]), pressed)
 
     def test_large_group_that_lacks_one_host_is_waited_for(self):
