--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -86,6 +86,10 @@
         """Take note of how an order ended."""
         if end in (OrderEnd.SILENT, OrderEnd.GONE):
             self._avoid_until[order.instance] = now + AVOID_SECONDS
+        else:
+            # A host back from a cut answers orders long before anybody has a reason to probe it.
+            # Silent by its old probes, it would break up each group that it is given to.
+            self._probes_missed.pop(order.instance, None)
         if end != OrderEnd.SILENT:
             self._answered_at = now
         if isinstance(order, Stage):
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -353,6 +353,25 @@
         self.assertEqual(world.broken_rules, [])
 
 
+class ReturnTest(unittest.TestCase):
+    def test_hosts_that_come_back_from_a_cut_are_not_taken_for_silent_for_ever(self):
+        # A data centre was cut off for some seconds; its hosts left probes unanswered meanwhile. It
+        # is back, and they answer orders. Only an answered probe cleared them, and a probe needs a
+        # suspected group: each new group had a silent member from its first moment, was taken apart
+        # and formed again, four times a second, and callers had no group of the model there.
+        world = staged_world()
+        world.run(obey=True)
+        world.silent = {i for i in world.hosts if i.name.startswith("L")}
+        for _ in range(8):
+            world.probe()
+            world.step()
+        world.silent = set()
+        world.run(steps=16)
+        plans = [a for _ in range(16) for a in world.step() if isinstance(a, Replan)]
+        self.assertEqual(plans, [])
+        self.assertEqual(len(world.serving()["large"]), 1)
+
+
 class RoundsTest(unittest.TestCase):
     def rounds(self, silent):
         """Return at which times of a suspicion of two seconds the members are asked."""
