Choose among a few targets where many hosts choose at once

Counts of load are 0.15 s old where they are added up on their way, and all of 195 entry hosts take the least busy group: some sixty requests come in that time. Ruled out: groups that stall (0.3% of all), queues at full groups (nothing was refused then), the hosts' own processor (held up for 0.033 s at most).

Change: where more than four requests come unseen (those in flight, by a second each, times the age of counts), a host chooses among those to which it keeps a connection and a few drawn at random, so that a group that all find the best gets about four. Small sites see under four and choose among all.

--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter, deque
 from collections.abc import Callable, Collection, Mapping, Sequence
@@ -37,6 +38,17 @@
 each host has a request for a group every twelve seconds, and few find a connection."""
 
 
+HERD = 4.0
+"""Requests that a target may get from all entry hosts before any of them sees the others'. Counts
+are 0.15 s old where reports are added up on their way. To 195 entry hosts a group that just opened
+was the least busy one, all at once: 60 requests came to its 11 places within 0.2 s, waited for over
+a second there, and were late, one in ten of the kind on an otherwise well served day."""
+
+LASTS = 1.0
+"""Seconds that a request is at an engine, about: by it, those in flight tell how many come in a
+time."""
+
+
 class Candidate(NamedTuple):
     """A target that could take a request.
 
@@ -197,7 +209,28 @@
         roomy = [c for c in sound or left if self._has_room(c, now, places)]
         if not roomy:
             return None
-        return min(roomy, key=lambda c: (self._rank(c, now, connected), self._rng.random()))
+        seen = self._seen(roomy, now, connected)
+        return min(seen, key=lambda c: (self._rank(c, now, connected), self._rng.random()))
+
+    def _seen(
+        self, roomy: Sequence[Candidate], now: float, connected: Callable[[str], bool]
+    ) -> Sequence[Candidate]:
+        """Return the targets to choose among: all, or where many choose at once, a few of them.
+
+        Those to which a connection is kept are few, and others at each host. Of the rest so many
+        are drawn that one that all find the best gets :data:`HERD` requests before that shows.
+        """
+        in_flight = sum(self.load(c.target, now) for c in roomy)
+        unseen = in_flight / LASTS * self.heard_later
+        if unseen <= HERD:
+            return roomy
+        drawn = [c for c in roomy if connected(c.host.address)]
+        rest = [c for c in roomy if not connected(c.host.address)]
+        near = [c for c in rest if c.host.data_centre == self._data_centre]
+        far = [c for c in rest if c.host.data_centre != self._data_centre]
+        for part in (near, far):
+            drawn += self._rng.sample(part, math.ceil(len(part) * HERD / unseen))
+        return drawn
 
     def _has_room(self, candidate: Candidate, now: float, places: float) -> bool:
         return self.load(candidate.target, now) < candidate.host.slots * places
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections import Counter
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -262,6 +263,26 @@
         self.book.begin("kept")
         self.assertEqual(chosen(), "other")
 
+    def test_a_group_that_just_opened_is_not_overrun_by_all_hosts_at_once(self):
+        # Sixty groups are half full, and one opens. Its count is old news to each of 195 entry
+        # hosts, so 60 requests come before any of them sees another's; 11 find a place, the others
+        # wait for over a second. Benchmark: 60 of 60 requests went to it before, some five do now.
+        sent = Counter()
+        groups = [target(f"g{n}", "abcde"[n % 5], slots=11) for n in range(61)]
+        for number in range(60):
+            book = LoadBook("abcde"[number % 5], random.Random(number))
+            book.heard_later = 0.15
+            book.hear("total", {f"g{n}": 6 for n in range(1, 61)}, [], {}, {}, 0.0)
+            chosen = book.choose(groups, (), 0.0, 1.0, lambda address: False)
+            sent[chosen.target] += 1
+        self.assertLessEqual(sent["g0"], 11)
+
+    def test_few_requests_choose_among_all(self):
+        groups = [target(f"g{n}") for n in range(6)]
+        self.book.hear("peer", {f"g{n}": 3 for n in range(1, 6)}, [], {}, {}, 0.0)
+        for _ in range(20):
+            self.assertEqual(self.book.choose(groups, (), 0.0, 1.0).target, "g0")
+
     def test_suspect_goes_last_until_it_is_seen_to_go_on(self):
         self.book.suspect("a", 10.0)
         self.assertEqual(self.book.choose([target("a"), target("b")], (), 10.1).target, "b")
