Keep nothing by the name of a domain or service that is gone; cancel the next look last

Cause, by reading: the counts of changes by domain, and of engines by service, stayed for good. Anybody may write into the list, so a writer of odd names would make each process grow. The change of a domain is numbered now, and the number goes with the domain. Beside: an owner that stops cancelled its next look before the work whose end asks for one; a stopped owner could look at its domains once more.

--- a/src/oleanderhill/groups/engine_hosts.py
+++ b/src/oleanderhill/groups/engine_hosts.py
@@ -26,7 +26,7 @@
     def __init__(self, inventory: Inventory) -> None:
         self._inventory = inventory
         self._services: frozenset[str] = frozenset()
-        self._changes_seen: dict[str, int] = {}
+        self._change_seen: dict[str, int] = {}
         self._by_domain: dict[str, Mapping[Instance, TargetHost]] = {}
 
     def by_domain(self, catalog: Catalog) -> HostsByDomain:
@@ -36,13 +36,15 @@
         )
         if services != self._services:
             self._services = services
-            self._changes_seen = {}
+            self._change_seen = {}
         listed = set(self._inventory.domains())
         for domain in listed | self._by_domain.keys():
-            changes = self._inventory.changes_in(domain)
-            if self._changes_seen.get(domain) != changes:
-                self._changes_seen[domain] = changes
+            change = self._inventory.last_change(domain)
+            if self._change_seen.get(domain) != change:
+                self._change_seen[domain] = change
                 self._work_out(domain)
+        for domain in self._change_seen.keys() - listed:
+            del self._change_seen[domain]
         return self._by_domain
 
     def _work_out(self, domain: str) -> None:
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -98,15 +98,15 @@
     Entries lapse while the store is away, though their hosts live, and are back some time after
     its return. Taken at their word, they would empty the list and with it every service.
 
-    Beside the hosts by instance it keeps them by domain, and counts the changes of each. Of a
-    thousand hosts a few change in a second: whoever works something out from hosts does so for
-    the domains that changed, in place of all of them at every reading.
+    Beside the hosts by instance it keeps them by domain, with the number of the last change of
+    each. Of a thousand hosts a few change in a second: whoever works something out from hosts does
+    so for the domains that changed, in place of all of them at every reading.
     """
 
     def __init__(self) -> None:
         self.by_instance: dict[Instance, TargetHost] = {}
         self._by_domain: dict[str, dict[Instance, TargetHost]] = {}
-        self._changes_by_domain: Counter[str] = Counter()
+        self._last_change_by_domain: dict[str, int] = {}
         self._engines_by_service: Counter[str] = Counter()
         self.changes = 0
         self._doubtful_until: dict[Instance, float] = {}
@@ -197,9 +197,12 @@
         """Return the fabric domains that have hosts."""
         return [d for d in self._by_domain if d]
 
-    def changes_in(self, domain: str) -> int:
-        """Return how often the hosts of a domain have changed: equal counts, equal hosts."""
-        return self._changes_by_domain[domain]
+    def last_change(self, domain: str) -> int:
+        """Return the number of the last change in a domain, 0 for one without hosts.
+
+        Equal numbers, equal hosts: no number comes twice, also where a domain goes and returns.
+        """
+        return self._last_change_by_domain.get(domain, 0)
 
     def engines(self, service: str) -> int:
         """Return how many hosts of a service are in a fabric domain."""
@@ -220,12 +223,17 @@
             return
         hosts = self._by_domain[host.domain]
         del hosts[instance]
+        self._count(host, -1)
         if not hosts:
+            # Anybody may write into the list: what is kept by the name of a domain goes with it.
             del self._by_domain[host.domain]
-        self._count(host, -1)
+            del self._last_change_by_domain[host.domain]
 
     def _count(self, host: TargetHost, by: int) -> None:
         self.changes += 1
-        self._changes_by_domain[host.domain] += 1
-        if host.domain:
-            self._engines_by_service[host.service] += by
+        self._last_change_by_domain[host.domain] = self.changes
+        if not host.domain:
+            return
+        self._engines_by_service[host.service] += by
+        if not self._engines_by_service[host.service]:
+            del self._engines_by_service[host.service]
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -147,10 +147,10 @@
         self._look_took = time.monotonic() - began
 
     async def stop(self) -> None:
-        """Give up the next look, and whatever runs."""
+        """Give up whatever runs, and the next look, which the end of that may ask for."""
+        await super().stop()
         if self._next_look is not None:
             self._next_look.cancel()
-        await super().stop()
 
     def _look_once(self) -> None:
         self._next_look = None
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -29,7 +29,7 @@
     """The candidates of a domain by model, and of which plan and hosts they were worked out."""
 
     plan: DomainPlan
-    host_changes: int
+    host_change: int
     by_model: Mapping[str, Sequence[Candidate]]
 
 
@@ -75,16 +75,16 @@
         self._by_model = by_model
 
     def _served(self, key: str, plan: DomainPlan) -> _Served:
-        host_changes = self._inventory.changes_in(plan.domain)
+        host_change = self._inventory.last_change(plan.domain)
         held = self._served_by_key.get(key)
-        if held is not None and held.plan is plan and held.host_changes == host_changes:
+        if held is not None and held.plan is plan and held.host_change == host_change:
             return held
         groups_by_model = serving_groups([plan], self._inventory)
         by_model = {
             model: [Candidate(g.group.name, g.head) for g in groups]
             for model, groups in groups_by_model.items()
         }
-        self._served_by_key[key] = served = _Served(plan, host_changes, by_model)
+        self._served_by_key[key] = served = _Served(plan, host_change, by_model)
         return served
 
     def _refresh_plain(self, catalog: Catalog | None) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -146,6 +146,26 @@
         self.assertEqual([h.instance for line in lines for h in line["hosts"]], names)
 
 
+class ForeignEntriesTest(unittest.TestCase):
+    def test_names_that_others_write_leave_nothing_behind(self):
+        # Anybody may write into the list, each entry with a domain and service of its own. They go
+        # again; what was kept by their names would grow for as long as the process lives.
+        inventory = Inventory()
+        engines = EngineHosts(inventory)
+        for number in range(100):
+            inventory.put(host("i", f"d{number}", f"service-{number}"))
+            engines.by_domain(CATALOG)
+        inventory.discard("i")
+        engines.by_domain(CATALOG)
+        for kept in (
+            inventory._by_domain,
+            inventory._last_change_by_domain,
+            inventory._engines_by_service,
+            engines._change_seen,
+        ):
+            self.assertEqual(len(kept), 0)
+
+
 _NAMES = st.sampled_from([f"i{n}" for n in range(6)])
 _DOMAINS = st.sampled_from(["", "d0", "d1"])
 _GROUPS = st.sampled_from(["d0.1", "d1.1", None])
