--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -146,6 +146,25 @@
         self.assertEqual([h.instance for line in lines for h in line["hosts"]], names)
 
 
+class MovedHostTest(unittest.TestCase):
+    def test_member_that_says_another_domain_and_ends_is_sent_nothing(self):
+        # The entry of a head is written over with another domain, and the host ends after that.
+        # The group was worked out with it once, from its domain's last change, and not again when
+        # the host went from the other domain: requests went on to an address that was gone.
+        inventory, plans = Inventory(), KeyedCopy(decode_plan, Records("e"))
+        plan = DomainPlan("d0").with_group(LARGE, (Instance("i0"),))
+        plans.put(plan_key("d0"), encode_plan(plan), 1)
+        view = ServingView(inventory, plans, random.Random(1))
+        inventory.put(member("i0", "d0", plan.groups[0], 0))
+        view.refresh(CATALOG)
+        self.assertEqual(len(view.candidates("pool", LARGE)), 1)
+        inventory.put(member("i0", "d1", plan.groups[0], 0))
+        view.refresh(CATALOG)
+        inventory.discard("i0")
+        view.refresh(CATALOG)
+        self.assertEqual(view.candidates("pool", LARGE), [])
+
+
 class ForeignEntriesTest(unittest.TestCase):
     def test_names_that_others_write_leave_nothing_behind(self):
         # Anybody may write into the list, each entry with a domain and service of its own. They go
