Make the settings of an entry host for tests and upkeep in one place

Cause: `make upkeep` wrote out the fifteen settings that the stand-in site has, line for line. One factory, `entry_settings`, serves both now. Ruled out: a default in EntrySettings itself, as the shipped type should name each bound.

--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -68,6 +68,27 @@
     return json.dumps(body).encode()
 
 
+def entry_settings(name: str, callers: str, balancer: str, peers: str, store: str) -> EntrySettings:
+    """Return the settings of an entry host, with the bounds of the users' standard deployments."""
+    return EntrySettings(
+        host=name,
+        ip="127.0.0.1",
+        data_centre="hall",
+        callers=callers,
+        balancer=balancer,
+        peers=peers,
+        store=store,
+        first_start=True,
+        grace=8.0,
+        key_removal=5.0,
+        retry_ratio=0.2,
+        retry_window=10.0,
+        retry_slack=100.0,
+        load_window=5.0,
+        load_factor=1.1,
+    )
+
+
 class StandInSite:
     """Store, engine hosts in one domain, plain targets, and entry hosts under test."""
 
@@ -142,23 +163,8 @@
 
     def settings(self, name: str) -> EntrySettings:
         """Return the settings of an entry host."""
-        return EntrySettings(
-            host=name,
-            ip="127.0.0.1",
-            data_centre="hall",
-            callers=free_address(),
-            balancer=free_address(),
-            peers=free_address(),
-            store=self.store_address,
-            first_start=True,
-            grace=8.0,
-            key_removal=5.0,
-            retry_ratio=0.2,
-            retry_window=10.0,
-            retry_slack=100.0,
-            load_window=5.0,
-            load_factor=1.1,
-        )
+        callers, balancer, peers = free_address(), free_address(), free_address()
+        return entry_settings(name, callers, balancer, peers, self.store_address)
 
     def listen(self, application: Application) -> str:
         """Serve an application on a free address and return it."""
--- a/dev/oleanderhill_dev/users/upkeep.py
+++ b/dev/oleanderhill_dev/users/upkeep.py
@@ -22,10 +22,11 @@
 from oleanderhill.groups.ownership import Presence, encode_presence, presence_key
 from oleanderhill.groups.plans import DomainPlan, PlannedGroup, encode_plan, plan_key
 from oleanderhill.platform.entry import EntryHost
-from oleanderhill.platform.settings import EntrySettings
 from oleanderhill.serving.gossip import GossipTask
 from oleanderhill.serving.reports import LoadReport, Scope
 
+from .site import entry_settings
+
 REPEATS = 50
 DATA_CENTRES = tuple("abcde")
 NOWHERE = "127.0.0.1:0"
@@ -64,23 +65,8 @@
     def __init__(self, size: Size) -> None:
         self.size = size
         self.revision = 1
-        settings = EntrySettings(
-            host="e0",
-            ip="127.0.0.1",
-            data_centre="a",
-            callers=NOWHERE,
-            balancer=NOWHERE,
-            peers=NOWHERE,
-            store=NOWHERE,
-            first_start=False,
-            grace=8.0,
-            key_removal=5.0,
-            retry_ratio=0.2,
-            retry_window=10.0,
-            retry_slack=100.0,
-            load_window=5.0,
-            load_factor=1.1,
-        )
+        settings = entry_settings("e0", NOWHERE, NOWHERE, NOWHERE, NOWHERE)
+        settings = settings._replace(data_centre=DATA_CENTRES[0], first_start=False)
         self.entry = EntryHost(settings, os.open(os.devnull, os.O_WRONLY))
         gossip = self.entry.kernel.find("gossip", GossipTask)
         gossip._transport = _Silent()  # type: ignore[assignment]
