Don't believe a doubt about most of the targets

In a burst a request waits at a group for longer than a stall takes to be told, leaves it and names it to all entry hosts, which let it be for up to two seconds. The others are overrun, made late for somebody, and named in turn. 121 attempts failed by "no progress" in these seconds, none of the groups had stopped.

Two ways: as before, doubted targets only where all are doubted; and now also where more than half are and the others are full. A cut of a data centre takes a third of the groups, and they are let be as before (test).

--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -18,6 +18,10 @@
 again before, here or by a peer. Its owner finds a lost member and takes the group apart within one
 and a half; longer, a group that was only slow once is lost to callers that are then refused."""
 
+BELIEVED = 0.5
+"""Part of the targets up to which suspicion is believed. More of them are lost at once only by what
+takes several data centres; it is load that makes them late, and they take requests all the same."""
+
 HEARD_SUSPECT_SECONDS = 0.5
 """Seconds for which a peer's word makes a target suspect: it is repeated several times a second
 for as long as the peer thinks so, and goes no further."""
@@ -199,8 +203,8 @@
     ) -> Candidate | None:
         """Return the target that takes a request, ``None`` if none that is left has room.
 
-        The least busy for its slots. One under suspicion only where all are: a request sent there
-        most likely waits for its caller to give up.
+        The least busy for its slots. One under suspicion only where all are, or where so many are
+        that it says little: a request sent there most likely waits for its caller to give up.
 
         :param places: requests that a target may have, in parts of what it runs at once
         :param connected: tells whether a connection to an address is kept
@@ -210,7 +214,12 @@
         """
         left = [c for c in candidates if c.target not in tried]
         sound = [c for c in left if not self.is_suspect(c.target, now)]
-        roomy = [c for c in sound or left if self._has_room(c, now, places)]
+        roomy = [c for c in sound if self._has_room(c, now, places)]
+        if not roomy and len(sound) <= len(left) * (1 - BELIEVED):
+            # A rush makes groups late for somebody one after the other. Each was let be for two
+            # seconds, the rest were overrun and let be in their turn, and callers were refused
+            # with most groups idle. A cut takes a third of them, and they are let be as before.
+            roomy = [c for c in left if self._has_room(c, now, places)]
         if not roomy:
             return None
         if apart:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -290,6 +290,30 @@
         self.book.progress("a", 10.2)
         self.assertFalse(self.book.is_suspect("a", 10.3))
 
+    def test_callers_are_not_refused_while_most_groups_stand_idle_under_suspicion(self):
+        # Callers got 503 while 29 of 35 groups had no request at all. A burst makes a group late
+        # for one request, which leaves it and names it to all entry hosts; each then lets it be
+        # for two seconds, and the others are overrun and named in their turn.
+        groups = [target(f"g{n}") for n in range(7)]
+        for group in groups[:5]:
+            self.book.suspect(group.target, 0.0)
+        for group in groups[5:]:
+            for _ in range(12):
+                self.book.begin(group.target)
+        chosen = self.book.choose(groups, (), 0.1)
+        self.assertIn(chosen, groups[:5])
+
+    def test_groups_of_a_lost_data_centre_are_let_be_though_the_others_are_full(self):
+        # A third of the groups can't be reached: a request sent there holds its caller up, and
+        # ends refused all the same.
+        groups = [target(f"g{n}") for n in range(6)]
+        for group in groups[:2]:
+            self.book.suspect(group.target, 0.0)
+        for group in groups[2:]:
+            for _ in range(12):
+                self.book.begin(group.target)
+        self.assertIsNone(self.book.choose(groups, (), 0.1))
+
     def test_suspect_that_sends_to_a_peers_request_is_trusted_again(self):
         # A group stood still for one request, and goes on for those of another entry host. Left
         # out for seconds, its places would be missed, and callers be refused.
