Ask a store that refuses less and less for the lease

The first pause stays, as one lost answer must not end a lease; the next ones double, up to a second.

--- a/src/oleanderhill/groups/presence.py
+++ b/src/oleanderhill/groups/presence.py
@@ -21,6 +21,20 @@
 """Seconds between renewals: two may be lost before the lease ends."""
 
 
+FIRST_RETRY = 0.3
+"""Seconds after a first failed call: one answer that was lost must not end a lease."""
+
+LONGEST_RETRY = 1.0
+"""Seconds between calls to a store that goes on failing. Refused calls have their price too, and a
+third of the hosts may be turned away for many seconds. A host is present again within as much of
+the store's return, before its domains are taken by others."""
+
+
+def retry_after(failures: int) -> float:
+    """Return the seconds to wait after so many failed calls in a row."""
+    return min(LONGEST_RETRY, FIRST_RETRY * 2.0 ** min(failures - 1, 4))
+
+
 class PresenceTask(Task):
     """Owns the lease and the presence key of this process."""
 
@@ -62,9 +76,11 @@
         return self._alive
 
     async def _hold(self) -> None:
+        failures = 0
         while True:
             held = await self._renew() if self._lease else await self._begin()
-            wait = RENEW_EVERY if held else 0.3
+            failures = 0 if held else failures + 1
+            wait = RENEW_EVERY if held else retry_after(failures)
             await asyncio.sleep(wait * (0.8 + 0.2 * self._rng.random()))
 
     async def _renew(self) -> bool:
