Call requests that end targets by the field's words: quarantined, cleared, in flight

The account of crashes spoke a courtroom's language (condemned, acquitted, accused, guilty, aboard, verdict) where the field says poison request, quarantine, suspected, cleared, in flight.

In the store the new key means that requests quarantined by an earlier version are known again only after they end a target once more; the records last ten minutes.

--- a/dev/oleanderhill_dev/fuzz_endings.py
+++ b/dev/oleanderhill_dev/fuzz_endings.py
@@ -3,7 +3,7 @@
 Several entry hosts, each with its own account of endings, send requests to targets that run a batch
 each. Some requests end whoever begins them; targets also end by themselves; connections are lost
 without an end; looks at a target, datagrams and the list are late or lost; entry hosts restart and
-know nothing. The play knows who is guilty, and checks what the accounts make of it.
+know nothing. The play knows who is poison, and checks what the accounts make of it.
 """
 
 from __future__ import annotations
@@ -45,13 +45,13 @@
     """What a play showed.
 
     :param ended: endings by culprit, and further sends by entry hosts that must have known
-    :param wronged: requests that end nobody and were condemned
+    :param wronged: requests that end nobody and were quarantined
     """
 
     ended: Counter[str]
     further: Counter[str]
     wronged: set[str]
-    condemned: set[str]
+    quarantined: set[str]
 
 
 class Play:
@@ -117,7 +117,7 @@
         self, identity: str, host: int, places: int, tries: int, tried: tuple[int, ...]
     ) -> None:
         book = self._books[host]
-        if book.condemned(identity) is not None:
+        if book.quarantined(identity) is not None:
             return
         wait = book.hold(identity, self._now)
         if wait and not places and not tries:
@@ -146,14 +146,14 @@
                 self._end(run.target)
                 continue
             self._runs.remove(run)
-            _, condemned = self._books[run.host].answered(run.identity, self._now)
-            self._take(condemned)
+            _, quarantined = self._books[run.host].answered(run.identity, self._now)
+            self._take(quarantined)
         for run in self._runs:
             if run.identity not in self._culprits:
                 self._books[run.host].lives(self._life_of(run.target), self._now)
 
     def _end(self, target: int) -> None:
-        """Let a target end, and everything aboard be lost."""
+        """Let a target end, and everything in flight be lost."""
         life, rng = self._life_of(target), self._rng
         lost = [r for r in self._runs if r.target == target]
         self._runs = [r for r in self._runs if r.target != target]
@@ -192,9 +192,9 @@
     def _over(self, host: int, life: str) -> None:
         self._take(self._books[host].over(life, self._now))
 
-    def _take(self, condemned: list[str]) -> None:
-        self.found.condemned.update(condemned)
-        self.found.wronged.update(c for c in condemned if c not in self._culprits)
+    def _take(self, quarantined: list[str]) -> None:
+        self.found.quarantined.update(quarantined)
+        self.found.wronged.update(c for c in quarantined if c not in self._culprits)
 
     def _misfortunes(self, rows_at: float) -> None:
         rng = self._rng
@@ -232,7 +232,7 @@
 def broken(found: Found) -> list[str]:
     """Return what a play shows that must not be."""
     late = [f"{i} sent {n} times more" for i, n in found.further.items() if n > MORE]
-    return [*late, *(f"{i} condemned, and ended nobody" for i in sorted(found.wronged))]
+    return [*late, *(f"{i} quarantined, and ended nobody" for i in sorted(found.wronged))]
 
 
 def play(seed: int, rows: bool = False) -> Found:
--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -20,7 +20,7 @@
 )
 from oleanderhill.platform import decoding
 from oleanderhill.routing import endings
-from oleanderhill.serving import admission, driver, placing, retries, standing, verdicts
+from oleanderhill.serving import admission, driver, placing, quarantine, retries, standing
 
 from ..proving import Mutant, testing
 
@@ -139,13 +139,15 @@
             "what another explains says nothing",
             [(endings, "ENOUGH", 1), (endings, "UNLIKELY", 0.0)],
             testing(
-                f"{ending}.test_who_moves_with_the_culprit_is_not_condemned_and_does_not_save_it_for_long"
+                f"{ending}.test_who_moves_with_the_culprit_is_not_quarantined_and_does_not_save_it_for_long"
             ),
         ),
         Mutant(
             "chance of endings by themselves",
             [(endings, "UNLIKELY", 0.0)],
-            testing(f"{ending}.test_endings_in_rows_by_themselves_condemn_nobody_who_moved_along"),
+            testing(
+                f"{ending}.test_endings_in_rows_by_themselves_quarantine_nobody_who_moved_along"
+            ),
         ),
         Mutant(
             "a lost connection is no ending",
@@ -153,9 +155,9 @@
             testing(f"{ending}.test_lost_connection_to_a_life_that_goes_on_is_no_ending"),
         ),
         Mutant(
-            "a whole answer acquits",
+            "a whole answer clears",
             [(endings.EndingBook, "answered", lambda self, identity, now: (True, []))],
-            testing(f"{ending}.test_whole_answer_acquits_and_what_was_before_counts_no_more"),
+            testing(f"{ending}.test_whole_answer_clears_and_what_was_before_counts_no_more"),
         ),
         Mutant(
             "same by what it asks, not by its id",
@@ -168,10 +170,10 @@
             testing(f"{ending}.test_what_several_entry_hosts_saw_adds_up_and_reaches_all"),
         ),
         Mutant(
-            "verdicts outlive all entry hosts",
-            [(verdicts.VerdictTask, "change", lambda self, key, value, revision, now: False)],
+            "quarantine outlive all entry hosts",
+            [(quarantine.QuarantineTask, "change", lambda self, key, value, revision, now: False)],
             testing(
-                f"{_CRASH}.test_condemned_request_stays_so_when_all_entry_hosts_restart_at_once"
+                f"{_CRASH}.test_quarantined_request_stays_so_when_all_entry_hosts_restart_at_once"
             ),
         ),
         Mutant(
@@ -184,14 +186,14 @@
         ),
         Mutant(
             "bound of endings kept",
-            [(endings, "ENDINGS_KEPT", 100_000), (endings, "CONDEMNED_KEPT", 100_000)],
+            [(endings, "ENDINGS_KEPT", 100_000), (endings, "QUARANTINED_KEPT", 100_000)],
             testing(f"{ending}.test_what_is_kept_and_told_is_bounded_whatever_comes"),
         ),
         Mutant(
-            "one trial after the time of a verdict",
+            "one trial after the time of a quarantine",
             [(endings.EndingBook, "release", lambda self, identity, now: None)],
             testing(
-                f"{ending}.test_after_its_time_it_is_tried_once_and_one_ending_condemns_it_again"
+                f"{ending}.test_after_its_time_it_is_tried_once_and_one_ending_quarantines_it_again"
             ),
         ),
     ]
@@ -278,9 +280,9 @@
 
 
 def _ended_without_condemning(self: Any, order: Any, end: Any, now: float) -> None:
-    condemned = set(self._condemned)
+    quarantined = set(self._quarantined)
     _ENDED(self, order, end, now)
-    self._condemned = condemned
+    self._quarantined = quarantined
 
 
 def _ended_still_silent(self: Any, order: Any, end: Any, now: float) -> None:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -38,8 +38,8 @@
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
 from ..serving.placing import Candidate, LoadBook
+from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
-from ..serving.verdicts import CONDEMNED_PREFIX, VerdictTask
 from ..serving.view import ServingView
 from ..settings.catalog import Catalog, pick_backend
 from ..vitals import VitalsTask
@@ -109,7 +109,7 @@
         self._view = ServingView(self._inventory, self._plans, rng)
         self._book = LoadBook(s.data_centre, rng)
         me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
-        self._verdicts = VerdictTask(
+        self._quarantine = QuarantineTask(
             self.kernel,
             me,
             self._store,
@@ -170,13 +170,13 @@
             self._view.waiting,
             self._view.come_back,
             self.exposition.request,
-            self._verdicts,
+            self._quarantine,
         )
         serving = Serve(self._serve, self._ready, self._max_body)
         self.front = Front(
             self.kernel, s.callers, s.balancer, s.grace, self._codec, serving, records
         )
-        gossip = GossipTask(self.kernel, me, self._book, self._presence.alive, self._verdicts)
+        gossip = GossipTask(self.kernel, me, self._book, self._presence.alive, self._quarantine)
         relay = RelayServer(self.kernel, s.peers, self._mirror)
         vitals = VitalsTask(self.kernel, records, self._counts)
         for service in (
@@ -184,7 +184,7 @@
             relay,
             self._presence,
             self._mirror,
-            self._verdicts,
+            self._quarantine,
             gossip,
             owner,
             vitals,
@@ -236,7 +236,7 @@
             Follower(HOSTS_PREFIX, self._hosts.replace, self._hosts.change),
             Follower(PLAN_PREFIX, self._plans.replace, self._plans.change),
             Follower(PRESENCE_PREFIX, self._entries.replace, self._entries.change),
-            Follower(CONDEMNED_PREFIX, self._verdicts.replace, self._verdicts.change),
+            Follower(QUARANTINE_PREFIX, self._quarantine.replace, self._quarantine.change),
         )
 
     def _held_revisions(self) -> Mapping[str, int]:
@@ -262,10 +262,10 @@
         return True
 
     def _forget(self, removal: Removal) -> None:
-        """Drop what is kept of a life that is over; whoever was aboard may have ended it."""
+        """Drop what is kept of a life that is over; what was in flight there may have ended it."""
         self._caller.forget(removal.address)
         self._orders.forget(removal.address)
-        self._verdicts.over(str(removal.instance), "gone from the list")
+        self._quarantine.over(str(removal.instance), "gone from the list")
 
     async def _look(self, name: str, address: str) -> Listening:
         """Look whether a target whose connections were lost is there, and the same."""
@@ -280,7 +280,7 @@
         self._count_hosts()
         self._asked = self._asked or self._book.any_load()
         if self._view.refresh(self._catalog):
-            self._verdicts.count_targets(self._view.targets())
+            self._quarantine.count_targets(self._view.targets())
             self._owner.look_soon()
         at = time.monotonic()
         self._view.measure(
@@ -382,8 +382,8 @@
         show("probes", "Questions to engine hosts", lambda: self._orders.asked)
         show("loop_held_up_seconds", "Longest so far", lambda: self.kernel.lag.longest)
         show("connections_opened", "Connections to targets", lambda: self._caller.opened)
-        show("endings", "Targets that ended with requests", lambda: self._verdicts.sizes[0])
-        show("condemned", "Requests sent to nobody", lambda: self._verdicts.sizes[1])
+        show("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
+        show("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         show("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
 
--- a/src/oleanderhill/requests/attempts.py
+++ b/src/oleanderhill/requests/attempts.py
@@ -99,7 +99,7 @@
     """The caller closed its connection."""
 
 
-class Condemned(NamedTuple):
+class Quarantined(NamedTuple):
     """The request ends the targets that run it, and is sent to nobody any more."""
 
     problem: Problem
@@ -147,7 +147,7 @@
     | Lost
     | DeadlineHit
     | CallerGone
-    | Condemned
+    | Quarantined
 )
 Effect = Select | Dispatch | Cancel | Deliver | Fail
 
@@ -248,7 +248,7 @@
                 return self._give_up(outcomes.deadline_passed(self.ran()))
             case CallerGone():
                 return self._finish(self._cancel())
-            case Condemned(problem):
+            case Quarantined(problem):
                 return self._give_up(problem)
         return []
 
--- a/src/oleanderhill/requests/exchange.py
+++ b/src/oleanderhill/requests/exchange.py
@@ -240,10 +240,10 @@
         request_id = self._work.request.request_id
         self._decisions.note("route", request_id, f"{text}: {choice.reason}", (choice.group,))
 
-    def _refusal(self) -> attempts.Condemned | None:
+    def _refusal(self) -> attempts.Quarantined | None:
         """Return the event of a request that is not sent, as targets end under it."""
         problem = self._suspects.problem(self._identity, self._machine.ran())
-        return None if problem is None else attempts.Condemned(problem)
+        return None if problem is None else attempts.Quarantined(problem)
 
     async def _choose(self, exclude: frozenset[str]) -> None:
         refusal = self._refusal()
@@ -300,9 +300,9 @@
             self._finder.eject(choice, time.monotonic())
             self._events.put_nowait(attempts.ConnectFailed(number, failure.reason))
         else:
-            aboard = time.monotonic() - self._sent_at
+            ran_for = time.monotonic() - self._sent_at
             request_id = self._work.request.request_id
-            self._suspects.lost(self._identity, request_id, choice.head, aboard)
+            self._suspects.lost(self._identity, request_id, choice.head, ran_for)
             self._events.put_nowait(attempts.Lost(number, failure.reason))
 
     def _broken(self, number: int) -> None:
--- a/src/oleanderhill/requests/suspects.py
+++ b/src/oleanderhill/requests/suspects.py
@@ -2,8 +2,8 @@
 
 The account is that of :mod:`..routing.endings`. News goes to a few peers drawn at random with each
 tick, who tell it on; each sends the same few messages however many there are. Played in virtual
-time, a verdict is at all of 2,200 entry hosts after 4.6 to 5.2 s (five seeds): it counts as new by
-its own age, half a second, and goes on only when it is told again.
+time, a quarantine is known to all of 2,200 entry hosts after 4.6 to 5.2 s (five seeds): it counts
+as new by its own age, half a second, and goes on only when it is told again.
 """
 
 from __future__ import annotations
@@ -65,23 +65,23 @@
 
     def may_send(self, identity: str) -> bool:
         """Tell whether a request may be sent at this very moment."""
-        return self._book.condemned(identity) is None
+        return self._book.quarantined(identity) is None
 
-    def lost(self, identity: str, request_id: str, at: Member, aboard: float) -> None:
+    def lost(self, identity: str, request_id: str, at: Member, ran_for: float) -> None:
         """Take note that a try was lost at a target, after some seconds there."""
         life = f"{at.host}@{at.boot_id}"
-        new = self._book.lost(identity, life, aboard, awake_or_not())
-        text = f"lost at {life} after {aboard:.2f} s, same as {identity}"
+        new = self._book.lost(identity, life, ran_for, awake_or_not())
+        text = f"lost at {life} after {ran_for:.2f} s, same as {identity}"
         self._decisions.note("route", request_id, text, (identity,))
         if new:
             self.spawn(self._look_at(life, at.address))
 
     def answered(self, identity: str) -> None:
         """Take note of a whole answer to a request."""
-        acquitted, condemned = self._book.answered(identity, awake_or_not())
-        if acquitted:
-            self._decisions.note("route", identity, "acquitted by a whole answer")
-        self._condemned(condemned, "another was acquitted")
+        cleared, quarantined = self._book.answered(identity, awake_or_not())
+        if cleared:
+            self._decisions.note("route", identity, "cleared by a whole answer")
+        self._quarantined(quarantined, "another was cleared")
 
     async def tick(self) -> None:
         """Tell a few peers what is new."""
@@ -106,16 +106,16 @@
 
     @receive.register
     def _(self, body: EndingNews, envelope: Received) -> None:
-        self._condemned(self._book.hear(body, awake_or_not()), f"told by {envelope.sender}")
+        self._quarantined(self._book.hear(body, awake_or_not()), f"told by {envelope.sender}")
 
     async def _look_at(self, life: str, address: str) -> None:
         for seconds in LOOK_AFTER:
             await asyncio.sleep(seconds)
             if await self._look(address) == Listening.REFUSED:
-                self._condemned(self._book.over(life, awake_or_not()), f"{life} ended")
+                self._quarantined(self._book.over(life, awake_or_not()), f"{life} ended")
                 return
 
-    def _condemned(self, identities: list[str], reason: str) -> None:
+    def _quarantined(self, identities: list[str], reason: str) -> None:
         for identity in identities:
-            lives = self._book.condemned(identity)
+            lives = self._book.quarantined(identity)
             self._decisions.note("route", identity, f"sent to nobody any more: {reason}; {lives}")
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -17,7 +17,6 @@
 from ..requests.attempts import (
     Cancel,
     Chosen,
-    Condemned,
     ConnectFailed,
     DeadlineHit,
     Deliver,
@@ -28,6 +27,7 @@
     Lost,
     NotStarted,
     Piece,
+    Quarantined,
     Request,
     RequestMachine,
     Select,
@@ -43,16 +43,16 @@
 from .incoming import Incoming, Sink
 from .patience import stall_after
 from .placing import Candidate, LoadBook
+from .quarantine import QuarantineTask
 from .retries import SharedRetryBudget
 from .run import Run
 from .standing import Room, Standing, room, standing
-from .verdicts import VerdictTask
 
 CONNECT_TIMEOUT = 0.12
 """Seconds to connect to a target; within a region the way there and back is under 20 ms, and a
 request that finds a dead one can still be on time elsewhere."""
 
-CONDEMNED = "condemned"
+QUARANTINED = "quarantined"
 
 
 class Tools(NamedTuple):
@@ -73,7 +73,7 @@
     waiting: Callable[[str, float], float | None]
     come_back: Callable[[str, str], float]
     report: Callable[[str, str, float], None]
-    verdicts: VerdictTask
+    quarantine: QuarantineTask
 
 
 class Exchange:
@@ -149,7 +149,7 @@
             headers = self.tools.codec.to_caller(run.reply_headers)
             self._sink.begin(run.status, headers)
         self.tools.book.progress(run.choice.group, now)
-        self.tools.verdicts.progress(run.choice.head.boot_id)
+        self.tools.quarantine.progress(run.choice.head.boot_id)
         self.machine.handle(Piece(self.machine.attempt, events), now)
         return self._sink.write(data)
 
@@ -158,7 +158,7 @@
 
     def sending(self) -> bool:
         """Tell whether the request may go to a target now, and take note that it does."""
-        if not self.tools.verdicts.may_send(self._identity):
+        if not self.tools.quarantine.may_send(self._identity):
             return False
         self._sent_at = time.monotonic()
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
@@ -168,23 +168,23 @@
         """Return what a reply's status and headers mean for the request."""
         return self.tools.codec.read_reply(status, headers)
 
-    def _selected(self) -> Chosen | Condemned:
+    def _selected(self) -> Chosen | Quarantined:
         """Return the next target, unless targets are known to end under the request."""
-        problem = self.tools.verdicts.problem(self._identity, self.machine.ran())
-        return Chosen(self._choose()) if problem is None else Condemned(problem)
+        problem = self.tools.quarantine.problem(self._identity, self.machine.ran())
+        return Chosen(self._choose()) if problem is None else Quarantined(problem)
 
-    def _condemned(self) -> list[Effect]:
-        """Give up a request that was condemned while it was on its way to a target or there."""
+    def _quarantined(self) -> list[Effect]:
+        """Give up a request that was quarantined while it was on its way to a target or there."""
         ran = self.machine.ran()
-        problem = self.tools.verdicts.problem(self._identity, ran) or ends_targets(0, ran)
-        return self._handle(Condemned(problem))
+        problem = self.tools.quarantine.problem(self._identity, ran) or ends_targets(0, ran)
+        return self._handle(Quarantined(problem))
 
     def _choose(self) -> Choice | NoChoice:
         candidates = self.tools.candidates(self._service, self._in.facts.model)
         places = self._room().places
         now = time.monotonic()
         connected = self.tools.caller.keeps
-        apart = self._cut or self.tools.verdicts.endings(self._identity) > 0
+        apart = self._cut or self.tools.quarantine.endings(self._identity) > 0
         found = self.tools.book.choose(candidates, self._tried, now, places, connected, apart)
         if found is None:
             full = bool(candidates)
@@ -222,7 +222,7 @@
         book.begin(choice.group)
         run = Run(self, choice)
         task = asyncio.ensure_future(self.tools.caller.call(self._call(choice), run))
-        told = self.tools.verdicts.begin(self._identity)
+        told = self.tools.quarantine.begin(self._identity)
         try:
             stuck = await self._watch(task, told, run, choice)
             if stuck is None:
@@ -230,7 +230,7 @@
             return self._abandoned(stuck, attempt, choice)
         finally:
             task.cancel()
-            self.tools.verdicts.end(self._identity, told)
+            self.tools.quarantine.end(self._identity, told)
             book.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
@@ -271,7 +271,7 @@
     ) -> str | None:
         """Wait for an attempt's end; return why it is to be abandoned, ``None`` if it ended.
 
-        :param told: done when the request is condemned; cut then, it may spare this target
+        :param told: done when the request is quarantined; cut then, it may spare this target
         """
         book = self.tools.book
         while True:
@@ -285,7 +285,7 @@
             if task.done():
                 return None
             if told.done():
-                return CONDEMNED
+                return QUARANTINED
             now = time.monotonic()
             if now >= deadline:
                 return "deadline"
@@ -306,8 +306,8 @@
     def _abandoned(self, stuck: str, attempt: int, choice: Choice) -> list[Effect]:
         if stuck == "deadline":
             return self._handle(DeadlineHit())
-        if stuck == CONDEMNED:
-            return self._condemned()
+        if stuck == QUARANTINED:
+            return self._quarantined()
         self._suspect(choice, stuck)
         self._lost(choice)
         return self._handle(Lost(attempt, stuck))
@@ -316,7 +316,7 @@
         self, result: Result[Reply, CallFailure], run: Run, attempt: int, choice: Choice
     ) -> list[Effect]:
         if run.withheld:
-            return self._condemned()
+            return self._quarantined()
         if not is_successful(result):
             failure = result.failure()
             self._suspect(choice, failure.reason)
@@ -335,7 +335,7 @@
             return self._handle(Lost(attempt, run.fault or "the stream was torn"))
         if not reading.sealed:
             return self._handle(Lost(attempt, f"status {reply.status} without a signature"))
-        self.tools.verdicts.answered(self._identity, self._in.facts.request_id)
+        self.tools.quarantine.answered(self._identity, self._in.facts.request_id)
         if not run.streaming:
             reply = reply._replace(body=b"".join(run.chunks))
             if self._sink.begun:
@@ -346,9 +346,9 @@
         return self._handle(Finished(attempt))
 
     def _lost(self, choice: Choice) -> None:
-        """Take note that the target may have ended with the request aboard."""
-        aboard = time.monotonic() - self._sent_at
-        self.tools.verdicts.lost(self._identity, self._in.facts.request_id, choice.head, aboard)
+        """Take note that the target may have ended with the request in flight."""
+        ran_for = time.monotonic() - self._sent_at
+        self.tools.quarantine.lost(self._identity, self._in.facts.request_id, choice.head, ran_for)
 
     def _suspect(self, choice: Choice, reason: str) -> None:
         self.tools.book.suspect(choice.group, time.monotonic())
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -17,6 +17,7 @@
 from ..kernel import Kernel, Task
 from ..routing.endings import EndingNews
 from .placing import PEER_COUNTS_LAST, LoadBook
+from .quarantine import QuarantineTask
 from .reports import (
     MESH_MOST,
     Audience,
@@ -29,7 +30,6 @@
     in_parts,
     without,
 )
-from .verdicts import VerdictTask
 
 EVERY = 0.05
 """Seconds between two reports: by them a silent target is told from a busy one, and a stream that
@@ -86,10 +86,10 @@
         me: Presence,
         book: LoadBook,
         peers: Callable[[], Mapping[str, Presence]],
-        verdicts: VerdictTask,
+        quarantine: QuarantineTask,
     ) -> None:
         super().__init__(kernel)
-        self._verdicts = verdicts
+        self._quarantine = quarantine
         self._endings_at = float("-inf")
         self._endings_again_at = float("-inf")
         self._me = me
@@ -145,7 +145,7 @@
             self._tell_endings(now, to, alive)
 
     def _tell_endings(self, now: float, to: Audience, alive: Mapping[str, Presence]) -> None:
-        """Tell of targets that ended and who is condemned for it, to those who get the counts.
+        """Tell of targets that ended and who is quarantined for it, to those who get the counts.
 
         Each tells all that it knows, also what it heard: sums of sets, they come through whatever
         way there is, and a hub passes them on without knowing what they mean.
@@ -153,7 +153,7 @@
         again = now - self._endings_again_at >= ENDINGS_AGAIN
         if again:
             self._endings_again_at = now
-        for part in self._verdicts.news(again):
+        for part in self._quarantine.news(again):
             self._send_to(_ENCODER.encode(part), (*to.own, *to.hubs, *to.neighbours), alive)
 
     def _own_report(self, now: float) -> LoadReport:
@@ -208,7 +208,7 @@
             # Anybody may send datagrams here; what is not a report says nothing.
             return
         if isinstance(report, EndingNews):
-            self._verdicts.hear(report)
+            self._quarantine.hear(report)
             return
         now = time.monotonic()
         if report.scope == Scope.TOTAL:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -57,11 +57,11 @@
             await self.until_served(entry)
             await self.generate(FATAL, entry)
 
-    async def until_condemned(self):
+    async def until_quarantined(self):
         """Let the fatal request come again until it is known for what it does."""
         for _ in range(12):
             await self.come_again(1)
-            if all(e._verdicts.sizes[1] for e in self.site.entries):
+            if all(e._quarantine.sizes[1] for e in self.site.entries):
                 break
             await asyncio.sleep(0.5)
         self.assertLessEqual(len(self.site.engines.crashed), ENOUGH + MORE)
@@ -75,9 +75,9 @@
         await self.come_again(8)
         self.assertLessEqual(len(self.site.engines.crashed), ENOUGH + MORE)
 
-    async def test_condemned_request_gets_its_final_answer_at_once(self):
+    async def test_quarantined_request_gets_its_final_answer_at_once(self):
         # No queue, no target, no time to come back: a type of its own that says whether it ran.
-        await self.until_condemned()
+        await self.until_quarantined()
         for entry in self.site.entries:
             await self.until_served(entry)
             before, began = len(self.site.engines.runs), time.monotonic()
@@ -91,12 +91,12 @@
             self.assertEqual(self.runs(self.request_id), [])
             self.assertGreaterEqual(len(self.site.engines.runs), before)
 
-    async def test_condemned_request_stays_so_when_all_entry_hosts_restart_at_once(self):
+    async def test_quarantined_request_stays_so_when_all_entry_hosts_restart_at_once(self):
         # What the processes knew is gone with them; only the platform keeps it.
-        await self.until_condemned()
+        await self.until_quarantined()
         ended = len(self.site.engines.crashed)
         await until(
-            lambda: [k for k in self.site.store.items if k.startswith("oleanderhill/condemned/")]
+            lambda: [k for k in self.site.store.items if k.startswith("oleanderhill/quarantined/")]
         )
         for entry in self.site.entries:
             await entry.kernel.stop()
@@ -125,7 +125,7 @@
             status, reader = await self.generate(body)
             self.assertEqual(status, 200, reader.body)
 
-    async def test_lost_connections_to_replicas_that_live_on_condemn_nobody(self):
+    async def test_lost_connections_to_replicas_that_live_on_quarantine_nobody(self):
         # Streams are torn by the network again and again; the replicas go on.
         for number in range(8):
             self.site.engines.tear_after = 4
@@ -159,28 +159,28 @@
         self.book = EndingBook()
         self.book.targets = 14
 
-    def end(self, life, now, *aboard, seconds=0.1, book=None):
-        """Let a life end with requests aboard; return who is condemned by it."""
+    def end(self, life, now, *in_flight, seconds=0.1, book=None):
+        """Let a life end with requests in flight; return who is quarantined by it."""
         book = book or self.book
-        for name in aboard:
+        for name in in_flight:
             book.lost(name, life, seconds, now)
         return book.over(life, now + 0.05)
 
-    def test_three_endings_with_nobody_else_to_explain_them_condemn(self):
+    def test_three_endings_with_nobody_else_to_explain_them_quarantine(self):
         self.assertEqual(self.end("a", 1.0, "culprit", "x", "y"), [])
         self.assertEqual(self.end("b", 1.2, "culprit", "z"), [])
         self.assertEqual(self.end("c", 1.4, "culprit"), ["culprit"])
-        self.assertEqual(set(self.book.condemned("culprit")), {"a", "b", "c"})
-        self.assertTrue(all(self.book.condemned(n) is None for n in "xyz"))
+        self.assertEqual(set(self.book.quarantined("culprit")), {"a", "b", "c"})
+        self.assertTrue(all(self.book.quarantined(n) is None for n in "xyz"))
 
-    def test_who_moves_with_the_culprit_is_not_condemned_and_does_not_save_it_for_long(self):
+    def test_who_moves_with_the_culprit_is_not_quarantined_and_does_not_save_it_for_long(self):
         for life, now in (("a", 1.0), ("b", 1.2), ("c", 1.4)):
             self.assertEqual(self.end(life, now, "culprit", "companion"), [])
         self.assertEqual(self.end("d", 3.0, "culprit"), [])
         self.assertEqual(self.end("e", 4.5, "culprit"), ["culprit"])
-        self.assertIsNone(self.book.condemned("companion"))
+        self.assertIsNone(self.book.quarantined("companion"))
 
-    def test_whole_answer_acquits_and_what_was_before_counts_no_more(self):
+    def test_whole_answer_clears_and_what_was_before_counts_no_more(self):
         self.end("a", 1.0, "r")
         self.end("b", 1.2, "r")
         self.book.answered("r", 1.3)
@@ -213,18 +213,18 @@
     def test_same_request_twice_at_one_target_is_one_piece_of_evidence(self):
         for life in "ab":
             self.end(life, 1.0, "r", "r")
-        self.assertIsNone(self.book.condemned("r"))
+        self.assertIsNone(self.book.quarantined("r"))
         self.assertEqual(self.book.suspicion("r"), 2)
 
-    def test_endings_in_rows_by_themselves_condemn_nobody_who_moved_along(self):
+    def test_endings_in_rows_by_themselves_quarantine_nobody_who_moved_along(self):
         # Thirteen of fourteen targets end within two seconds, three of them with one request
-        # aboard that was there for half a second each time.
+        # in flight that was there for half a second each time.
         for number in range(10):
             self.end(f"other-{number}", 1.0 + number / 5, f"r{number}", seconds=0.5)
         for life, now in (("a", 1.3), ("b", 1.9), ("c", 2.5)):
             self.assertEqual(self.end(life, now, "moved", seconds=0.5), [])
 
-    def test_three_endings_without_a_verdict_let_it_go_on_one_try_at_a_time(self):
+    def test_three_endings_without_a_quarantine_let_it_go_on_one_try_at_a_time(self):
         for life, now in (("a", 1.0), ("b", 1.2), ("c", 1.4)):
             self.end(life, now, "culprit", "companion")
         self.assertAlmostEqual(self.book.hold("culprit", 1.6), endings.HOLD - 0.2)
@@ -232,12 +232,12 @@
         self.assertEqual(self.book.hold("other", 1.6), 0.0)
 
     def test_endings_known_before_a_restart_count_on(self):
-        # All entry hosts restart after three endings without a verdict. Counted from none again,
+        # All entry hosts restart after three endings without a quarantine. Counted from none again,
         # the request would end three more, and more with each restart.
         for life, now in (("a", 1.0), ("b", 1.2), ("c", 1.4)):
             self.end(life, now, "culprit", "companion")
-        self.assertEqual(self.book.take_accused(), ["companion", "culprit"])
-        self.assertEqual(self.book.take_accused(), [])
+        self.assertEqual(self.book.take_suspected(), ["companion", "culprit"])
+        self.assertEqual(self.book.take_suspected(), [])
         after = EndingBook()
         after.targets = 14
         self.assertEqual(after.recall(self.book.endings_of("companion"), 10.0), [])
@@ -273,57 +273,58 @@
                 other.hear(part, now)
         self.assertEqual((other.suspicion("r"), other.sizes[0]), (1, 1))
 
-    def test_acquittal_that_comes_after_the_verdict_takes_it_back_everywhere(self):
+    def test_clearing_that_comes_after_the_quarantine_takes_it_back_everywhere(self):
         other = EndingBook()
-        other.condemn("r", ("a", "b", "c"), 1.0)
+        other.quarantine("r", ("a", "b", "c"), 1.0)
         self.book.lost("r", "d", 0.1, 1.5)
         self.book.answered("r", 2.0)
         for part in self.book.news("peer", 2.1, False):
             other.hear(part, 2.1)
-        self.assertIsNone(other.condemned("r"))
+        self.assertIsNone(other.quarantined("r"))
 
     def test_what_is_kept_and_told_is_bounded_whatever_comes(self):
         for number in range(400):
             life = f"life-{number}"
             self.end(life, number / 100, *(f"r{number}-{n}" for n in range(90)))
-            self.book.condemn(f"bad-{number}", ("a", "b", "c"), number / 100)
+            self.book.quarantine(f"bad-{number}", ("a", "b", "c"), number / 100)
             self.book.answered(f"r{number}-1", number / 100)
         self.assertLessEqual(self.book.sizes[0], 64)
         self.assertLessEqual(self.book.sizes[1], 256)
         for part in self.book.news("a-host-with-quite-a-long-name", 30.0, True):
             self.assertLess(len(msgspec.msgpack.encode(part)), 1400)
 
-    def test_after_its_time_it_is_tried_once_and_one_ending_condemns_it_again(self):
+    def test_after_its_time_it_is_tried_once_and_one_ending_quarantines_it_again(self):
         for life, now in (("a", 1.0), ("b", 1.2), ("c", 1.4)):
             self.end(life, now, "r")
         later = 2.0 + endings.REMEMBERED
         self.book.forget(later)
-        self.assertIsNone(self.book.condemned("r"))
+        self.assertIsNone(self.book.quarantined("r"))
         self.assertEqual(self.end("d", later + 1, "r", "x"), ["r"])
 
 
 class PlayTest(unittest.TestCase):
-    def test_no_culprit_goes_on_and_no_innocent_is_condemned(self):
-        # Batches, victims aboard with the culprit, lost connections, late news and restarts, drawn
-        # at random: entry hosts that must know send a culprit three times more at most, and who
-        # never ended a target is not refused for it.
+    def test_no_culprit_goes_on_and_no_innocent_is_quarantined(self):
+        # Batches, victims in flight with the culprit, lost connections, late news and restarts, all
+        # drawn at random: entry hosts that must know send a culprit three times more at most, and
+        # who never ended a target is not refused for it.
         for seed in range(8):
             with self.subTest(seed=seed):
                 self.assertEqual(broken(play(seed)), [])
 
-    def test_nobody_is_condemned_by_chance_while_most_targets_end_by_themselves(self):
+    def test_nobody_is_quarantined_by_chance_while_most_targets_end_by_themselves(self):
         # Within a second and a half most targets end by themselves, and one request is lost with
         # three or four of them. In five of these seeds (42, 85, 107, 203, 426) an entry host that
-        # had restarted condemned it: endings whose victims had all been answered since were told to
-        # nobody, so that it knew of four where the others knew of six. In the other four hosts that
-        # knew all condemned it by chance; they pass as telling more changed what the plays draw.
+        # had restarted quarantined it: endings whose victims had all been answered since were told
+        # to nobody, so that it knew of four where the others knew of six. In the other four hosts
+        # that knew all quarantined it by chance; they pass as telling more changed what the plays
+        # draw.
         for seed in (42, 85, 107, 158, 201, 203, 320, 374, 426):
             with self.subTest(seed=seed):
                 self.assertEqual(broken(play(seed, rows=True)), [])
 
 
 class SpreadTest(unittest.IsolatedAsyncioTestCase):
-    """News of a verdict among eighteen entry hosts in three data centres, through hubs."""
+    """News of a quarantine among eighteen entry hosts in three data centres, through hubs."""
 
     def setUp(self):
         self.alive = {
@@ -337,12 +338,12 @@
 
     def make(self, name):
         book = self.books[name]
-        verdicts = SimpleNamespace(
+        quarantine = SimpleNamespace(
             news=lambda again: book.news(name, time.monotonic(), again),
             hear=lambda news: book.hear(news, time.monotonic()),
         )
         loads = LoadBook("a", random.Random(1))
-        gossip = GossipTask(Kernel(), self.alive[name], loads, lambda: self.alive, verdicts)
+        gossip = GossipTask(Kernel(), self.alive[name], loads, lambda: self.alive, quarantine)
 
         def send_to(data, names, alive):
             for other in set(names) - self.gone if name not in self.gone else ():
@@ -356,26 +357,26 @@
         while time.monotonic() - began < most:
             for name in self.gossip.keys() - self.gone:
                 await self.gossip[name].tick()
-            knowing = [n for n in self.books if self.books[n].condemned("culprit") is not None]
+            knowing = [n for n in self.books if self.books[n].quarantined("culprit") is not None]
             if set(knowing) >= self.books.keys() - self.gone:
                 return time.monotonic() - began
             await asyncio.sleep(0.05)
         return most
 
-    async def test_verdict_of_one_host_is_known_to_all_within_a_second(self):
-        self.books["a-5"].condemn("culprit", ("x", "y", "z"), time.monotonic())
+    async def test_quarantine_of_one_host_is_known_to_all_within_a_second(self):
+        self.books["a-5"].quarantine("culprit", ("x", "y", "z"), time.monotonic())
         self.assertLess(await self.seconds_until_all_know(3.0), 1.0)
 
-    async def test_verdict_is_known_to_all_though_a_hub_is_killed(self):
+    async def test_quarantine_is_known_to_all_though_a_hub_is_killed(self):
         # The hub of the data centre is gone, and nobody has noticed but by its silence.
         self.gone = {hub_ranking("a", self.alive)[0]}
         sender = sorted(n for n in self.alive if n.startswith("a") and n not in self.gone)[-1]
         await asyncio.sleep(0.35)
-        self.books[sender].condemn("culprit", ("x", "y", "z"), time.monotonic())
+        self.books[sender].quarantine("culprit", ("x", "y", "z"), time.monotonic())
         self.assertLess(await self.seconds_until_all_know(5.0), 3.0)
 
     async def test_host_that_restarts_hears_what_was_told_before(self):
-        self.books["a-5"].condemn("culprit", ("x", "y", "z"), time.monotonic() - 60)
+        self.books["a-5"].quarantine("culprit", ("x", "y", "z"), time.monotonic() - 60)
         await self.seconds_until_all_know(5.0)
         self.books["c-3"] = EndingBook()
         self.gossip["c-3"] = self.make("c-3")
