--- a/src/oleanderhill/clients/readings.py
+++ b/src/oleanderhill/clients/readings.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from ..clock import awake_or_not
 from ..exceptions import StoreCutError, StoreError
 from .storage import Change, HistoryLostError, Storage
 
@@ -89,7 +90,13 @@
         """Read what changed, or everything where the store no longer has the changes."""
         if after is None:
             return await self._read_whole(began)
-        self._begin_check(began)
+        checking = asyncio.create_task(self._keep_checking())
+        try:
+            return await self._read_changes(after, began)
+        finally:
+            checking.cancel()
+
+    async def _read_changes(self, after: int, began: float) -> Result[Reading, StoreError]:
         found = await self._storage.changes(after)
         if not is_successful(found) and isinstance(found.failure(), StoreCutError):
             # A store that drops its history cuts its watchers, and says so when asked again. The
@@ -103,20 +110,23 @@
             return await self._read_whole(began)
         return Failure(found.failure())
 
-    def _begin_check(self, began: float) -> None:
+    async def _keep_checking(self) -> None:
         """Ask the store, beside a reading, whether the configuration is the one that is held.
 
         A store that is about to drop its history tells watchers nothing, so a reading alone proves
         no more than what held a second before. That second is missing when the store is lost: keys
-        must not be used once the proof is too old, and callers are refused that much sooner.
+        must not be used once the proof is too old, and callers are refused that much sooner. While
+        the reading hangs, the checks go on: without a young proof all peers would ask the store.
         """
-        held = self._held()
-        if not self.checks or not held or began - self._checked_at < CHECK_EVERY:
-            return
-        self._checked_at = began
-        check = asyncio.create_task(self._check(held, began))
-        self._checks.add(check)
-        check.add_done_callback(self._checks.discard)
+        while self.checks and (held := self._held()):
+            now = awake_or_not()
+            if now - self._checked_at >= CHECK_EVERY:
+                self._checked_at = now
+                # It outlives the reading, which is mostly answered as soon as the check is.
+                check = asyncio.create_task(self._check(held, now))
+                self._checks.add(check)
+                check.add_done_callback(self._checks.discard)
+            await asyncio.sleep(CHECK_EVERY)
 
     async def _check(self, held: Mapping[str, int], began: float) -> None:
         # One that fails or comes late proves less, and the next one follows soon.
