--- a/dev/oleanderhill_dev/users/losses.py
+++ b/dev/oleanderhill_dev/users/losses.py
@@ -19,6 +19,9 @@
 
 WELL = "on time"
 
+ON_THE_WAY = {"attempt failed", "suspect", "cleared"}
+"""Lines about a request that don't end it."""
+
 
 class Loss(NamedTuple):
     """How some requests ended.
@@ -37,7 +40,7 @@
     return [
         Loss(line.at, _cause(line), int(line.facts.get("stands_for", 1)))
         for line in lines
-        if line.part == "request" and line.facts.get("what") != "attempt failed"
+        if line.part == "request" and line.facts.get("what") not in ON_THE_WAY
     ]
 
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -27,6 +27,8 @@
             line("no-capacity", status=503, reason="no untried target has room: 4 targets"),
             line("cut", status=502, reason="no untried target has room: 1 targets"),
             line("attempt failed", reason="no progress"),
+            line("suspect", instance="i-1"),
+            line("cleared"),
             line("unauthenticated", status=401),
             "not a line of ours\n",
         )
