Read everything at once when a check shows a change that the watch does not tell

Keys are taken away in the second in which watches are told nothing; so the check rightly proves nothing, and 86 peers without a proof looked for themselves.

The check knows of the change, though: the host that reads for all now gives the watch 0.3 s more and then reads everything, and its peers hear from it. A change comes into force that much sooner, too.

--- a/src/oleanderhill/clients/readings.py
+++ b/src/oleanderhill/clients/readings.py
@@ -11,7 +11,7 @@
 
 from ..clock import awake_or_not
 from ..exceptions import StoreCutError, StoreError
-from .storage import Change, HistoryLostError, Storage
+from .storage import Change, Changes, HistoryLostError, Storage
 
 DEAF = 1.3
 """Seconds of changes that a reading may miss: before it drops its history the store may tell
@@ -21,6 +21,10 @@
 CHECK_EVERY = 0.6
 """Seconds between two such checks at least: each is a call, and has its price."""
 
+SILENT_AFTER = 0.3
+"""Seconds that a reading has left once a check shows that there is something to read: a store that
+tells watchers anything answers in a few ms, or waits 0.2 s for news."""
+
 
 class Reading(NamedTuple):
     """What a source told.
@@ -82,6 +86,7 @@
         self._prove = prove
         self._checked_at = float("-inf")
         self._checks: set[asyncio.Task[None]] = set()
+        self._changed = asyncio.Event()
         self.checks = False
         """Whether readings are accompanied by checks. Who reads for all does it for all; the
         others, who read while that one is away, would double the calls of a fleet."""
@@ -90,6 +95,7 @@
         """Read what changed, or everything where the store no longer has the changes."""
         if after is None:
             return await self._read_whole(began)
+        self._changed.clear()
         checking = asyncio.create_task(self._keep_checking())
         try:
             return await self._read_changes(after, began)
@@ -97,7 +103,11 @@
             checking.cancel()
 
     async def _read_changes(self, after: int, began: float) -> Result[Reading, StoreError]:
-        found = await self._storage.changes(after)
+        found = await self._told(after)
+        if found is None:
+            # The configuration has changed and the watch tells nothing: its history is about to be
+            # dropped. Each host looked for itself when its proof ran out, and read all of it.
+            return await self._read_whole(awake_or_not())
         if not is_successful(found) and isinstance(found.failure(), StoreCutError):
             # A store that drops its history cuts its watchers, and says so when asked again. The
             # readers elsewhere know no more: waiting for them, all hosts were without a reading
@@ -110,6 +120,19 @@
             return await self._read_whole(began)
         return Failure(found.failure())
 
+    async def _told(self, after: int) -> Result[Changes, StoreError] | None:
+        """Return what the watch tells, ``None`` if it tells nothing though there is news."""
+        asked = asyncio.ensure_future(self._storage.changes(after))
+        changed = asyncio.ensure_future(self._changed.wait())
+        try:
+            await asyncio.wait({asked, changed}, return_when=asyncio.FIRST_COMPLETED)
+            if not asked.done():
+                await asyncio.wait({asked}, timeout=SILENT_AFTER)
+            return asked.result() if asked.done() else None
+        finally:
+            asked.cancel()
+            changed.cancel()
+
     async def _keep_checking(self) -> None:
         """Ask the store, beside a reading, whether the configuration is the one that is held.
 
@@ -130,8 +153,11 @@
 
     async def _check(self, held: Mapping[str, int], began: float) -> None:
         # One that fails or comes late proves less, and the next one follows soon.
-        if (await self._storage.unchanged(held)).value_or(False):
+        unchanged = (await self._storage.unchanged(held)).value_or(None)
+        if unchanged:
             self._prove(began)
+        elif unchanged is False:
+            self._changed.set()
 
     async def _read_whole(self, began: float) -> Result[Reading, StoreError]:
         items: list[Change] = []
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -207,6 +207,19 @@
         found = await self.source(Shelf(answers=lost)).read(9, 100.0)
         self.assertTrue(found.unwrap().whole)
 
+    async def test_reader_that_is_told_nothing_of_a_change_reads_everything(self):
+        # Keys are taken away while the store tells watchers nothing. The reader had no proof any
+        # more, and no news: 86 peers asked the store, and each read all of its content.
+        shelf = Shelf(unchanged=False, takes=5.0)
+        began = awake_or_not()
+        found = await self.source(shelf).read(9, began)
+        self.assertTrue(found.unwrap().whole)
+        self.assertLess(awake_or_not() - began, 1.0)
+
+    async def test_reader_that_is_told_of_a_change_takes_what_it_is_told(self):
+        found = await self.source(Shelf(unchanged=False, takes=0.1)).read(9, 100.0)
+        self.assertFalse(found.unwrap().whole)
+
     async def test_silent_store_is_not_asked_twice_in_a_row(self):
         lost = [Failure(StoreAnswerLostError("timeout")), NO_NEWS]
         self.assertFalse(is_successful(await self.source(Shelf(answers=lost)).read(9, 100.0)))
