--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -5,7 +5,7 @@
 import secrets
 from typing import Any
 
-from oleanderhill.clients import currency, keyed
+from oleanderhill.clients import currency, keyed, readings
 from oleanderhill.groups import (
     composing,
     engine_hosts,
@@ -14,6 +14,7 @@
     owner,
     ownership,
     pacing,
+    presence,
     probing,
     readers,
     spares,
@@ -255,9 +256,63 @@
                 ".test_what_is_kept_is_what_would_be_worked_out_from_all_hosts"
             ),
         ),
+        Mutant(
+            "proof only from a configuration that is unchanged",
+            [(readings.StoreSource, "_check", _prove_anyhow)],
+            testing(
+                "test_relay.ProofTest.test_without_such_an_answer_the_proof_is_that_of_the_reading"
+            ),
+        ),
+        Mutant(
+            "a watch that tells nothing of a change is given up",
+            [(readings.StoreSource, "_told", _told_in_the_end)],
+            testing(
+                "test_relay.ProofTest.test_reader_that_is_told_nothing_of_a_change_reads_everything"
+            ),
+        ),
+        Mutant(
+            "doubt of most targets is not believed",
+            [(placing, "BELIEVED", 1.0)],
+            testing(
+                "test_serving.PlacingTest"
+                ".test_callers_are_not_refused_while_most_groups_stand_idle_under_suspicion"
+            ),
+        ),
+        Mutant(
+            "a pool of retries is divided until all know what was taken",
+            [(retries.SharedRetryBudget, "left", _all_of_the_pool)],
+            testing(
+                "test_serving.RetryTest"
+                ".test_pooled_shares_stay_under_the_bound_whoever_hears_whom"
+            ),
+        ),
+        Mutant(
+            "a store that refuses is asked less and less",
+            [(presence, "retry_after", lambda failures: presence.FIRST_RETRY)],
+            testing(
+                "test_presence.RefusedTest"
+                ".test_store_that_refuses_for_long_is_asked_less_and_less"
+            ),
+        ),
     ]
 
 
+async def _prove_anyhow(self: Any, held: Any, began: float) -> None:
+    await self._storage.unchanged(held)
+    self._prove(began)
+
+
+async def _told_in_the_end(self: Any, after: int) -> Any:
+    return await self._storage.changes(after)
+
+
+def _all_of_the_pool(self: Any, now: float) -> float:
+    counts = [self.own(now), *(c for at, c in self._heard.values() if now - at <= 0.6)]
+    count = retries.counted(counts)
+    share = self._slack * min(1.0, count.hosts / max(1, self.hosts))
+    return self._ratio * count.requests + share - count.retries
+
+
 _LONG_QUEUE = standing.Room(1.8, 0)
 
 
@@ -280,9 +335,9 @@
 
 
 def _ended_without_condemning(self: Any, order: Any, end: Any, now: float) -> None:
-    quarantined = set(self._quarantined)
+    condemned = set(self._condemned)
     _ENDED(self, order, end, now)
-    self._quarantined = quarantined
+    self._condemned = condemned
 
 
 def _ended_still_silent(self: Any, order: Any, end: Any, now: float) -> None:
