--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -20,8 +20,8 @@
 old. Where the two ways cost the same was not measured; the standard deployments have 8 and 9."""
 
 PART_BYTES = 1100
-"""Bytes of the rows of one datagram: with the sender's name and what was turned away by model, a
-datagram stays under 1,400 and fits into one frame."""
+"""Bytes of the rows of one datagram: with the sender's name, what was turned away by model and the
+retries of some services, a datagram stays under 1,400 and fits into one frame."""
 
 ROW_BYTES = 14
 """Bytes of a row beside its target's name, which stands in it twice: a count and an age."""
