--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -343,7 +343,7 @@
             hear=lambda news: book.hear(news, time.monotonic()),
         )
         loads = LoadBook("a", random.Random(1))
-        gossip = GossipTask(Kernel(), self.alive[name], loads, lambda: self.alive, quarantine)
+        gossip = GossipTask(Kernel(), self.alive[name], loads, lambda: self.alive, quarantine, {})
 
         def send_to(data, names, alive):
             for other in set(names) - self.gone if name not in self.gone else ():
