Say once which headers of targets' answers nobody reads

Callers saw nothing of the incident; what a replica says of its need left no trace either. Each process now writes one line by name for each header in a target's answer that means nothing to it, with one value, for 64 names at most.

Tests: told once by name; ever new names are bounded. No logic is changed.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -70,6 +70,9 @@
 WAIT_OF_PATIENCE = 0.3
 """Part of a caller's patience that such a wait takes at most; the rest is for its answer."""
 
+LOGGED_VALUE = 80
+"""Characters of a header's value in the log."""
+
 METRICS_PORT = 9464
 """Port of the metrics; the deploy file names it too."""
 
@@ -160,7 +163,7 @@
             self._view.filled,
             records,
         )
-        self._codec = HeaderCodec()
+        self._codec = HeaderCodec(self._note_unread)
         self._tools = Tools(
             self._codec,
             self._caller,
@@ -300,6 +303,10 @@
         for budget in self._budget_by_service.values():
             budget.hosts = self._most_hosts
 
+    def _note_unread(self, name: str, value: str) -> None:
+        """Say that targets send a header which means nothing here."""
+        self._records.note("target", "unread header", name=name, value=value[:LOGGED_VALUE])
+
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from tornado.httputil import HTTPHeaders
 
@@ -37,12 +37,34 @@
 )
 _SET_BY_US = frozenset({ACCOUNT, DEADLINE, EXPECT_INSTANCE, PRIORITY, AUTHORIZATION, LAST_EVENT})
 
+_SAYS_NOTHING_TO_US = frozenset(
+    {"Date", "Server", "Content-Type", "Etag", "Vary", "Weight-Versions", "At-Server"}
+    | {"Instance-Id", "Cache-Control", "X-Content-Type-Options"}
+)
+_KNOWN_IN_REPLIES = (
+    _CONNECTION_ONLY | _SAYS_NOTHING_TO_US | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER}
+)
+
+MOST_UNREAD = 64
+"""Names of unread headers that are remembered: a target may send any."""
+
 _MIDDLE_PRIORITY = 4
 _MOST_PRIORITY = 9
 
 
+def _tell_nobody(name: str, value: str) -> None:
+    """Ignore an unread header."""
+
+
 class HeaderCodec:
-    """Decodes and writes the platform's headers for the product."""
+    """Decodes and writes the platform's headers for the product.
+
+    :param unread: takes name and value of a header of a reply that is not read, once by name
+    """
+
+    def __init__(self, unread: Callable[[str, str], None] = _tell_nobody) -> None:
+        self._tell_unread = unread
+        self._unread: set[str] = set()
 
     def read_request(self, headers: HTTPHeaders) -> Facts:
         """Return what a request's headers say."""
@@ -80,8 +102,17 @@
 
     def read_reply(self, status: int, headers: HTTPHeaders) -> Reading:
         """Return what a reply's status and headers mean for the request."""
+        self._look_for_unread(headers)
         return Reading(NOT_RUN in headers or status == 421, SEAL in headers)
 
+    def _look_for_unread(self, headers: HTTPHeaders) -> None:
+        for name in headers:
+            if name in _KNOWN_IN_REPLIES or name in self._unread:
+                continue
+            if len(self._unread) < MOST_UNREAD:
+                self._unread.add(name)
+                self._tell_unread(name, headers[name])
+
     def belongs(self, request_id: str, headers: HTTPHeaders) -> bool:
         """Tell whether a reply answers this request.
 
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -11,7 +11,7 @@
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 from oleanderhill.clock import awake_or_not
 from oleanderhill.platform.decoding import decode_configuration, decode_host
-from oleanderhill.platform.headers import HeaderCodec
+from oleanderhill.platform.headers import MOST_UNREAD, HeaderCodec
 
 HOST = "yard.example"
 
@@ -558,6 +558,20 @@
         for name in ("Authorization", "X-Hop", "Connection"):
             self.assertNotIn(name, sent)
 
+    def test_header_of_replies_that_nobody_reads_is_told_once_by_name(self):
+        told = []
+        codec = HeaderCodec(lambda name, value: told.append((name, value)))
+        for value in ("1.2", "1.5"):
+            codec.read_reply(200, HTTPHeaders({"Response-Seal": "s", "In-Need": value}))
+        self.assertEqual(told, [("In-Need", "1.2")])
+
+    def test_targets_that_send_ever_new_headers_fill_no_memory(self):
+        told = []
+        codec = HeaderCodec(lambda name, value: told.append(name))
+        for number in range(3 * MOST_UNREAD):
+            codec.read_reply(200, HTTPHeaders({f"X-{number}": "1"}))
+        self.assertEqual(len(told), MOST_UNREAD)
+
 
 if __name__ == "__main__":
     unittest.main()
