--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -31,6 +31,8 @@
 RETURN_SECONDS = 1.2
 """Seconds after which a host that ended is back, as another."""
 
+LIMIT_HEADER = "Server-Limit"
+
 FIRST_BORN = 1_788_000_000_000
 """Unix milliseconds before the first host's start."""
 
@@ -51,6 +53,26 @@
     never_ready: tuple[str, ...] = ()
 
 
+class Demand:
+    """What a target says of the requests that it takes, and when they came.
+
+    :param limit: value of the header that names its limit, empty for none
+    """
+
+    def __init__(self) -> None:
+        self.limit = ""
+        self.arrivals: list[float] = []
+
+    def arrived(self) -> None:
+        """Take note of a request that reached the target, whatever becomes of it."""
+        self.arrivals.append(time.monotonic())
+
+    def name_limit(self, handler: RequestHandler) -> None:
+        """Name the limit in an answer."""
+        if self.limit:
+            handler.set_header(LIMIT_HEADER, self.limit)
+
+
 class OrderFaults:
     """What is wrong with a host's orders: so many of the next are carried out late, unanswered."""
 
@@ -78,6 +100,7 @@
         self.leaving = False
         self.alive = True
         self.faults = OrderFaults()
+        self.demand = Demand()
         self.server: HTTPServer | None = None
         self.orders: list[dict[str, Any]] = []
 
@@ -128,6 +151,7 @@
         self.group, self.members, self.model = None, [], ""
         self.seen_epoch = self.seen_fence = 0
         self.orders = []
+        self.demand = Demand()
         # It stays among those that were ready once: a request that begins in the moment before
         # the news of its restart finds a group that lost a member, not one that never was whole.
         self.publish()
@@ -274,6 +298,7 @@
     async def prepare(self) -> None:
         if not self.host.alive:
             await asyncio.sleep(STALL_SECONDS * 10)
+        self.host.demand.name_limit(self)
         expected = self.request.headers.get("Expect-Instance", self.host.instance)
         if expected != self.host.instance:
             self.set_status(421)
@@ -306,6 +331,7 @@
 class _Generate(_Handler):
     async def post(self, path: str) -> None:
         host, headers = self.host, self.request.headers
+        host.demand.arrived()
         if host.group is None or host.group["state"] != "open":
             self.set_status(503 if host.group is not None else 421)
             self.set_header("Not-Executed", "1")
@@ -383,6 +409,7 @@
         self.instance = instance
         self.ran: list[str] = []
         self.faults = PlainFaults()
+        self.demand = Demand()
 
 
 class _Plain(RequestHandler):
@@ -391,9 +418,11 @@
 
     async def _run(self) -> None:
         target, headers = self.target, self.request.headers
+        target.demand.name_limit(self)
         if headers.get("Expect-Instance", target.instance) != target.instance:
             self.set_status(421)
             return
+        target.demand.arrived()
         if target.faults.shed:
             target.faults.shed -= 1
             self.set_status(503)
