Tell the host that stands in for a hub what the other hubs tell

Callers saw nothing of it alone. In fleets with hubs each hub sends its sum, and all news, to the first of each other data centre. Where that one is killed, its data centre turns to the next within 0.3 s, and the next sends its own sum on, but nobody answered it: what other data centres had in flight, spent of the retry budget or knew of endings reached none of its hosts until the lease of the dead one ran out, some 3 s later.

The other hubs now also send to who sent them a sum in the last 0.6 s, and is still listed.

A datagram more for each other data centre while two of one send sums.

--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -136,7 +136,8 @@
         self._mesh = len(alive) <= MESH_MOST
         near = {sender for sender, _ in self._near}
         hub_silent = now - self._total_at > HUB_SILENT
-        to = audience(self._me, alive, self._rankings, near, hub_silent)
+        hubs_heard = sorted({heard.report.sender for heard in self._far.values()})
+        to = audience(self._me, alive, self._rankings, near, hub_silent, hubs_heard)
         self._own_in_total, self._own = self._own, self._own_report(now)
         busy = self._own.counts or self._own.suspects or self._own.turned_away
         if busy or now - self._reported_at >= IDLE_EVERY:
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -88,20 +88,24 @@
     rankings: Mapping[str, tuple[str, ...]],
     reporters: Iterable[str],
     hub_silent: bool,
+    hubs_heard: Iterable[str] = (),
 ) -> Audience:
     """Return to whom a host sends what now.
 
     :param rankings: :func:`hub_rankings` of those alive
     :param reporters: hosts of this data centre that sent their own reports here lately
     :param hub_silent: nothing came from this data centre's hub lately; the next one is told too
+    :param hubs_heard: hosts that sent the sum of another data centre here lately, which the next
+        one does where the first is gone
     """
     if len(alive) <= MESH_MOST:
         return Audience(own=tuple(n for n in alive if n != me.name))
     near_hubs = rankings.get(me.data_centre, ())
     neighbours = tuple(n for n in reporters if n in alive)
     if me.name in near_hubs[:1] or neighbours:
-        hubs = tuple(h for d, r in rankings.items() if d != me.data_centre for h in r[:1])
-        return Audience(hubs=hubs, neighbours=neighbours)
+        first = [h for d, r in rankings.items() if d != me.data_centre for h in r[:1]]
+        hubs = dict.fromkeys([*first, *(h for h in hubs_heard if h in alive)])
+        return Audience(hubs=tuple(hubs), neighbours=neighbours)
     asked = near_hubs if hub_silent else near_hubs[:1]
     return Audience(own=tuple(n for n in asked if n != me.name))
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -80,6 +80,15 @@
         )
 
 
+    def test_hub_that_stands_in_is_told_by_the_other_hubs(self):
+        alive = presences(30)
+        hub = hub_ranking("a", alive)[0]
+        second = hub_ranking("b", alive)[1]
+        to = audience(alive[hub], alive, hub_rankings(alive), ["e0"], False, [second, "gone"])
+        self.assertIn(second, to.hubs)
+        self.assertNotIn("gone", to.hubs)
+
+
 class SumTest(unittest.TestCase):
     @given(st.lists(st.dictionaries(st.sampled_from("pqrs"), st.integers(1, 9)), min_size=1))
     def test_total_less_own_is_what_all_others_have(self, counts):
