Keep the limit that a target names for all entry hosts together

Callers saw nothing; two replicas in need got up to 21 and 19 requests in 4 s where 12 and 11 were allowed, as many as their peers and as before they named 1.3 and 1 a second.

Cause: nobody read what they said. The header was passed on to callers and known to no part of the program (hypothesis 1: no mention in the source; rates unchanged at the moment of naming). Class: a word of a target that the adapter does not read, about a bound on the sum of all entry hosts; read by each for itself it would still be exceeded up to H times (hypothesis 2). Repeats, probes and orders are ruled out by their counts.

The adapter decodes it once (decimal, least of several; negative takes nothing; what can't be read is a low limit) from every answer, also to orders and probes. A pure account, routing/target_limits, splits it: 3 + 2 x rate entry hosts, by rendezvous over those listed, share it equally, each a whole period apart; the others send elsewhere. So the sum in 4 s is 4 x rate and one request a sharer at most: 6 x rate + 3, for any fleet, without a question. First turns follow each other; who takes over a share waits 4 s; who hears no other entry host takes none. Statements carry versions and travel with the reports; what loosens a limit is believed only from a signed answer to a request that was sent after the last naming. Leave is taken when a target is chosen, checked again before the first byte, and given back where nothing was sent. Limited targets whose turn has come go by load alone, so that the share is used; places that a limit leaves empty count as filled where groups are planned; callers are refused at once where all targets are limited, and told when the sum has room. A refusal that names a limit puts nobody in doubt.

Weighed: an equal share of each host (one request in three minutes at 195 hosts: nothing used); counts from reports (0.15 s old: all see the same free place at once); one host for each target (can't use a limit above its own demand).

News of endings gets a tag on the wire: a host of the version before does not read it from this one for the time of a rolling change.

--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -145,6 +145,11 @@
         """Return the life of a host that the list shows."""
         return self._life_by_name.get(name)
 
+    def host(self, life: str) -> TargetHost | None:
+        """Return the host whose life has this text, if the list shows it."""
+        instance = self.life_of(life) or self.life_of(life.rpartition("@")[0])
+        return self.by_instance[instance] if instance and str(instance) == life else None
+
     def remove(self, name: str, now: float) -> Removal | None:
         """Take a host's end, ``None`` for one that was not listed."""
         instance = self.life_of(name)
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -32,14 +32,17 @@
 from ..kernel import Kernel
 from ..outcomes import Problem
 from ..records import Records, keep_flushing, log_bounded
+from ..routing.target_limits import Asked, TargetLimits
 from ..serving.admission import ReturningCallers, admit
 from ..serving.driver import Exchange, Tools
+from ..serving.forwarding import NamedLimit
 from ..serving.front import CallerSink, Front, Serve
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
 from ..serving.placing import Candidate, LoadBook
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
+from ..serving.target_limits import Source, TargetLimitTask
 from ..serving.view import ServingView
 from ..settings.catalog import Catalog, pick_backend
 from ..vitals import VitalsTask
@@ -110,7 +113,8 @@
         self._plans = KeyedCopy(decode_plan, records)
         self._entries = KeyedCopy(decode_presence, records)
         self._view = ServingView(self._inventory, self._plans, rng)
-        self._book = LoadBook(s.data_centre, rng)
+        limits = TargetLimits(s.host)
+        self._book = LoadBook(s.data_centre, rng, limits)
         me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -144,8 +148,15 @@
             rng,
         )
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
-        self._orders = EngineOrders(HttpCaller())
-        limits = Limits(s.load_window, s.load_factor)
+        self._orders = EngineOrders(HttpCaller(), self._heard)
+        self._limits = TargetLimitTask(
+            self.kernel,
+            limits,
+            self._inventory,
+            self._view.groups,
+            self._orders.answers,
+            records,
+        )
         self._owner = owner = OwnerTask(
             self.kernel,
             me,
@@ -156,7 +167,7 @@
             self._inventory,
             lambda: self._catalog,
             self._orders,
-            limits,
+            Limits(s.load_window, s.load_factor),
             self._first_loads_free,
             lambda group: self._book.is_suspect(group, time.monotonic()),
             self._view.demand,
@@ -171,9 +182,10 @@
             records,
             self._view.candidates,
             self._view.waiting,
-            self._view.come_back,
+            self._come_back,
             self.exposition.request,
             self._quarantine,
+            self._limits,
         )
         serving = Serve(self._serve, self._ready, self._max_body)
         self.front = Front(
@@ -186,6 +198,7 @@
             self._presence.alive,
             self._quarantine,
             self._budget_by_service,
+            self._limits,
         )
         relay = RelayServer(self.kernel, s.peers, self._mirror)
         vitals = VitalsTask(self.kernel, records, self._counts)
@@ -195,6 +208,7 @@
             self._presence,
             self._mirror,
             self._quarantine,
+            self._limits,
             gossip,
             owner,
             vitals,
@@ -276,6 +290,18 @@
         self._caller.forget(removal.address)
         self._orders.forget(removal.address)
         self._quarantine.over(str(removal.instance), "gone from the list")
+        self._limits.over(str(removal.instance))
+
+    def _heard(self, life: str, named: NamedLimit | None, asked_at: float) -> None:
+        """Take what an answer to an order or probe says, which counts as a request to the host."""
+        self._book.limits.spend(life, time.monotonic())
+        self._limits.answered(life, named, Source(Asked.CONTROL, asked_at))
+
+    def _come_back(self, service: str, model: str) -> float:
+        """Return the seconds after which a refused caller may come back."""
+        candidates = self._view.candidates(service, model)
+        limited_for = self._book.limited_for(candidates, model, time.monotonic())
+        return self._view.come_back(service, model, limited_for)
 
     async def _look(self, name: str, address: str) -> Listening:
         """Look whether a target whose connections were lost is there, and the same."""
@@ -296,6 +322,7 @@
         self._view.measure(
             lambda target: self._book.load(target, at),
             lambda model: self._book.turned_away(model, at),
+            self._book.taken_by_limits,
         )
 
     def _count_hosts(self) -> None:
@@ -398,8 +425,16 @@
         show("connections_opened", "Connections to targets", lambda: self._caller.opened)
         show("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         show("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
+        limits = self._book.limits
+        show("target_limits", "Targets that name a limit", lambda: len(limits.rate_by_life))
+        show("limit_share", "Requests a second that this host may send them", lambda: limits.share)
+        show("limit_sent", "Requests sent within limits", lambda: limits.sent)
+        show("limit_held_back", "Times that a limit had a target passed over", self._held_back)
         show("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
+    def _held_back(self) -> int:
+        return self._book.limits.held_back
+
 
 def main() -> None:
     """Run an entry host on the platform."""
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import Callable, Mapping
 
 from tornado.httputil import HTTPHeaders
 
-from ..serving.forwarding import Facts, Reading
+from ..serving.forwarding import Facts, NamedLimit, Reading
 
 REQUEST_ID = "Attempt-Id"
 DEADLINE = "Deadline-Ms"
@@ -19,6 +21,7 @@
 SEAL = "Response-Seal"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
+LIMIT = "Server-Limit"
 
 _CONNECTION_ONLY = frozenset(
     {
@@ -42,9 +45,17 @@
     | {"Instance-Id", "Cache-Control", "X-Content-Type-Options"}
 )
 _KNOWN_IN_REPLIES = (
-    _CONNECTION_ONLY | _SAYS_NOTHING_TO_US | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER}
+    _CONNECTION_ONLY
+    | _SAYS_NOTHING_TO_US
+    | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER, LIMIT}
 )
 
+_DECIMAL = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
+_OTHER_INSTANCE = 421
+_LONGEST_LIMIT = 40
+"""Characters of a limit: a longer one is cut, and can't be read."""
+
+
 MOST_UNREAD = 64
 """Names of unread headers that are remembered: a target may send any."""
 
@@ -103,7 +114,8 @@
     def read_reply(self, status: int, headers: HTTPHeaders) -> Reading:
         """Return what a reply's status and headers mean for the request."""
         self._look_for_unread(headers)
-        return Reading(NOT_RUN in headers or status == 421, SEAL in headers)
+        other = status == _OTHER_INSTANCE
+        return Reading(NOT_RUN in headers or other, SEAL in headers, not other, limit(headers))
 
     def _look_for_unread(self, headers: HTTPHeaders) -> None:
         for name in headers:
@@ -139,6 +151,20 @@
         return headers
 
 
+def limit(headers: HTTPHeaders) -> NamedLimit | None:
+    """Return the limit that a target names, the least of several, ``None`` where it names none."""
+    named = [part for value in headers.get_list(LIMIT) for part in value.split(",")]
+    return min(map(_limit, named), key=lambda n: n.rate or 0.0, default=None)
+
+
+def _limit(text: str) -> NamedLimit:
+    shown = text.strip()[:_LONGEST_LIMIT]
+    if len(text.strip()) > _LONGEST_LIMIT or not _DECIMAL.fullmatch(shown):
+        return NamedLimit(None, shown)
+    rate = float(shown)
+    return NamedLimit(max(0.0, rate) if math.isfinite(rate) else None, shown)
+
+
 def _passed_on(headers: HTTPHeaders, but: frozenset[str]) -> HTTPHeaders:
     named = {t.strip().title() for t in headers.get("Connection", "").split(",") if t.strip()}
     passed = HTTPHeaders()
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from functools import singledispatch
 from typing import Any
 
 import msgspec
 from returns.pipeline import is_successful
+from returns.result import Result
 
-from ..clients.httpcall import Call, HttpCaller
+from ..clients.httpcall import Call, CallFailure, HttpCaller, Reply
 from ..groups.actions import Join, Leave, Open, Order, OrderEnd, Stage, Warm
 from ..groups.inventory import Instance
+from ..serving.forwarding import NamedLimit
 from .decoding import report_born
-from .headers import EXPECT_INSTANCE
+from .headers import EXPECT_INSTANCE, limit
 
 ORDER_TIMEOUT = 0.8
 """Seconds for an order; a host answers within a few ms or not at all."""
@@ -20,12 +24,15 @@
 PROBE_TIMEOUT = 0.4
 """Seconds for a probe of a host whose group was seen to stall; it takes no slot of the engine."""
 
+GONE = 421
+"""Status of a host that is not the one that was asked."""
+
 _END_BY_STATUS = {
     200: OrderEnd.DONE,
     202: OrderEnd.DONE,
     409: OrderEnd.UNFIT,
     412: OrderEnd.FENCED,
-    421: OrderEnd.GONE,
+    GONE: OrderEnd.GONE,
 }
 
 
@@ -64,10 +71,16 @@
 
 
 class EngineOrders:
-    """Gives orders to engine hosts."""
+    """Gives orders to engine hosts.
+
+    :param heard: takes a host's life, the limit that its answer names, and when it was asked
+    """
 
-    def __init__(self, caller: HttpCaller) -> None:
+    def __init__(
+        self, caller: HttpCaller, heard: Callable[[str, NamedLimit | None, float], None]
+    ) -> None:
         self._caller = caller
+        self._heard = heard
         self.given = 0
         self.asked = 0
 
@@ -90,12 +103,19 @@
             reuse=True,
             connect_timeout=ORDER_TIMEOUT,
         )
-        found = await self._caller.call(call)
+        found = await self._ask(order.instance, call)
         if is_successful(found):
             return _END_BY_STATUS.get(found.unwrap().status, OrderEnd.SILENT)
         # A refused connection proves nothing: a partition may refuse where the host lives on.
         return OrderEnd.SILENT
 
+    async def _ask(self, instance: Instance, call: Call) -> Result[Reply, CallFailure]:
+        asked_at = time.monotonic()
+        found = await self._caller.call(call)
+        if is_successful(found) and found.unwrap().status != GONE:
+            self._heard(str(instance), limit(found.unwrap().headers), asked_at)
+        return found
+
     def forget(self, address: str) -> None:
         """Close the kept connections to an address whose owner is gone."""
         self._caller.forget(address)
@@ -113,7 +133,7 @@
             reuse=True,
             connect_timeout=PROBE_TIMEOUT,
         )
-        found = await self._caller.call(call)
+        found = await self._ask(instance, call)
         if not is_successful(found) or found.unwrap().status != 200:
             return False
         try:
--- a/src/oleanderhill/routing/endings.py
+++ b/src/oleanderhill/routing/endings.py
@@ -95,7 +95,7 @@
     lives: tuple[str, ...]
 
 
-class EndingNews(msgspec.Struct, omit_defaults=True):
+class EndingNews(msgspec.Struct, omit_defaults=True, tag="endings"):
     """What one entry host tells others: sums of sets, so that hearing it twice changes nothing.
 
     :param endings: by life, seconds since the loss, whether the life is known to be over, and the
--- a/src/oleanderhill/serving/comeback.py
+++ b/src/oleanderhill/serving/comeback.py
@@ -17,10 +17,17 @@
 back together, and be refused together."""
 
 
-def come_back(serves: bool, rng: random.Random) -> float:
+LATEST = 10.0
+"""Seconds after which a caller may come back at the latest: limits are often named for a while."""
+
+
+def come_back(serves: bool, rng: random.Random, limited_for: float | None = None) -> float:
     """Return the seconds after which a refused caller may come back.
 
     :param serves: some target serves what it asks for
+    :param limited_for: seconds until one has room where all name a limit
     """
     base = SOON if serves else LATER
+    if limited_for is not None:
+        base = min(LATEST, max(SOON, limited_for))
     return base * (1 - SPREAD + 2 * SPREAD * rng.random())
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -35,6 +35,7 @@
 )
 from ..requests.identity import identity
 from ..routing.router import Choice, NoChoice
+from ..routing.target_limits import Asked, Permit
 from ..settings.catalog import Repeatable
 from ..types import Member
 from .admission import Accepted
@@ -47,6 +48,7 @@
 from .retries import SharedRetryBudget
 from .run import Run
 from .standing import Room, Standing, room, standing
+from .target_limits import Source, TargetLimitTask
 
 CONNECT_TIMEOUT = 0.12
 """Seconds to connect to a target; within a region the way there and back is under 20 ms, and a
@@ -74,6 +76,7 @@
     come_back: Callable[[str, str], float]
     report: Callable[[str, str, float], None]
     quarantine: QuarantineTask
+    limits: TargetLimitTask
 
 
 class Exchange:
@@ -118,6 +121,8 @@
         self._cut = False
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
+        self._permits: tuple[Permit, ...] = ()
+        self._over_limit = False
         self._tried: set[str] = set()
         self._path: list[str] = []
 
@@ -160,7 +165,13 @@
         """Tell whether the request may go to a target now, and take note that it does."""
         if not self.tools.quarantine.may_send(self._identity):
             return False
-        self._sent_at = time.monotonic()
+        now = time.monotonic()
+        permits = self.tools.book.limits.confirm(self._permits, now)
+        self._permits = ()
+        self._over_limit = permits is None
+        if self._over_limit:
+            return False
+        self._sent_at = now
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
         return True
 
@@ -168,6 +179,13 @@
         """Return what a reply's status and headers mean for the request."""
         return self.tools.codec.read_reply(status, headers)
 
+    def heard(self, run: Run, reading: Reading) -> None:
+        """Take what the head of a reply says of its target's limit."""
+        if not reading.own or not (reading.sealed or reading.limit):
+            return
+        source = Source(Asked.REQUEST, self._sent_at, self._in.facts.request_id)
+        self.tools.limits.answered(run.choice.head.boot_id, reading.limit, source)
+
     def _selected(self) -> Chosen | Quarantined:
         """Return the next target, unless targets are known to end under the request."""
         problem = self.tools.quarantine.problem(self._identity, self.machine.ran())
@@ -192,6 +210,7 @@
             if not self.machine.arrived:
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
             return NoChoice(reason, full, full)
+        self._permits = self.tools.book.limits.take(found.lives, now) or ()
         host = found.host
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
@@ -201,9 +220,11 @@
         now = time.monotonic()
         load = min(self.tools.book.load(c.target, now) for c in candidates)
         suspects = sum(self.tools.book.is_suspect(c.target, now) for c in candidates)
+        limited = sum(self.tools.book.limits.is_limited(c.lives) for c in candidates)
         slots = candidates[0].host.slots
         return (
             f"no untried target has room: {len(candidates)} targets, {suspects} doubtful, "
+            f"{limited} limited, "
             f"least busy {load} of {slots}, tried {len(self._tried)}"
         )
 
@@ -231,6 +252,8 @@
         finally:
             task.cancel()
             self.tools.quarantine.end(self._identity, told)
+            book.limits.give_back(self._permits)
+            self._permits = ()
             book.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
@@ -315,6 +338,8 @@
     def _ended(
         self, result: Result[Reply, CallFailure], run: Run, attempt: int, choice: Choice
     ) -> list[Effect]:
+        if run.withheld and self._over_limit:
+            return self._handle(ConnectFailed(attempt, "the target's limit was used up"))
         if run.withheld:
             return self._quarantined()
         if not is_successful(result):
@@ -328,7 +353,8 @@
         reply = result.unwrap()
         reading = self.read_reply(reply.status, reply.headers)
         if reading.not_run:
-            self._suspect(choice, f"status {reply.status}")
+            if reading.limit is None:
+                self._suspect(choice, f"status {reply.status}")
             return self._handle(NotStarted(attempt, f"target said {reply.status}, not run"))
         if run.streaming and (run.fault or run.torn or not run.events):
             self._lost(choice)
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -24,15 +24,30 @@
     last_event: int | None
 
 
+class NamedLimit(NamedTuple):
+    """The limit that a target names in a reply.
+
+    :param rate: requests a second that it takes from all entry hosts together, ``None`` where that
+        can't be read
+    :param text: as it came
+    """
+
+    rate: float | None
+    text: str
+
+
 class Reading(NamedTuple):
     """What a target's reply means.
 
     :param not_run: the target says that it did not run the request and will not
     :param sealed: it bears the target's signature
+    :param own: it comes from the target that was asked, not from another at its address
     """
 
     not_run: bool
     sealed: bool
+    own: bool = True
+    limit: NamedLimit | None = None
 
 
 class Codec(Protocol):
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -16,6 +16,7 @@
 from ..groups.ownership import Presence
 from ..kernel import Kernel, Task
 from ..routing.endings import EndingNews
+from ..routing.target_limits import LimitNews
 from .placing import PEER_COUNTS_LAST, LoadBook
 from .quarantine import QuarantineTask
 from .reports import (
@@ -31,6 +32,7 @@
     without,
 )
 from .retries import SharedRetryBudget
+from .target_limits import TargetLimitTask
 
 EVERY = 0.05
 """Seconds between two reports: by them a silent target is told from a busy one, and a stream that
@@ -51,6 +53,10 @@
 ENDINGS_AGAIN = 2.0
 """Seconds until what was told before is told again, to those that restarted or were cut off."""
 
+OUT_OF_TOUCH = 1.0
+"""Seconds without a word from any other entry host after which this one is on its own: an idle one
+reports twice in that time."""
+
 HOPS_OF_TOTAL = 3
 """Reports one after the other by which a total is late: to a hub, to another hub, to all."""
 
@@ -60,7 +66,7 @@
     report: LoadReport
 
 
-_DECODER = msgspec.msgpack.Decoder(LoadReport | EndingNews)
+_DECODER = msgspec.msgpack.Decoder(LoadReport | EndingNews | LimitNews)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -77,6 +83,7 @@
 
     :param peers: returns the entry hosts that are there, the same mapping until they change
     :param budgets: the retry budgets of this host, by service
+    :param limits: hears of limits that targets named to others
     """
 
     name = "gossip"
@@ -90,9 +97,12 @@
         peers: Callable[[], Mapping[str, Presence]],
         quarantine: QuarantineTask,
         budgets: Mapping[str, SharedRetryBudget],
+        limits: TargetLimitTask,
     ) -> None:
         super().__init__(kernel)
         self._quarantine = quarantine
+        self._limits = limits
+        self._heard_at = float("-inf")
         self._budgets = budgets
         self._endings_at = float("-inf")
         self._endings_again_at = float("-inf")
@@ -133,6 +143,8 @@
         if alive is not self._alive:
             self._alive, self._rankings = alive, hub_rankings(alive)
         self._forget(now)
+        in_touch = len(alive) <= 1 or now - self._heard_at < OUT_OF_TOUCH
+        self._limits.reach(alive, in_touch)
         self._mesh = len(alive) <= MESH_MOST
         near = {sender for sender, _ in self._near}
         hub_silent = now - self._total_at > HUB_SILENT
@@ -145,6 +157,8 @@
             self._send(self._own, to.own, alive)
         if to.hubs or to.neighbours:
             self._tell_sums(now, to, alive)
+        for news in self._limits.news():
+            self._send_to(_ENCODER.encode(news), to.all, alive)
         if now - self._endings_at >= ENDINGS_EVERY:
             self._endings_at = now
             self._tell_endings(now, to, alive)
@@ -159,7 +173,7 @@
         if again:
             self._endings_again_at = now
         for part in self._quarantine.news(again):
-            self._send_to(_ENCODER.encode(part), (*to.own, *to.hubs, *to.neighbours), alive)
+            self._send_to(_ENCODER.encode(part), to.all, alive)
 
     def _own_report(self, now: float) -> LoadReport:
         book = self._book
@@ -213,10 +227,13 @@
         except msgspec.DecodeError:
             # Anybody may send datagrams here; what is not a report says nothing.
             return
+        now = self._heard_at = time.monotonic()
         if isinstance(report, EndingNews):
             self._quarantine.hear(report)
             return
-        now = time.monotonic()
+        if isinstance(report, LimitNews):
+            self._limits.hear(report)
+            return
         if report.scope == Scope.TOTAL:
             self._take_total(report, self._own_in_total, now)
         elif report.scope == Scope.DATA_CENTRE:
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..groups.inventory import TargetHost
+from ..routing.target_limits import TargetLimits
 
 PEER_COUNTS_LAST = 0.6
 """Seconds for which a peer's counts are used: several of its reports may be lost on the way."""
@@ -57,19 +58,30 @@
     """A target that could take a request.
 
     :param target: names it in counts: a group, or the instance of a plain target
+    :param members: the other lives of its group
     """
 
     target: str
     host: TargetHost
+    members: tuple[str, ...] = ()
+
+    @property
+    def lives(self) -> tuple[str, ...]:
+        """Return all lives that a request passes through, the one that takes it first."""
+        return (str(self.host.instance), *self.members)
 
 
 class LoadBook:
     """Requests in flight by target, here and at the peers, and targets under suspicion.
 
     :param data_centre: of this entry host
+    :param limits: that targets named for all entry hosts together
     """
 
-    def __init__(self, data_centre: str, rng: random.Random) -> None:
+    def __init__(
+        self, data_centre: str, rng: random.Random, limits: TargetLimits | None = None
+    ) -> None:
+        self.limits = TargetLimits() if limits is None else limits
         self._data_centre = data_centre
         self._rng = rng
         self.heard_later = HEARD_LATER
@@ -212,7 +224,7 @@
             of these move at once, and the least busy target is the same for all: the culprit would
             take them along again, and nobody could tell it from them. Drawn, they go apart
         """
-        left = [c for c in candidates if c.target not in tried]
+        left = self._within_limits([c for c in candidates if c.target not in tried], now)
         sound = [c for c in left if not self.is_suspect(c.target, now)]
         roomy = [c for c in sound if self._has_room(c, now, places)]
         if not roomy and len(sound) <= len(left) * (1 - BELIEVED):
@@ -227,32 +239,63 @@
         seen = self._seen(roomy, now, connected)
         return min(seen, key=lambda c: (self._rank(c, now, connected), self._rng.random()))
 
+    def _within_limits(self, candidates: Sequence[Candidate], now: float) -> Sequence[Candidate]:
+        if not self.limits.known:
+            return candidates
+        within = [c for c in candidates if self.limits.may_send(c.lives, now)]
+        self.limits.held_back += len(candidates) - len(within)
+        return within
+
+    def limited_for(self, candidates: Sequence[Candidate], model: str, now: float) -> float | None:
+        """Return the seconds after which limited targets have room for another of those refused.
+
+        :return: ``None`` where some target is not limited
+        """
+        rates = [self.limits.rate(c.lives) for c in candidates] if self.limits.known else []
+        limited = [r for r in rates if r is not None]
+        if not limited or len(limited) < len(rates):
+            return None
+        return (1 + self.turned_away(model, now)) / sum(limited)
+
+    def taken_by_limits(self, candidate: Candidate) -> float:
+        """Return how many places of a target its limit leaves empty."""
+        rate = self.limits.rate(candidate.lives) if self.limits.known else None
+        return 0.0 if rate is None else max(0.0, candidate.host.slots - rate * LASTS)
+
     def _seen(
         self, roomy: Sequence[Candidate], now: float, connected: Callable[[str], bool]
     ) -> Sequence[Candidate]:
         """Return the targets to choose among: all, or where many choose at once, a few of them.
 
-        Those to which a connection is kept are few, and others at each host. Of the rest so many
-        are drawn that one that all find the best gets :data:`HERD` requests before that shows.
+        Those to which a connection is kept are few, and others at each host, and so are those of
+        whose limit this host may use its share now. Of the rest so many are drawn that one that all
+        find the best gets :data:`HERD` requests before that shows.
         """
         in_flight = sum(self.load(c.target, now) for c in roomy)
         unseen = in_flight / LASTS * self.heard_later
         if unseen <= HERD:
             return roomy
-        drawn = [c for c in roomy if connected(c.host.address)]
-        rest = [c for c in roomy if not connected(c.host.address)]
+        few = [connected(c.host.address) or self._is_limited(c) for c in roomy]
+        drawn = [c for c, is_of_few in zip(roomy, few, strict=True) if is_of_few]
+        rest = [c for c, is_of_few in zip(roomy, few, strict=True) if not is_of_few]
         near = [c for c in rest if c.host.data_centre == self._data_centre]
         far = [c for c in rest if c.host.data_centre != self._data_centre]
         for part in (near, far):
             drawn += self._rng.sample(part, math.ceil(len(part) * HERD / unseen))
         return drawn
 
+    def _is_limited(self, candidate: Candidate) -> bool:
+        return self.limits.known and self.limits.is_limited(candidate.lives)
+
     def _has_room(self, candidate: Candidate, now: float, places: float) -> bool:
         return self.load(candidate.target, now) < candidate.host.slots * places
 
     def _rank(self, candidate: Candidate, now: float, connected: Callable[[str], bool]) -> float:
         host = candidate.host
         load = self.load(candidate.target, now) / max(1, host.slots)
+        if self._is_limited(candidate):
+            # Its turn comes seldom, and a share that is not used is lost.
+            return load
         far = ELSEWHERE if host.data_centre != self._data_centre else 0.0
         new = 0.0 if connected(host.address) else NOT_CONNECTED
         return load + far + new
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -70,6 +70,11 @@
     hubs: tuple[str, ...] = ()
     neighbours: tuple[str, ...] = ()
 
+    @property
+    def all(self) -> tuple[str, ...]:
+        """Return all who are sent anything."""
+        return (*self.own, *self.hubs, *self.neighbours)
+
 
 def hub_ranking(data_centre: str, alive: Mapping[str, Presence]) -> tuple[str, ...]:
     """Return the first two entry hosts that add up a data centre's reports, best first."""
--- a/src/oleanderhill/serving/run.py
+++ b/src/oleanderhill/serving/run.py
@@ -27,6 +27,9 @@
     def read_reply(self, status: int, headers: HTTPHeaders) -> Reading:
         """Return what a reply's status and headers mean."""
 
+    def heard(self, run: Run, reading: Reading) -> None:
+        """Take what the head of a reply means, before the rest of it comes."""
+
     def pass_on(self, run: Run, data: bytes, events: int) -> Awaitable[None] | None:
         """Give whole events to the caller."""
 
@@ -59,6 +62,7 @@
         self.reply_headers = headers
         kind = headers.get("Content-Type", "")
         reading = self._request.read_reply(status, headers)
+        self._request.heard(self, reading)
         self.streaming = status == 200 and kind.startswith(EVENT_STREAM) and reading.sealed
 
     def data(self, chunk: bytes) -> Awaitable[None] | None:
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from ..clients.keyed import KeyedCopy
 from ..groups.inventory import Inventory
 from ..groups.plans import DomainPlan
-from ..groups.router import serving_groups
+from ..groups.router import ServingGroup, serving_groups
 from ..settings.catalog import Catalog
 from .comeback import come_back
 from .placing import Candidate
@@ -81,7 +81,7 @@
             return held
         groups_by_model = serving_groups([plan], self._inventory)
         by_model = {
-            model: [Candidate(g.group.name, g.head) for g in groups]
+            model: [Candidate(g.group.name, g.head, _others(g)) for g in groups]
             for model, groups in groups_by_model.items()
         }
         self._served_by_key[key] = served = _Served(plan, host_change, by_model)
@@ -138,32 +138,46 @@
             return None
         return may_wait(prediction, goal, self._slots) / max(1, self._slots)
 
-    def come_back(self, service: str, model: str) -> float:
-        """Return the seconds after which a refused caller may come back, spread out."""
-        return come_back(bool(self.candidates(service, model)), self._rng)
+    def come_back(self, service: str, model: str, limited_for: float | None = None) -> float:
+        """Return the seconds after which a refused caller may come back, spread out.
+
+        :param limited_for: seconds until there is room where all targets name a limit
+        """
+        return come_back(bool(self.candidates(service, model)), self._rng, limited_for)
 
     def groups_by_model(self) -> dict[str, int]:
         """Return the number of serving groups by model."""
         return {model: len(groups) for model, groups in self._by_model.items()}
 
+    def groups(self) -> Iterable[tuple[str, ...]]:
+        """Return the lives of each serving group, its head first."""
+        return (c.lives for found in self._by_model.values() for c in found)
+
     def targets(self) -> int:
         """Return how many targets serve, of all services and models."""
         served = (*self._by_model.values(), *self._by_service.values())
         return sum(len(candidates) for candidates in served)
 
-    def measure(self, load: Callable[[str], int], turned_away: Callable[[str], int]) -> None:
+    def measure(
+        self,
+        load: Callable[[str], int],
+        turned_away: Callable[[str], int],
+        taken: Callable[[Candidate], float],
+    ) -> None:
         """Take the requests in flight into the demand for each model.
 
         :param load: returns the requests in flight at a target
         :param turned_away: returns the requests for a model that found no target in a second,
             about as long as one would have taken; without them a model that has no group left
             would seem to need none
+        :param taken: returns the places of a target that its limit leaves empty; they serve nobody,
+            and others are needed for them
         """
         for model in self._by_model.keys() | self._demand_by_model.keys():
             candidates = self._by_model.get(model, ())
             slots = max((c.host.slots for c in candidates), default=self._slots)
             self._slots = slots
-            asked = sum(load(c.target) for c in candidates) + turned_away(model)
+            asked = sum(load(c.target) + taken(c) for c in candidates) + turned_away(model)
             held = self._demand_by_model.get(model, 0.0)
             filled = asked / max(1, slots)
             self._demand_by_model[model] = held + DEMAND_SMOOTHING * (filled - held)
@@ -177,6 +191,11 @@
         return self._demand_by_model.get(model, 0.0)
 
 
+def _others(group: ServingGroup) -> tuple[str, ...]:
+    head = group.head.instance
+    return tuple(str(member) for member in group.group.members if member != head)
+
+
 def _predictions(catalog: Catalog) -> dict[str, Prediction]:
     shapes = [s.engine for s in catalog.service_by_name.values() if s.engine is not None]
     found = {m.name: predict(e, m) for e in shapes for m in e.model_by_name.values()}
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -343,7 +343,10 @@
             hear=lambda news: book.hear(news, time.monotonic()),
         )
         loads = LoadBook("a", random.Random(1))
-        gossip = GossipTask(Kernel(), self.alive[name], loads, lambda: self.alive, quarantine, {})
+        limits = SimpleNamespace(news=list, reach=lambda hosts, in_touch: None)
+        gossip = GossipTask(
+            Kernel(), self.alive[name], loads, lambda: self.alive, quarantine, {}, limits
+        )
 
         def send_to(data, names, alive):
             for other in set(names) - self.gone if name not in self.gone else ():
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -2,13 +2,46 @@
 
 import asyncio
 import itertools
+import random
 import time
+import unittest
+from types import SimpleNamespace
+from unittest import mock
 
+import msgspec
+from oleanderhill_dev.fuzz_limits import broken, play
 from oleanderhill_dev.users.site import until
 from returns.pipeline import is_successful
+from tornado.httputil import HTTPHeaders
+
+from oleanderhill.groups.inventory import Instance, Inventory, TargetHost
+from oleanderhill.groups.ownership import Presence
+from oleanderhill.kernel import Kernel
+from oleanderhill.platform.headers import HeaderCodec
+from oleanderhill.records import Records
+from oleanderhill.routing.target_limits import (
+    AGAIN_EVERY,
+    LEAST_RATE,
+    STATEMENTS_KEPT,
+    TAKE_OVER_WAIT,
+    UNREADABLE_RATE,
+    Asked,
+    LimitNews,
+    Statement,
+    TargetLimits,
+)
+from oleanderhill.serving import gossip, target_limits
+from oleanderhill.serving.forwarding import NamedLimit
+from oleanderhill.serving.gossip import GossipTask
+from oleanderhill.serving.placing import Candidate, LoadBook
+from oleanderhill.serving.reports import hub_ranking
+from oleanderhill.serving.target_limits import Source, TargetLimitTask
 
 from .test_users_site import SiteTest
 
+DATAGRAM = 1_472
+"""Bytes of a datagram that fits into one frame."""
+
 WINDOW = 4.0
 """Seconds in which the requests to a limited target are counted."""
 
@@ -30,10 +63,10 @@
 class LimitTest(SiteTest):
     entries = 3
 
-    async def press(self, rate, seconds, path, method="GET", model=""):
-        """Send requests at a rate to the entry hosts in turn; return statuses and seconds."""
+    async def press(self, rate, seconds, path, method="GET", model="", entries=None):
+        """Send requests at a rate to the entry hosts in turn; return replies and seconds."""
         asked = []
-        turn = itertools.cycle(self.site.entries)
+        turn = itertools.cycle(entries or self.site.entries)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             asked.append(asyncio.create_task(self.timed(path, method, next(turn), model)))
@@ -49,7 +82,8 @@
         """Have a target named its limit to some entry host; return the moment."""
         seen = len(demand.arrivals)
         while len(demand.arrivals) == seen:
-            await self.ask(path, method, model=model)
+            # The busier target is left for the other one.
+            await self.press(100, 0.1, path, method, model, [self.entry])
         return time.monotonic()
 
     async def limited_head(self, limit):
@@ -82,3 +116,434 @@
         answers = await self.press(12, 7.0, "/scan/x")
         self.assert_kept_and_used(demand, 1.0, told, 7.0)
         self.assertEqual({reply.status for reply, _ in answers}, {200})
+
+    async def test_callers_are_refused_at_once_where_all_targets_are_limited(self):
+        # Neither a queue nor a wait for the deadline; not run, and a time to come back.
+        for target in self.site.targets:
+            target.demand.limit = "0.5"
+            await self.first_told(target.demand, "/scan/x")
+        answers = await self.press(12, 3.0, "/scan/x")
+        refused = [(reply, took) for reply, took in answers if reply.status == 503]
+        self.assertGreater(len(refused), len(answers) / 2)
+        for reply, took in refused:
+            self.assertLess(took, 0.3)
+            self.assertGreater(float(reply.headers["Retry-After"]), 0.3)
+
+    async def test_target_that_names_no_limit_any_more_takes_all_again(self):
+        demand = self.site.targets[0].demand
+        demand.limit = "2"
+        await self.first_told(demand, "/scan/x")
+        await self.press(12, 2.0, "/scan/x")
+        demand.limit = ""
+        await self.press(12, 3.0, "/scan/x")
+        for entry in self.site.entries:
+            self.assertEqual(entry._book.limits.rate_by_life, {})
+        before = len(demand.arrivals)
+        await self.press(12, 2.0, "/scan/x")
+        self.assertGreater(len(demand.arrivals) - before, 6)
+
+    async def test_refusal_that_names_a_limit_puts_nobody_in_doubt(self):
+        # The target asked for less; it is neither slow nor lost.
+        target = self.site.targets[0]
+        target.demand.limit, target.faults.shed = "1", 1
+        answers = await self.press(20, 0.5, "/scan/x")
+        self.assertEqual({reply.status for reply, _ in answers}, {200})
+        now = time.monotonic()
+        candidates = self.entry.candidates("desk", "")
+        self.assertFalse(any(self.entry._book.is_suspect(c.target, now) for c in candidates))
+        self.assertEqual(len(self.entry._book.limits.rate_by_life), 1)
+
+    async def test_host_that_starts_anew_learns_of_limits_from_the_others(self):
+        demand = self.site.targets[0].demand
+        demand.limit = "1"
+        await self.first_told(demand, "/scan/x")
+        late = await self.site.add_entry("entry-late")
+        await until(lambda: late._book.limits.rate_by_life, 5.0)
+        before = len(demand.arrivals)
+        await self.press(12, 3.0, "/scan/x", entries=[late])
+        self.assertLessEqual(len(demand.arrivals) - before, allowed(1.0))
+
+    async def test_new_life_of_a_target_starts_without_a_limit(self):
+        demand, model = await self.limited_head("1")
+        await self.first_told(demand, "/read/x", "POST", model)
+        limits = self.entry._book.limits
+        (life,) = limits.rate_by_life
+        self.site.engines.host_by_instance[life.partition("@")[0]].restart()
+        await until(lambda: not limits.rate_by_life, 5.0)
+
+    async def test_limit_of_a_member_named_in_its_answers_to_probes_binds_the_group(self):
+        # Every request of the group passes through it, though it gets none itself.
+        _, model = await self.limited_head("")
+        group = self.entry.candidates("pool", model)[0]
+        member = self.site.engines.host_by_instance[group.members[0].partition("@")[0]]
+        member.demand.limit = "1"
+        instance = self.entry._inventory.life_of(member.instance)
+        for entry in self.site.entries:
+            await entry._orders.answers(instance, member.address)
+        limits = self.entry._book.limits
+        self.assertTrue(limits.is_limited(group.lives))
+        member.demand.limit = ""
+        await until(lambda: not limits.is_limited(group.lives), 6.0)
+
+
+class NamedLimitTest(unittest.TestCase):
+    """What is read from the header of an answer."""
+
+    def read(self, *values):
+        headers = HTTPHeaders({"Response-Seal": "s"})
+        for value in values:
+            headers.add("Server-Limit", value)
+        return HeaderCodec().read_reply(200, headers).limit
+
+    def test_decimal_numbers_are_read_as_they_are(self):
+        for text, rate in (("1.2", 1.2), ("3", 3.0), (".5", 0.5), ("0", 0.0), ("+2.", 2.0)):
+            with self.subTest(text=text):
+                self.assertEqual(self.read(text).rate, rate)
+
+    def test_least_of_several_counts(self):
+        self.assertEqual(self.read("3", "1.5").rate, 1.5)
+        self.assertEqual(self.read("3, 1.5").rate, 1.5)
+
+    def test_negative_limit_takes_nothing(self):
+        self.assertEqual(self.read("-1").rate, 0.0)
+
+    def test_what_is_no_decimal_number_is_no_rate(self):
+        for text in ("", "many", "nan", "inf", "1e3", "1_0", "9" * 400, "1 2", "0x1"):
+            with self.subTest(text=text):
+                self.assertIsNone(self.read(text).rate)
+
+    def test_unreadable_one_is_the_least_of_several(self):
+        self.assertIsNone(self.read("3", "many").rate)
+
+    def test_answer_without_one_names_none(self):
+        self.assertIsNone(self.read())
+
+    def test_answer_of_another_instance_says_nothing_of_this_one(self):
+        headers = HTTPHeaders({"Server-Limit": "1"})
+        self.assertFalse(HeaderCodec().read_reply(421, headers).own)
+
+
+class TargetLimitsTest(unittest.TestCase):
+    """The account of one host among eight; times are seconds."""
+
+    def setUp(self):
+        self.hosts = tuple(f"entry-{n}" for n in range(8))
+        self.account = TargetLimits("entry-0")
+        self.account.reach(self.hosts, True, 0.0)
+
+    def told(self, rate, asked_at, now, account=None, asked=Asked.REQUEST):
+        return (account or self.account).answered("t", rate, asked, asked_at, now)
+
+    def sharer(self, rate):
+        """Return the account of a host that shares a limit, which it was told at 1 s."""
+        self.told(rate, 0.0, 1.0)
+        account = TargetLimits(self.account.sharers("t")[0])
+        account.reach(self.hosts, True, 0.0)
+        self.told(rate, 0.0, 1.0, account)
+        return account
+
+    def test_targets_without_a_limit_take_whatever_is_sent(self):
+        self.assertTrue(self.account.may_send(("t",), 0.0))
+        self.assertIsNone(self.told(None, 0.0, 1.0))
+        self.assertFalse(self.account.known)
+
+    def test_hosts_in_sum_keep_the_limit_and_use_it(self):
+        for rate in (0.0, 0.3, 1.0, 1.2, 3.0, 10.0):
+            accounts = [TargetLimits(name) for name in self.hosts]
+            sent = []
+            for account in accounts:
+                account.reach(self.hosts, True, 0.0)
+                self.told(rate, 0.0, 1.0, account)
+            for tick in range(100, 3_000):
+                for account in accounts:
+                    if account.take(("t",), tick / 100) is not None:
+                        sent.append(tick / 100)
+            most = max(sum(at <= t < at + 4.0 for t in sent) for at in sent)
+            self.assertLessEqual(most, 1.5 * rate * 4.0 + 5)
+            self.assertGreaterEqual(len(sent), 29 * max(rate, LEAST_RATE) * 0.8)
+
+    def test_all_idle_shares_at_once_stay_within_the_bound(self):
+        for rate in (0.0, 0.3, 1.0, 1.2, 3.0, 10.0, 1e9):
+            accounts = [TargetLimits(f"entry-{n}") for n in range(195)]
+            hosts = tuple(a._me for a in accounts)
+            for account in accounts:
+                account.reach(hosts, True, 0.0)
+                self.told(rate, 0.0, 1.0, account)
+            at_once = sum(a.take(("t",), 1_000.0) is not None for a in accounts)
+            self.assertLessEqual(at_once, 2 * rate + 3)
+
+    def test_older_answer_neither_ends_nor_raises_a_limit(self):
+        self.told(1.0, 0.0, 2.0)
+        self.assertIsNone(self.told(None, 1.9, 3.0))
+        self.assertIsNone(self.told(5.0, 1.9, 3.0))
+        self.assertEqual(self.account.rate_by_life, {"t": 1.0})
+
+    def test_older_answer_lowers_a_limit_as_it_may_be_newer(self):
+        self.told(1.0, 0.0, 2.0)
+        self.told(0.5, 1.9, 3.0)
+        self.assertEqual(self.account.rate_by_life, {"t": 0.5})
+
+    def test_answer_to_a_request_sent_after_the_last_naming_ends_it(self):
+        self.told(1.0, 0.0, 2.0)
+        self.told(1.0, 1.0, 3.0)
+        self.assertIsNone(self.told(None, 2.5, 4.0))
+        self.assertEqual(self.told(None, 3.1, 4.0).rate, None)
+        self.assertTrue(self.account.may_send(("t",), 4.0))
+
+    def test_answers_to_probes_end_only_what_they_named(self):
+        self.told(1.0, 0.0, 1.0)
+        self.assertIsNone(self.told(None, 2.0, 3.0, asked=Asked.CONTROL))
+        self.told(None, 2.0, 3.0)
+        self.told(1.0, 4.0, 5.0, asked=Asked.CONTROL)
+        self.assertIsNotNone(self.told(None, 6.0, 7.0, asked=Asked.CONTROL))
+
+    def test_host_that_hears_nobody_takes_no_share(self):
+        account = self.sharer(3.0)
+        account.reach(self.hosts, False, 2.0)
+        self.assertFalse(account.may_send(("t",), 100.0))
+        account.reach(self.hosts, True, 2.0)
+        self.assertTrue(account.may_send(("t",), 100.0))
+
+    def test_host_that_is_in_nobodys_view_takes_no_share(self):
+        account = TargetLimits("unknown")
+        account.reach(self.hosts, True, 0.0)
+        self.told(100.0, 0.0, 1.0, account)
+        self.assertFalse(account.may_send(("t",), 100.0))
+
+    def test_who_takes_anothers_share_waits_until_what_that_one_sent_is_past(self):
+        account = self.sharer(1.0)
+        others = tuple(h for h in self.hosts if h != account._me)
+        account.reach(others, True, 50.0)
+        account.reach(self.hosts, True, 60.0)
+        self.assertFalse(account.may_send(("t",), 60.0 + TAKE_OVER_WAIT - 0.1))
+        self.assertTrue(account.may_send(("t",), 60.0 + TAKE_OVER_WAIT + 0.1))
+
+    def test_unsent_permit_is_given_back(self):
+        account = self.sharer(1.0)
+        permits = account.take(("t",), 100.0)
+        self.assertFalse(account.may_send(("t",), 100.1))
+        account.give_back(permits)
+        self.assertTrue(account.may_send(("t",), 100.1))
+        self.assertEqual(account.sent, 0)
+
+    def test_request_that_was_placed_before_the_news_is_held_back(self):
+        permits = self.account.take(("t",), 1.0)
+        self.told(1.0, 0.0, 1.1)
+        self.assertIsNone(self.account.confirm(permits, 1.2))
+
+    def test_request_placed_within_the_limit_in_force_goes(self):
+        account = self.sharer(1.0)
+        permits = account.take(("t",), 100.0)
+        self.assertEqual(account.confirm(permits, 100.1), permits)
+
+    def test_number_that_changes_with_each_answer_neither_starves_nor_floods(self):
+        for step in (0.01, -0.01):
+            account, sent = self.sharer(3.0), 0
+            for tick in range(200, 3_000):
+                rate = 3.0 + step * (tick // 50)
+                self.told(rate, tick / 100, tick / 100, account)
+                sent += account.take(("t",), tick / 100) is not None
+            share = 3.0 / len(account.sharers("t"))
+            self.assertLessEqual(sent, 28 * share * 1.2 + 1)
+            self.assertGreaterEqual(sent, 28 * share * 0.7)
+
+    def test_much_lower_limit_has_each_host_wait_its_turn_anew(self):
+        account = self.sharer(10.0)
+        self.told(1.0, 90.0, 100.0, account)
+        self.assertFalse(account.may_send(("t",), 100.5))
+
+    def test_orders_count_as_requests(self):
+        account = self.sharer(1.0)
+        account.spend("t", 100.0)
+        self.assertFalse(account.may_send(("t",), 100.1))
+
+    def test_newest_statement_wins_and_of_two_with_one_version_the_tighter(self):
+        def hear(version, rate):
+            news = LimitNews("peer", {"t": Statement(version, rate)})
+            return bool(self.account.hear(news, lambda life: True, 5.0))
+
+        self.assertTrue(hear(3, 2.0))
+        self.assertFalse(hear(2, 0.1))
+        self.assertFalse(hear(3, 4.0))
+        self.assertFalse(hear(3, None))
+        self.assertTrue(hear(3, 1.0))
+        self.assertTrue(hear(4, None))
+        self.assertEqual(self.account.rate_by_life, {})
+
+    def test_news_of_a_life_that_is_over_are_not_taken(self):
+        news = LimitNews("peer", {"t": Statement(3, 2.0)})
+        self.assertEqual(self.account.hear(news, lambda life: False, 5.0), [])
+
+    def test_news_is_told_with_each_report_and_then_now_and_then(self):
+        self.told(1.0, 0.0, 1.0)
+        told = [bool(self.account.news(1.0 + n * 0.05)) for n in range(60)]
+        self.assertTrue(all(told[:10]))
+        self.assertEqual(sum(told[20:]), round(40 * 0.05 / AGAIN_EVERY))
+
+    def test_news_fits_into_one_frame(self):
+        for number in range(100):
+            life = f"i-{number:030}@1788000000000"
+            self.account.answered(life, 1.23456789, Asked.CONTROL, 0.0, 1.0)
+        sizes = [len(msgspec.msgpack.encode(part)) for part in self.account.news(2.0)]
+        self.assertLess(max(sizes), DATAGRAM)
+
+    def test_what_is_kept_is_bounded_and_what_ended_goes_first(self):
+        for number in range(STATEMENTS_KEPT):
+            self.account.answered(str(number), 1.0, Asked.REQUEST, 0.0, 1.0)
+        self.account.answered("700", None, Asked.REQUEST, 2.0, 3.0)
+        self.account.answered("new", 1.0, Asked.REQUEST, 0.0, 4.0)
+        self.assertEqual(len(self.account.rate_by_life), STATEMENTS_KEPT)
+        self.assertIn("0", self.account.rate_by_life)
+
+    def test_limit_goes_with_its_life(self):
+        self.told(1.0, 0.0, 1.0)
+        self.account.forget("t")
+        self.assertTrue(self.account.may_send(("t",), 1.0))
+
+    def test_fleets_that_come_go_and_hear_late_keep_limits_use_them_and_know_their_end(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                self.assertFalse(broken(play(seed)))
+
+
+class PlacingTest(unittest.TestCase):
+    """Where requests go while a target names a limit."""
+
+    def setUp(self):
+        self.limits = TargetLimits("me")
+        self.book = LoadBook("hall", random.Random(1), self.limits)
+        self.candidates = [
+            Candidate(name, TargetHost(Instance(name), "desk", f"{name}:1", "hall", False, 6))
+            for name in ("a", "b")
+        ]
+
+    def choose(self, now):
+        return self.book.choose(self.candidates, set(), now, 1.2, lambda address: False)
+
+    def limit(self, life, rate, now=0.0):
+        self.limits.answered(life, rate, Asked.REQUEST, now, now)
+
+    def test_limited_target_is_chosen_when_its_turn_comes_and_only_then(self):
+        self.limit("a", 1.0)
+        self.assertEqual(self.choose(0.5).target, "b")
+        self.book.begin("b")
+        self.assertEqual(self.choose(1.1).target, "a")
+        self.limits.take(("a",), 1.1)
+        self.assertEqual(self.choose(1.2).target, "b")
+        self.assertEqual(self.limits.held_back, 2)
+
+    def test_nobody_is_chosen_where_no_limit_has_room(self):
+        self.limit("a", 1.0)
+        self.limit("b", 0.25)
+        self.assertIsNone(self.choose(0.5))
+        self.assertEqual(self.book.limited_for(self.candidates, "", 0.5), 1 / 1.25)
+
+    def test_targets_without_a_limit_name_no_time(self):
+        self.limit("a", 1.0)
+        self.assertIsNone(self.book.limited_for(self.candidates, "", 0.5))
+
+    def test_places_that_a_limit_leaves_empty_count_as_taken(self):
+        self.limit("a", 2.0)
+        self.assertEqual([self.book.taken_by_limits(c) for c in self.candidates], [4.0, 0.0])
+
+
+class LimitSpreadTest(unittest.IsolatedAsyncioTestCase):
+    """News of a limit among 195 entry hosts in five data centres, through hubs, in virtual time."""
+
+    def setUp(self):
+        self.now = 100.0
+        clock = SimpleNamespace(monotonic=lambda: self.now)
+        for module in (gossip, target_limits):
+            patch = mock.patch.object(module, "time", clock)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.rng = random.Random(7)
+        self.loss = 0.0
+        self.gone = set()
+        self.alive = {
+            f"{centre}-{n}": Presence(f"{centre}-{n}", "life", "127.0.0.1:9", centre)
+            for centre in "abcde"
+            for n in range(39)
+        }
+        self.inventory = Inventory()
+        host = TargetHost(Instance("t", 5), "desk", "127.0.0.1:8", "a", False, 6)
+        self.inventory.put(host)
+        self.accounts, self.tasks, self.gossip = {}, {}, {}
+        for name in self.alive:
+            self.make(name)
+
+    def make(self, name):
+        account = self.accounts[name] = TargetLimits(name)
+        kernel, records = Kernel(), Records(name)
+        task = TargetLimitTask(kernel, account, self.inventory, list, None, records)
+        quarantine = SimpleNamespace(news=lambda again: [])
+        loads = LoadBook("a", random.Random(1))
+        loads.begin("another")  # a host with a request reports at each tick
+        made = GossipTask(kernel, self.alive[name], loads, lambda: self.alive, quarantine, {}, task)
+
+        def send_to(data, names, alive):
+            for other in names if name not in self.gone else ():
+                if other not in self.gone and self.rng.random() >= self.loss:
+                    self.gossip[other]._hear(data)
+
+        made._send_to = send_to
+        self.tasks[name], self.gossip[name] = task, made
+
+    def tell(self, name, named):
+        self.tasks[name].answered("t@5", named, Source(Asked.REQUEST, self.now))
+
+    async def go_on(self, seconds):
+        """Let all report for a time."""
+        end = self.now + seconds
+        while self.now < end:
+            for name in self.alive.keys() - self.gone:
+                await self.gossip[name].tick()
+            self.now += gossip.EVERY
+
+    async def seconds_until(self, known):
+        began = self.now
+        while self.now - began < 10.0:
+            here = [n for n in self.alive if n not in self.gone]
+            for name in here:
+                await self.gossip[name].tick()
+            if all(self.accounts[n].rate_by_life.get("t@5") == known for n in here):
+                return self.now - began
+            self.now += gossip.EVERY
+        return 10.0
+
+    async def test_all_know_of_a_limit_within_half_a_second_though_datagrams_are_lost(self):
+        self.loss = 0.1
+        await self.go_on(1.0)
+        self.tell("b-7", NamedLimit(1.2, "1.2"))
+        self.assertLess(await self.seconds_until(1.2), 0.5)
+
+    async def test_all_know_of_it_though_a_hub_is_killed(self):
+        await self.go_on(1.0)
+        self.gone = {hub_ranking("b", self.alive)[0]}
+        self.tell("c-1", NamedLimit(1.2, "1.2"))
+        self.assertLess(await self.seconds_until(1.2), 1.0)
+
+    async def test_all_know_of_its_end(self):
+        self.tell("b-7", NamedLimit(1.2, "1.2"))
+        await self.seconds_until(1.2)
+        await self.go_on(1.0)
+        self.tell("d-3", None)
+        self.assertLess(await self.seconds_until(None), 0.5)
+
+    async def test_host_that_restarts_is_told_within_a_second(self):
+        self.tell("b-7", NamedLimit(1.2, "1.2"))
+        await self.seconds_until(1.2)
+        await self.go_on(2.0)
+        self.make("d-9")
+        self.assertLess(await self.seconds_until(1.2), 1.0)
+
+    async def test_unreadable_limit_is_taken_for_a_low_one_and_never_raises_one(self):
+        self.tell("b-7", NamedLimit(None, "many"))
+        self.assertEqual(self.accounts["b-7"].rate_by_life, {"t@5": UNREADABLE_RATE})
+        self.tell("b-7", NamedLimit(0.1, "0.1"))
+        self.tell("b-7", NamedLimit(None, "many"))
+        self.assertEqual(self.accounts["b-7"].rate_by_life, {"t@5": 0.1})
+
+
+if __name__ == "__main__":
+    unittest.main()
