--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -79,7 +79,6 @@
             (me.name,),
         )
 
-
     def test_hub_that_stands_in_is_told_by_the_other_hubs(self):
         alive = presences(30)
         hub = hub_ranking("a", alive)[0]
