Make one permit of all limits that a request passes; tell newcomers at once

A request through a group of 32 lives made 32 permits, also where nobody names a limit; it makes one now, which holds only the limits in force, and looks up nothing while there are none. No decision changes, but one: when the list of entry hosts changes, all statements are told at once, so that a host that just started does not send to a limited target for half a second more.

--- a/src/oleanderhill/routing/target_limits.py
+++ b/src/oleanderhill/routing/target_limits.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -91,18 +91,24 @@
     version: int
 
 
-class Permit(NamedTuple):
-    """Leave to send one request to a target.
+class Taken(NamedTuple):
+    """What a request takes of one limit.
 
-    :param version: of the statement under which it was given, 0 for none
+    :param version: of the statement in force
     :param free_before: when the host's next request could have been sent without it
     """
 
-    life: str
     version: int
     free_before: float
 
 
+class Permit(NamedTuple):
+    """Leave to send one request to a group of lives, the first of which takes it."""
+
+    lives: Sequence[str]
+    taken_by_life: Mapping[str, Taken]
+
+
 class _Held:
     """What is known of one target, and this host's share of it."""
 
@@ -223,6 +229,8 @@
         if hosts is self._hosts:
             return
         self._hosts = hosts
+        # A host that has just come is told at once.
+        self._told_at = float("-inf")
         for life, held in self._held_by_life.items():
             before = held.sharers
             held.sharers = self._sharers(life, held.statement.rate)
@@ -231,47 +239,37 @@
 
     # What may be sent
 
-    def may_send(self, lives: Iterable[str], now: float) -> bool:
+    def may_send(self, lives: Sequence[str], now: float) -> bool:
         """Tell whether a request may go now to a group of lives, the first of which takes it."""
-        return all(
-            held is None or (self._shares(held) and now >= held.free_at)
-            for held in self._binding(lives)
-        )
+        binding = self._binding(lives).values()
+        return all(self._shares(held) and now >= held.free_at for held in binding)
 
-    def take(self, lives: Iterable[str], now: float) -> tuple[Permit, ...] | None:
+    def take(self, lives: Sequence[str], now: float) -> Permit | None:
         """Take leave to send one request, ``None`` where there is none now."""
-        lives = tuple(lives)
         if not self.may_send(lives, now):
             self.held_back += 1
             return None
-        permits = []
-        for life, held in zip(lives, self._binding(lives), strict=True):
-            if held is None:
-                permits.append(Permit(life, 0, now))
-                continue
-            permits.append(Permit(life, held.statement.version, held.free_at))
+        taken = {}
+        for life, held in self._binding(lives).items():
+            taken[life] = Taken(held.statement.version, held.free_at)
             held.free_at = now + _period(held)
             self.sent += 1
-        return tuple(permits)
-
-    def confirm(self, permits: tuple[Permit, ...], now: float) -> tuple[Permit, ...] | None:
-        """Return the permits with which the first byte may leave now, ``None`` if it may not.
-
-        What was said since a target was chosen counts.
-        """
-        lives = [p.life for p in permits]
-        versions = [h.statement.version if h is not None else 0 for h in self._binding(lives)]
-        if versions == [p.version for p in permits]:
-            return permits
-        self.give_back(permits)
-        return self.take(lives, now)
-
-    def give_back(self, permits: Iterable[Permit]) -> None:
-        """Return permits with which nothing was sent."""
-        for permit in permits:
-            held = self._held_by_life.get(permit.life)
-            if held is not None and permit.version == held.statement.version:
-                held.free_at = permit.free_before
+        return Permit(lives, taken)
+
+    def confirm(self, permit: Permit, now: float) -> bool:
+        """Tell whether the first byte may leave now; what was said since the choice counts."""
+        version_by_life = {k: h.statement.version for k, h in self._binding(permit.lives).items()}
+        if version_by_life == {k: t.version for k, t in permit.taken_by_life.items()}:
+            return True
+        self.give_back(permit)
+        return self.take(permit.lives, now) is not None
+
+    def give_back(self, permit: Permit) -> None:
+        """Return a permit with which nothing was sent."""
+        for life, taken in permit.taken_by_life.items():
+            held = self._held_by_life.get(life)
+            if held is not None and taken.version == held.statement.version:
+                held.free_at = taken.free_before
                 self.sent -= 1
 
     def spend(self, life: str, now: float) -> None:
@@ -280,37 +278,35 @@
         if held is not None and held.statement.rate is not None:
             held.free_at = max(held.free_at, now) + _period(held)
 
-    def is_limited(self, lives: Iterable[str]) -> bool:
+    def is_limited(self, lives: Sequence[str]) -> bool:
         """Tell whether a group of lives takes a limited number of requests."""
-        return any(held is not None for held in self._binding(lives))
+        return bool(self._binding(lives))
 
-    def rate(self, lives: Iterable[str]) -> float | None:
+    def rate(self, lives: Sequence[str]) -> float | None:
         """Return the requests a second that a group of lives takes, ``None`` for no limit."""
-        rates = [_asked_at_least(h) for h in self._binding(lives) if h is not None]
-        return min(rates, default=None)
+        return min(map(_asked_at_least, self._binding(lives).values()), default=None)
 
     def to_ask(self, lives: Sequence[str]) -> list[str]:
         """Return members of a group that get no requests, and whose limit this host asks after."""
-        named = zip(lives, self._binding(lives), strict=True)
-        _, *others = named
-        return [
-            life for life, held in others if held is not None and held.sharers[:1] == (self._me,)
-        ]
+        others = lives[1:]
+        bound = self._binding(lives).items()
+        return [life for life, h in bound if life in others and h.sharers[:1] == (self._me,)]
 
-    def _binding(self, lives: Iterable[str]) -> list[_Held | None]:
-        """Return what limits each of a group of lives.
+    def _binding(self, lives: Sequence[str]) -> Mapping[str, _Held]:
+        """Return the limits that bind a group of lives, by life.
 
         A member that gets no requests itself binds the group by what it says in answers to orders
         and probes: every request passes through it, and probes will tell the end.
         """
-        found: list[_Held | None] = []
+        if not self._held_by_life:
+            return {}
+        found = {}
         for rank, life in enumerate(lives):
             held = self._held_by_life.get(life)
-            if held is not None and held.statement.rate is None:
-                held = None
-            if rank and held is not None and held.statement.asked != Asked.CONTROL:
-                held = None
-            found.append(held)
+            if held is None or held.statement.rate is None:
+                continue
+            if rank == 0 or held.statement.asked == Asked.CONTROL:
+                found[life] = held
         return found
 
     def _shares(self, held: _Held) -> bool:
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -121,7 +121,7 @@
         self._cut = False
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
-        self._permits: tuple[Permit, ...] = ()
+        self._permit: Permit | None = None
         self._over_limit = False
         self._tried: set[str] = set()
         self._path: list[str] = []
@@ -166,10 +166,9 @@
         if not self.tools.quarantine.may_send(self._identity):
             return False
         now = time.monotonic()
-        permits = self.tools.book.limits.confirm(self._permits, now)
-        self._permits = ()
-        self._over_limit = permits is None
-        if self._over_limit:
+        permit, self._permit = self._permit, None
+        if permit is not None and not self.tools.book.limits.confirm(permit, now):
+            self._over_limit = True
             return False
         self._sent_at = now
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
@@ -210,7 +209,7 @@
             if not self.machine.arrived:
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
             return NoChoice(reason, full, full)
-        self._permits = self.tools.book.limits.take(found.lives, now) or ()
+        self._permit = self.tools.book.limits.take(found.lives, now)
         host = found.host
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
@@ -252,8 +251,9 @@
         finally:
             task.cancel()
             self.tools.quarantine.end(self._identity, told)
-            book.limits.give_back(self._permits)
-            self._permits = ()
+            permit, self._permit = self._permit, None
+            if permit is not None:
+                book.limits.give_back(permit)
             book.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
@@ -339,6 +339,7 @@
         self, result: Result[Reply, CallFailure], run: Run, attempt: int, choice: Choice
     ) -> list[Effect]:
         if run.withheld and self._over_limit:
+            self._over_limit = False
             return self._handle(ConnectFailed(attempt, "the target's limit was used up"))
         if run.withheld:
             return self._quarantined()
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -319,21 +319,22 @@
 
     def test_unsent_permit_is_given_back(self):
         account = self.sharer(1.0)
-        permits = account.take(("t",), 100.0)
+        permit = account.take(("t",), 100.0)
         self.assertFalse(account.may_send(("t",), 100.1))
-        account.give_back(permits)
+        account.give_back(permit)
         self.assertTrue(account.may_send(("t",), 100.1))
         self.assertEqual(account.sent, 0)
 
     def test_request_that_was_placed_before_the_news_is_held_back(self):
-        permits = self.account.take(("t",), 1.0)
+        permit = self.account.take(("t",), 1.0)
         self.told(1.0, 0.0, 1.1)
-        self.assertIsNone(self.account.confirm(permits, 1.2))
+        self.assertFalse(self.account.confirm(permit, 1.2))
 
     def test_request_placed_within_the_limit_in_force_goes(self):
         account = self.sharer(1.0)
-        permits = account.take(("t",), 100.0)
-        self.assertEqual(account.confirm(permits, 100.1), permits)
+        permit = account.take(("t",), 100.0)
+        self.assertTrue(account.confirm(permit, 100.1))
+        self.assertFalse(account.may_send(("t",), 100.1))
 
     def test_number_that_changes_with_each_answer_neither_starves_nor_floods(self):
         for step in (0.01, -0.01):
