Let the mutant of the pooled retries patch one function

It held a copy of the whole account with one division left out, which would have drifted from it unseen. The pool is a function now, and the mutant multiplies it by the hosts that it is divided by. Caught as before by test_pooled_shares_stay_under_the_bound_whoever_hears_whom; no behaviour changes.

--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -256,7 +256,7 @@
         ),
         Mutant(
             "checked again before the first byte",
-            [(book, "confirm", lambda self, permits, now: permits)],
+            [(book, "confirm", lambda self, permit, now: True)],
             testing(f"{account}.test_request_that_was_placed_before_the_news_is_held_back"),
         ),
         Mutant(
@@ -400,7 +400,7 @@
         ),
         Mutant(
             "a pool of retries is divided until all know what was taken",
-            [(retries.SharedRetryBudget, "left", _all_of_the_pool)],
+            [(retries.SharedRetryBudget, "_pool", _all_of_the_pool)],
             testing(
                 "test_serving.RetryTest"
                 ".test_pooled_shares_stay_under_the_bound_whoever_hears_whom"
@@ -426,11 +426,12 @@
     return await self._storage.changes(after)
 
 
-def _all_of_the_pool(self: Any, now: float) -> float:
-    counts = [self.own(now), *(c for at, c in self._heard.values() if now - at <= 0.6)]
-    count = retries.counted(counts)
-    share = self._slack * min(1.0, count.hosts / max(1, self.hosts))
-    return self._ratio * count.requests + share - count.retries
+def _all_of_the_pool(self: Any, count: retries.RetryCount) -> float:
+    # What each takes of it is the whole, as it is divided by the hosts.
+    return _POOL(self, count) * count.hosts
+
+
+_POOL = retries.SharedRetryBudget._pool
 
 
 _LONG_QUEUE = standing.Room(1.8, 0)
--- a/src/oleanderhill/serving/retries.py
+++ b/src/oleanderhill/serving/retries.py
@@ -89,10 +89,13 @@
         """
         self._heard = {s: h for s, h in self._heard.items() if now - h[0] <= HEARD_LASTS}
         count = counted([self.own(now), *(c for _, c in self._heard.values())])
-        share = self._slack * min(1.0, count.hosts / max(1, self.hosts))
-        pool = self._ratio * count.requests + share - count.retries
         recent = sum(1 for at in self._retries if at > now - HEARD_WITHIN)
-        return (pool + recent) / count.hosts - recent
+        return (self._pool(count) + recent) / count.hosts - recent
+
+    def _pool(self, count: RetryCount) -> float:
+        """Return how many retries those that hear each other have left together."""
+        share = self._slack * min(1.0, count.hosts / max(1, self.hosts))
+        return self._ratio * count.requests + share - count.retries
 
     def take(self, now: float) -> bool:
         """Take one retry; return whether there was one."""
