--- a/src/oleanderhill/groups/composing.py
+++ b/src/oleanderhill/groups/composing.py
@@ -22,12 +22,7 @@
 if it were half of a group of 4, had its hosts made into small ones."""
 
 SPARE_PART = 0.12
-"""Part of a domain's hosts that groups leave free: two of nine, five of 37.
-
-Worth of eight days that lose two hosts every 2.4 s: 0.54 in the mean, 0.41 with 0.3. On one such
-day domains of nine of which two made three groups of 3 and left none earned 0.49, those that all
-left two or three 0.71 (one run each).
-"""
+"""Part of a domain's hosts that groups leave free: two of nine, five of 37."""
 
 
 SHORT = 1.25
--- a/src/oleanderhill/groups/engine_hosts.py
+++ b/src/oleanderhill/groups/engine_hosts.py
@@ -18,9 +18,7 @@
     ours: given to a group, it would never join, and the others would wait for it.
 
     Each entry host looks at the domains several times a second, to take one whose owner is gone.
-    With the whole list gone through each time, of 1,095 hosts in 15 domains, a look took 0.26 ms
-    of the processor, and all looks a seventh of what an entry host did; it takes 0.02 ms now (one
-    core, `make upkeep`; profile of one of 195 entry hosts over 24 s).
+    What a look needs is kept by domain, and worked out anew only where the domain changed.
     """
 
     def __init__(self, inventory: Inventory) -> None:
--- a/src/oleanderhill/groups/ownership.py
+++ b/src/oleanderhill/groups/ownership.py
@@ -54,9 +54,8 @@
 def ranked(key: str, presences: Iterable[Presence], count: int = 1) -> tuple[str, ...]:
     """Return the names of the entry hosts that take a duty, best first: strong ones before others.
 
-    What one host does for many takes a strong machine. One of half a core behind 10 Mbit/s that
-    read the store for its data centre needed two seconds to hand 38 neighbours their first content
-    after a power failure, and they refused their callers meanwhile.
+    What one host does for many takes a strong machine: after a power failure all neighbours of a
+    reader ask it for the whole content at once, and refuse their callers until they have it.
     """
     found = list(presences)
     enough = STRONG * max((p.strength for p in found), default=0.0)
--- a/src/oleanderhill/platform/host_list.py
+++ b/src/oleanderhill/platform/host_list.py
@@ -35,9 +35,8 @@
 class HostList:
     """Keeps the inventory by the platform's list.
 
-    Hosts that changed are written together, in a line for each reading: at the start of a fleet of
-    1,095 each changes three times within seconds, and a line for each of them was an eighth of
-    an entry host's work until the first request (profile of one of 195).
+    Hosts that changed are written together, in a line for each reading: at the start of a large
+    fleet each changes several times within seconds.
 
     :param forget: drops what is kept of a life that is over
     """
--- a/src/oleanderhill/routing/endings.py
+++ b/src/oleanderhill/routing/endings.py
@@ -30,9 +30,7 @@
 whole data centre is lost."""
 
 UNLIKELY = 1_000_000
-"""Times by which endings must be less likely by chance than by the request. Played against an
-oracle, with most targets ending by themselves within 1.5 s, a tenth of it and of
-:data:`SHORTEST_RUN` half quarantined a harmless one in 11 of 240 plays, these in 6."""
+"""Times by which endings must be less likely by chance than by the request."""
 
 SHORTEST_RUN = 0.1
 """Seconds that count for a run at least: what a shorter time shows depends on the way there."""
@@ -67,7 +65,7 @@
 
 QUARANTINED_KEPT = 256
 CLEARED_KEPT = 256
-"""Bounds of what is kept, whatever arrives: with all of them full it takes 0.51 MB (measured)."""
+"""Bounds of what is kept, whatever arrives."""
 
 REPEATED_FOR = 0.5
 """Seconds for which news is told with each report, five times: a datagram lost is no news lost."""
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -44,10 +44,8 @@
 
 
 HERD = 4.0
-"""Requests that a target may get from all entry hosts before any of them sees the others'. Counts
-are 0.15 s old where reports are added up on their way. To 195 entry hosts a group that just opened
-was the least busy one, all at once: 60 requests came to its 11 places within 0.2 s, waited for over
-a second there, and were late, one in ten of the kind on an otherwise well served day."""
+"""Requests that a target may get from all entry hosts before any of them sees the others'. To all
+of them a group that just opened is the least busy one at once."""
 
 LASTS = 1.0
 """Seconds that a request is at an engine, about: by it, those in flight tell how many come in a
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -16,8 +16,7 @@
 from .retries import RetryCount, counted
 
 MESH_MOST = 12
-"""Entry hosts up to which each tells all others: 132 datagrams each 50 ms, and news is one hop
-old. Where the two ways cost the same was not measured; the standard deployments have 8 and 9."""
+"""Entry hosts up to which each tells all others; news is one hop old then."""
 
 PART_BYTES = 1100
 """Bytes of the rows of one datagram: with the sender's name, what was turned away by model and the
--- a/src/oleanderhill/serving/standing.py
+++ b/src/oleanderhill/serving/standing.py
@@ -48,13 +48,7 @@
     # Four places of thirteen are left free for those that can be on time.
     Standing.LATE: Room(0.7, 3),
 }
-"""Room at a group of an engine.
-
-Mean worth of nine plays of five days with trouble of one deployment: a late one up to 0.7 of the
-slots 0.645, up to 0.85 0.636, up to all of them 0.641; a fresh one only where a place is free 0.630
-in place of 0.636. As it was before, a queue of two for fresh ones and of ten for those taken for
-returned: 0.603 in the mean of ten.
-"""
+"""Room at a group of an engine."""
 
 ROOM_AT_PLAIN: Mapping[Standing, Room] = {
     Standing.BEGUN: Room(1.8, 0),
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -36,8 +36,7 @@
 class ServingView:
     """Targets by service and model.
 
-    Of many domains few change between two readings, and only these are worked out anew: with all
-    15 of them, of 73 hosts each, 195 entry hosts spent an eighth of their time on it (profile).
+    Of many domains few change between two readings, and only these are worked out anew.
     """
 
     def __init__(
@@ -105,9 +104,7 @@
     def _expected(self, catalog: Catalog) -> Mapping[str, float]:
         """Return how many groups of each model the hosts would make up by the expected work.
 
-        Its shares are taken as shares of the hosts. Fewer groups of the larger model, by a power
-        of 1.3 and 2 of its size, took the worth of one day of 90 entry hosts from 0.68 to 0.62 and
-        0.52 (one run each): a group of 16 hosts has four times the members to lose of one of 4.
+        Its shares are taken as shares of the hosts, whatever a model's size.
         """
         expected: dict[str, float] = {}
         for service in catalog.service_by_name.values():
