Name limits in the model and in the platform demo

The model plays groups that name a limit for a time (`needs`), and a policy that hears nothing of them.

A test plays the first, with the users' bound and half of the limit used as its bounds.

--- a/dev/oleanderhill_dev/model/engines.py
+++ b/dev/oleanderhill_dev/model/engines.py
@@ -42,6 +42,8 @@
         self.model = model
         self.stalled = False
         self.busy_ms = 0.0
+        self.limit: float | None = None
+        self.arrivals: list[float] = []
         self._times = times
         self._clock = clock
         self._active: list[Work] = []
@@ -51,6 +53,7 @@
 
     def take(self, work: Work) -> None:
         """Take a request."""
+        self.arrivals.append(self._clock.now)
         heapq.heappush(self._queue, (work.urgency, next(self._order), work))
         self._run()
 
--- a/dev/oleanderhill_dev/model/policies.py
+++ b/dev/oleanderhill_dev/model/policies.py
@@ -90,6 +90,19 @@
         return ask.on_time_until - self.SHORTEST if ask.standing == Standing.FRESH else 0.0
 
 
+class LimitsUnheard(Shipped):
+    """As shipped, but for the limits that groups name, of which it knows nothing."""
+
+    name = "limits unheard"
+
+    def choose(
+        self, book: LoadBook, candidates: Sequence[Candidate], ask: Ask, now: float
+    ) -> Candidate | None:
+        for candidate in candidates:
+            book.limits.forget(candidate.target)
+        return super().choose(book, candidates, ask, now)
+
+
 class FreePlacesOnly(LongQueueForReturned):
     """Least busy group, nobody waits."""
 
@@ -152,6 +165,7 @@
         LongQueueForReturned(),
         SameRoom(),
         HeldForAPlace(),
+        LimitsUnheard(),
         FreePlacesOnly(),
         LeastBusy(),
         EarliestDeadline(),
--- a/dev/oleanderhill_dev/model/scenario.py
+++ b/dev/oleanderhill_dev/model/scenario.py
@@ -80,6 +80,16 @@
     seen: float = 1.5
 
 
+class Need(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Some groups of a model name a limit, in requests a second from all entry hosts together."""
+
+    at: float
+    model: str
+    groups: int
+    rate: float
+    seconds: float
+
+
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A deployment with its load and faults.
 
@@ -94,6 +104,7 @@
     engine: EngineTimes = EngineTimes()
     bursts: list[Burst] = []
     losses: list[Loss] = []
+    needs: list[Need] = []
     retry_ratio: float = 0.2
     retry_slack: float = 134.0
     report_loss: float = 0.01
@@ -123,5 +134,10 @@
     for loss in scenario.losses:
         if loss.model not in names:
             raise ScenarioError(f"loss at {loss.at}: no model is named {loss.model}")
+    for need in scenario.needs:
+        if need.model not in names:
+            raise ScenarioError(f"need at {need.at}: no model is named {need.model}")
+        if need.rate < 0 or need.groups < 1:
+            raise ScenarioError(f"need at {need.at}: a rate of 0 and a group at least")
     if scenario.entry_hosts < 1 or scenario.seconds <= 0:
         raise ScenarioError("a scenario needs an entry host and some seconds")
--- a/dev/oleanderhill_dev/model/site.py
+++ b/dev/oleanderhill_dev/model/site.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from oleanderhill.groups.inventory import Instance, TargetHost
+from oleanderhill.routing.target_limits import Asked, TargetLimits
 from oleanderhill.serving.comeback import come_back
 from oleanderhill.serving.patience import stall_after
 from oleanderhill.serving.placing import Candidate, LoadBook
@@ -19,7 +20,7 @@
 from .clockwork import Clockwork
 from .engines import Group, Work
 from .policies import Ask, Policy
-from .scenario import Kind, Loss, Scenario, check
+from .scenario import Kind, Loss, Need, Scenario, check
 
 REPORT_EVERY = 0.05
 """Seconds between two reports of a host, as shipped."""
@@ -72,6 +73,9 @@
             self._next_caller(kind)
         for loss in self.scenario.losses:
             self.clock.at(loss.at, partial(self._lose, loss))
+        for need in self.scenario.needs:
+            self.clock.at(need.at, partial(self._limit, need, need.rate))
+            self.clock.at(need.at + need.seconds, partial(self._limit, need, None))
         self.clock.later(REPORT_EVERY, self._report)
         self.clock.run(self.scenario.seconds + 12.0)
         return self.ends
@@ -104,8 +108,13 @@
 
         self.clock.later(max(loss.seen, loss.seconds), back)
 
+    def _limit(self, need: Need, rate: float | None) -> None:
+        for group in self.groups[need.model][: need.groups]:
+            group.limit = rate
+
     def _report(self) -> None:
         now = self.clock.now
+        names = tuple(host.name for host in self.hosts)
         for host in self.hosts:
             book = host.book
             news = (
@@ -114,9 +123,13 @@
                 book.own_progress(now),
                 book.own_turned_away(now),
             )
+            host.book.limits.reach(names, True, now)
+            limits = host.book.limits.news(now)
             for other in self.hosts:
                 if other is not host and self.rng.random() >= self.scenario.report_loss:
                     other.book.hear(host.name, *news, now)
+                    for part in limits:
+                        other.book.limits.hear(part, lambda life: True, now)
         if now < self.scenario.seconds + 10.0:
             self.clock.later(REPORT_EVERY, self._report)
 
@@ -127,7 +140,7 @@
     def __init__(self, site: Site, name: str) -> None:
         self.site = site
         self.name = name
-        self.book = LoadBook("here", random.Random(site.rng.random()))
+        self.book = LoadBook("here", random.Random(site.rng.random()), TargetLimits(name))
         s = site.scenario
         self.budget = SharedRetryBudget(s.retry_ratio, s.retry_slack, RETRY_WINDOW)
         self.budget.hosts = s.entry_hosts
@@ -229,7 +242,8 @@
         self._work: Work | None = None
         self._target = ""
         self._written = 0
-        self._progressed = site.clock.now
+        self._heard = False
+        self._progressed = self._sent_at = site.clock.now
         self.over = False
         self._route = _route(caller.kind)
 
@@ -258,32 +272,40 @@
             site.clock.later(HOLD_STEP, self._send)
             return
         if found is None:
-            self._refuse(bool(candidates), now)
+            self._refuse(candidates, now)
             return
         self._target, self._arrived = found.target, self._arrived + 1
         self._tried.add(found.target)
+        self._host.book.limits.take(found.lives, now)
         self._host.book.begin(found.target)
         left = self._caller.events - self._written
         prompt = self._caller.prompt + self._written * site.scenario.engine.stride
         urgency = site.policy.urgency(ask, now)
         work = Work(urgency, prompt, left, self._shown, self._done)
         self._work = work
-        self._progressed = now
+        self._progressed = self._sent_at = now
+        self._heard = False
         group = site.group_by_name[found.target]
         site.clock.later(WAY, lambda: group.take(work))
         site.clock.later(stall_after(self._route, self._written > 0), lambda: self._look(work))
 
-    def _refuse(self, serves: bool, now: float) -> None:
+    def _refuse(self, candidates: Sequence[Candidate], now: float) -> None:
         self.over = True
         if self._written:
             self._caller.cut()
             return
         if not self._arrived:
             self._host.book.turn_away(self._caller.kind.model, now)
-        self._caller.refused(come_back(serves, self._site.rng))
+        limited_for = self._host.book.limited_for(candidates, self._caller.kind.model, now)
+        self._caller.refused(come_back(bool(candidates), self._site.rng, limited_for))
 
     def _shown(self) -> None:
         now, target = self._site.clock.now, self._target
+        if not self._heard:
+            self._heard = True
+            named = self._site.group_by_name[target].limit
+            limits = self._host.book.limits
+            limits.answered(target, named, Asked.REQUEST, self._sent_at, now)
         if not self._written:
             self._site.policy.first_event(target, now <= self._caller.on_time_until)
         self._written += 1
--- a/dev/oleanderhill_dev/users/demo.py
+++ b/dev/oleanderhill_dev/users/demo.py
@@ -23,6 +23,12 @@
 """Hosts that a request may end: three until it is known, and three more."""
 
 
+LIMIT = 1.5
+LIMIT_WINDOW = 4.0
+LIMIT_REQUESTS = 120
+"""Requests of which a head that names a limit may take a few, twenty a second."""
+
+
 class _Body(Observer):
     def __init__(self) -> None:
         self.data_seen = b""
@@ -58,6 +64,21 @@
     return all(len(e.candidates("pool", model)) > 1 for e in site.entries)
 
 
+async def _show_limit(site: StandInSite, caller: HttpCaller, counts: Counter[str]) -> None:
+    """Have a head name a limit, and count what all entry hosts send it together."""
+    head = site.entries[0].candidates("pool", SMALL)[0].host.instance.name
+    demand = site.engines.host_by_instance[head].demand
+    demand.limit = str(LIMIT)
+    asked = []
+    for number in range(LIMIT_REQUESTS):
+        asked.append(asyncio.create_task(_ask(site, caller, 1_001 + 2 * number)))
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*asked)
+    told = [at for at in demand.arrivals if at > demand.arrivals[-1] - LIMIT_WINDOW]
+    counts["limited"] = len(told)
+    print(f"a head that takes {LIMIT} a second got {len(told)} requests in {LIMIT_WINDOW} s")
+
+
 async def _demo() -> Counter[str]:
     site = StandInSite()
     await site.start(hosts=12, entries=2)
@@ -83,6 +104,7 @@
     print(
         f"a request that ends whoever begins it came {FATAL_TIMES} times, ended {counts['ended']}"
     )
+    await _show_limit(site, caller, counts)
     sizes = {r.group: r.members_ready for r in site.engines.runs}
     counts["partial"] = sum(1 for size in sizes.values() if size not in (2, 3))
     await site.entries[0].front.drain()
@@ -96,7 +118,8 @@
     names = ("answered", "refused", "cut", "partial")
     print("platform demo: " + " ".join(f"{name}={counts[name]}" for name in names))
     well = counts["answered"] == REQUESTS and not counts["partial"]
-    return 0 if well and 0 < counts["ended"] <= MOST_ENDED else 1
+    within = counts["limited"] <= 1.5 * LIMIT * LIMIT_WINDOW + 5
+    return 0 if well and within and 0 < counts["ended"] <= MOST_ENDED else 1
 
 
 if __name__ == "__main__":
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,7 +4,13 @@
 from collections import Counter
 from pathlib import Path
 
-from oleanderhill_dev.model.policies import LeastBusy, LongQueueForReturned, Shipped
+import msgspec
+from oleanderhill_dev.model.policies import (
+    LeastBusy,
+    LimitsUnheard,
+    LongQueueForReturned,
+    Shipped,
+)
 from oleanderhill_dev.model.scenario import (
     Burst,
     Kind,
@@ -82,6 +88,22 @@
         self.assertGreater(worth(ours), worth(before) + 0.1)
         self.assertGreater(worth(ours), worth(unbound) + 0.1)
 
+    def test_limits_that_groups_name_are_kept_and_used_and_cost_callers_little(self):
+        scenario = read_scenario(SCENARIOS / "limits.json")
+        # The others could take what the limited groups don't; in the last need none is left.
+        scenario = msgspec.structs.replace(scenario, needs=scenario.needs[:2])
+        site, unheard = Site(scenario, Shipped(), 1), Site(scenario, LimitsUnheard(), 1)
+        ends, before = site.play(), unheard.play()
+        for need in scenario.needs:
+            group, rate = site.groups[need.model][0], need.rate
+            told = [at for at in group.arrivals if 8.5 <= at < 24.0]
+            most = max(sum(at <= t < at + 4.0 for t in told) for at in told)
+            self.assertLessEqual(most, 1.5 * rate * 4.0 + 5)
+            self.assertGreaterEqual(len(told), rate * 15.5 / 2)
+        over = unheard.groups["small"][0].arrivals
+        self.assertGreater(sum(10.0 <= at < 14.0 for at in over), 1.5 * 1.2 * 4.0 + 5)
+        self.assertGreater(worth(ends), worth(before) - 0.05)
+
 
 if __name__ == "__main__":
     unittest.main()
