Believe no statement of a limit that no entry host can make

Anybody may send datagrams to the address of the reports. A rate that is no number ended the handling of the datagram with an error when the sharers were counted; a version near the largest integer would have been passed on, raised by one, and then not been encoded any more, so that reports ended. Found in reading; nothing of the kind was seen. Rates below 0 or not finite and versions above 2^40 are ignored. New test: NaN failed with ValueError before, the others were taken.

--- a/src/oleanderhill/routing/target_limits.py
+++ b/src/oleanderhill/routing/target_limits.py
@@ -50,6 +50,9 @@
 
 STATEMENTS_KEPT = 2_000
 
+MOST_VERSIONS = 2**40
+"""Highest version that is believed; no target changes its limit so often."""
+
 PART_STATEMENTS = 18
 """Statements in one datagram: with names of 32 letters it fits into one frame."""
 
@@ -66,8 +69,7 @@
     """What a target says of its limit.
 
     :param rate: requests a second from all entry hosts, ``None`` for no limit
-    :param asked: ``REQUEST`` if it was named in an answer to a request, of which only such answers
-        can tell the end
+    :param asked: what named it; one named in an answer to a request ends by such an answer only
     """
 
     version: int
@@ -194,7 +196,7 @@
         changes = []
         for life, statement in news.statements.items():
             held = self._held_by_life.get(life)
-            if not _is_newer(statement, held) or not listed(life):
+            if not _is_sound(statement) or not _is_newer(statement, held) or not listed(life):
                 continue
             changes.append(self._state(life, statement, now))
         return changes
@@ -363,6 +365,12 @@
     return Asked.REQUEST if Asked.REQUEST in (statement.asked, asked) else Asked.CONTROL
 
 
+def _is_sound(statement: Statement) -> bool:
+    """Tell whether a statement can come from an entry host; anybody may send datagrams."""
+    rate_is_sound = statement.rate is None or 0.0 <= statement.rate < math.inf
+    return rate_is_sound and 0 < statement.version <= MOST_VERSIONS
+
+
 def _is_newer(statement: Statement, held: _Held | None) -> bool:
     """Tell whether a peer's statement takes the place of the one held; of two with one version
     the tighter does."""
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -374,6 +374,12 @@
         news = LimitNews("peer", {"t": Statement(3, 2.0)})
         self.assertEqual(self.account.hear(news, lambda life: False, 5.0), [])
 
+    def test_what_no_entry_host_says_is_not_believed(self):
+        for rate, version in ((float("nan"), 1), (float("inf"), 1), (-1.0, 1), (1.0, 2**63)):
+            with self.subTest(rate=rate, version=version):
+                news = LimitNews("anybody", {"t": Statement(version, rate)})
+                self.assertEqual(self.account.hear(news, lambda life: True, 5.0), [])
+
     def test_news_is_told_with_each_report_and_then_now_and_then(self):
         self.told(1.0, 0.0, 1.0)
         told = [bool(self.account.news(1.0 + n * 0.05)) for n in range(60)]
