--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -219,7 +219,7 @@
     return [
         Mutant(
             "limits are read from answers",
-            [(headers, "limit", lambda headers: None)],
+            [(headers, "named_limit", lambda headers: None)],
             testing(f"{site}.test_plain_target_gets_no_more_than_its_limit_from_all_entry_hosts"),
         ),
         Mutant(
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -23,6 +23,9 @@
 RETRY_AFTER = "Retry-After"
 LIMIT = "Server-Limit"
 
+OTHER_INSTANCE = 421
+"""Status of an answer from another instance than the one that was asked."""
+
 _CONNECTION_ONLY = frozenset(
     {
         "Connection",
@@ -51,11 +54,9 @@
 )
 
 _DECIMAL = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
-_OTHER_INSTANCE = 421
 _LONGEST_LIMIT = 40
 """Characters of a limit: a longer one is cut, and can't be read."""
 
-
 MOST_UNREAD = 64
 """Names of unread headers that are remembered: a target may send any."""
 
@@ -114,8 +115,10 @@
     def read_reply(self, status: int, headers: HTTPHeaders) -> Reading:
         """Return what a reply's status and headers mean for the request."""
         self._look_for_unread(headers)
-        other = status == _OTHER_INSTANCE
-        return Reading(NOT_RUN in headers or other, SEAL in headers, not other, limit(headers))
+        other = status == OTHER_INSTANCE
+        return Reading(
+            NOT_RUN in headers or other, SEAL in headers, not other, named_limit(headers)
+        )
 
     def _look_for_unread(self, headers: HTTPHeaders) -> None:
         for name in headers:
@@ -151,7 +154,7 @@
         return headers
 
 
-def limit(headers: HTTPHeaders) -> NamedLimit | None:
+def named_limit(headers: HTTPHeaders) -> NamedLimit | None:
     """Return the limit that a target names, the least of several, ``None`` where it names none."""
     named = [part for value in headers.get_list(LIMIT) for part in value.split(",")]
     return min(map(_limit, named), key=lambda n: n.rate or 0.0, default=None)
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -16,7 +16,7 @@
 from ..groups.inventory import Instance
 from ..serving.forwarding import NamedLimit
 from .decoding import report_born
-from .headers import EXPECT_INSTANCE, limit
+from .headers import EXPECT_INSTANCE, OTHER_INSTANCE, named_limit
 
 ORDER_TIMEOUT = 0.8
 """Seconds for an order; a host answers within a few ms or not at all."""
@@ -24,15 +24,12 @@
 PROBE_TIMEOUT = 0.4
 """Seconds for a probe of a host whose group was seen to stall; it takes no slot of the engine."""
 
-GONE = 421
-"""Status of a host that is not the one that was asked."""
-
 _END_BY_STATUS = {
     200: OrderEnd.DONE,
     202: OrderEnd.DONE,
     409: OrderEnd.UNFIT,
     412: OrderEnd.FENCED,
-    GONE: OrderEnd.GONE,
+    OTHER_INSTANCE: OrderEnd.GONE,
 }
 
 
@@ -112,8 +109,8 @@
     async def _ask(self, instance: Instance, call: Call) -> Result[Reply, CallFailure]:
         asked_at = time.monotonic()
         found = await self._caller.call(call)
-        if is_successful(found) and found.unwrap().status != GONE:
-            self._heard(str(instance), limit(found.unwrap().headers), asked_at)
+        if is_successful(found) and found.unwrap().status != OTHER_INSTANCE:
+            self._heard(str(instance), named_limit(found.unwrap().headers), asked_at)
         return found
 
     def forget(self, address: str) -> None:
