Close the connection of a stream that outlasts the closing of idle ones

SIGTERM at 23.1 s; a request came at 27.8 s on a kept connection, began to run, and the process ended with its grace.

Cause: idle connections are closed once, 2.7 s after the stop order. One that carried an answer then, whose head had left before the order and so without a word of closing, became idle afterwards and was kept, so that the caller's next request was read as late as the caller liked. Ruled out: a connection accepted late (the server listens no more), a balancer that still sends (the readiness is gone for 4.7 s).

From the closing of idle connections on, a connection is closed when the next request would be read.

--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -135,6 +135,9 @@
         self._task: asyncio.Task[None] | None = None
         self._arrived = 0.0
         front.idle.add(self)
+        if front.closing_idle:
+            # An answer that began before the stop order has just ended, and kept its connection.
+            self.close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -253,6 +256,7 @@
         self.serving = serving
         self._records = records
         self.stopping = False
+        self.closing_idle = False
         self.underway: set[_Message] = set()
         self.idle: WeakSet[_Message] = WeakSet()
         self._servers: list[HTTPServer] = []
@@ -304,6 +308,7 @@
         await asyncio.sleep(STOP_LISTENING_AFTER)
         self._servers[1].stop()
         # A request on a connection that is kept after this would be cut by the process's end.
+        self.closing_idle = True
         for message in list(self.idle):
             message.close()
         while self.in_flight and time.monotonic() - began < self._grace - EXIT_MARGIN:
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -4,6 +4,7 @@
 import json
 import time
 import unittest
+from unittest import mock
 
 from oleanderhill_dev.users.site import LARGE, SMALL, StandInSite, until
 from tornado.httputil import HTTPHeaders
@@ -12,6 +13,7 @@
 from oleanderhill.clock import awake_or_not
 from oleanderhill.platform.decoding import decode_configuration, decode_host
 from oleanderhill.platform.headers import MOST_UNREAD, HeaderCodec
+from oleanderhill.serving import front
 
 HOST = "yard.example"
 
@@ -460,6 +462,23 @@
         self.assert_whole_stream(reader)
         await asyncio.wait_for(drained, 8.0)
 
+    async def test_connection_ends_with_a_stream_that_outlasts_the_closing_of_idle_ones(self):
+        # Its head left before the stop order, without a word of closing.
+        self.site.engines.pieces = 60
+        patch = mock.patch.object(front, "STOP_LISTENING_AFTER", 0.3)
+        patch.start()
+        self.addCleanup(patch.stop)
+        ip, port = self.entry.callers.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = f"POST /read/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: long\r\nModel: {LARGE}\r\n"
+        writer.write(f"{head}Authorization: Bearer key-a\r\nContent-Length: 1\r\n\r\nx".encode())
+        self.assertNotIn(b"close", await reader.readuntil(b"\r\n\r\n"))
+        drained = asyncio.create_task(self.entry.front.drain())
+        await asyncio.wait_for(reader.readuntil(b"\r\n0\r\n\r\n"), 6.0)
+        self.assertEqual(await asyncio.wait_for(reader.read(), 1.0), b"")
+        writer.close()
+        await drained
+
     async def test_kept_connection_ends_before_it_can_bring_a_request_too_late(self):
         # A caller keeps its connection open and idle through the stop order. A request that it
         # sends five seconds later would be read, passed on and cut by the end of the process. The
