Prove that a limit is for all entry hosts by eight accounts, not by three under load

The mutant in which each entry host takes a limit for its own was caught in one run and not in the next: on the stand-ins three hosts with one request a second each exceed the bound only if all use every turn. No source changes.

--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -225,7 +225,7 @@
         Mutant(
             "a limit is for all entry hosts together",
             [(book, "_sharers", lambda self, life, rate: (self._me,))],
-            testing(f"{site}.test_plain_target_gets_no_more_than_its_limit_from_all_entry_hosts"),
+            testing(f"{account}.test_hosts_in_sum_keep_the_limit_and_use_it"),
         ),
         Mutant(
             "few share a limit",
