Log the time for which a target asks to be left alone, and whether it was doubtful

The logs of the incident could not tell whether a target's Retry-After was read by nobody or kept by the wrong key: a line 'attempt failed' showed the status only. It now names retry_after_s, as the target said it, and was_suspect, whether the target was doubtful already when the request went to it. With both, a send within the named time is seen in one host's log, and so is whether doubt of half of the targets was set aside. The header is decoded in the adapter; nothing acts on it yet.

--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -54,8 +54,8 @@
 )
 
 _DECIMAL = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
-_LONGEST_LIMIT = 40
-"""Characters of a limit: a longer one is cut, and can't be read."""
+_LONGEST_NUMBER = 40
+"""Characters of a number in a reply: a longer one is cut, and can't be read."""
 
 MOST_UNREAD = 64
 """Names of unread headers that are remembered: a target may send any."""
@@ -116,9 +116,8 @@
         """Return what a reply's status and headers mean for the request."""
         self._look_for_unread(headers)
         other = status == OTHER_INSTANCE
-        return Reading(
-            NOT_RUN in headers or other, SEAL in headers, not other, named_limit(headers)
-        )
+        not_run = NOT_RUN in headers or other
+        return Reading(not_run, SEAL in headers, not other, named_limit(headers), _rest(headers))
 
     def _look_for_unread(self, headers: HTTPHeaders) -> None:
         for name in headers:
@@ -160,9 +159,20 @@
     return min(map(_limit, named), key=lambda n: n.rate or 0.0, default=None)
 
 
+def _rest(headers: HTTPHeaders) -> float | None:
+    """Return the seconds for which a target asks to be left alone, ``None`` where it does not.
+
+    A date, which HTTP allows here as well, is not read: clocks of two hosts may differ by seconds.
+    """
+    text = headers.get(RETRY_AFTER, "").strip()
+    if len(text) > _LONGEST_NUMBER or not _DECIMAL.fullmatch(text):
+        return None
+    return max(0.0, float(text))
+
+
 def _limit(text: str) -> NamedLimit:
-    shown = text.strip()[:_LONGEST_LIMIT]
-    if len(text.strip()) > _LONGEST_LIMIT or not _DECIMAL.fullmatch(shown):
+    shown = text.strip()[:_LONGEST_NUMBER]
+    if len(text.strip()) > _LONGEST_NUMBER or not _DECIMAL.fullmatch(shown):
         return NamedLimit(None, shown)
     rate = float(shown)
     return NamedLimit(max(0.0, rate) if math.isfinite(rate) else None, shown)
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -355,7 +355,7 @@
         reading = self.read_reply(reply.status, reply.headers)
         if reading.not_run:
             if reading.limit is None:
-                self._suspect(choice, f"status {reply.status}")
+                self._suspect(choice, f"status {reply.status}", reading.rest)
             return self._handle(NotStarted(attempt, f"target said {reply.status}, not run"))
         if run.streaming and (run.fault or run.torn or not run.events):
             self._lost(choice)
@@ -377,8 +377,10 @@
         ran_for = time.monotonic() - self._sent_at
         self.tools.quarantine.lost(self._identity, self._in.facts.request_id, choice.head, ran_for)
 
-    def _suspect(self, choice: Choice, reason: str) -> None:
-        self.tools.book.suspect(choice.group, time.monotonic())
+    def _suspect(self, choice: Choice, reason: str, rest: float | None = None) -> None:
+        now = time.monotonic()
+        suspected = self.tools.book.is_suspect(choice.group, now)
+        self.tools.book.suspect(choice.group, now)
         self.tools.records.request(
             self._in.facts.request_id,
             "attempt failed",
@@ -387,6 +389,8 @@
             target=choice.group,
             instance=choice.head.boot_id,
             reason=reason,
+            retry_after_s=rest,
+            was_suspect=suspected,
         )
 
     def _deliver(self) -> None:
