--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -57,10 +57,13 @@
     """What a target says of the requests that it takes, and when they came.
 
     :param limit: value of the header that names its limit, empty for none
+    :param rest: value of the header by which it asks for rest as it turns a request away with 503,
+        empty where it takes requests
     """
 
     def __init__(self) -> None:
         self.limit = ""
+        self.rest = ""
         self.arrivals: list[float] = []
 
     def arrived(self) -> None:
@@ -72,6 +75,15 @@
         if self.limit:
             handler.set_header(LIMIT_HEADER, self.limit)
 
+    def turns_away(self, handler: RequestHandler) -> bool:
+        """Turn a request away if the target wants rest; return whether it did."""
+        if not self.rest:
+            return False
+        handler.set_status(503)
+        handler.set_header("Not-Executed", "1")
+        handler.set_header("Retry-After", self.rest)
+        return True
+
 
 class OrderFaults:
     """What is wrong with a host's orders: so many of the next are carried out late, unanswered."""
@@ -332,6 +344,9 @@
     async def post(self, path: str) -> None:
         host, headers = self.host, self.request.headers
         host.demand.arrived()
+        if host.demand.turns_away(self):
+            self.finish()
+            return
         if host.group is None or host.group["state"] != "open":
             self.set_status(503 if host.group is not None else 421)
             self.set_header("Not-Executed", "1")
@@ -423,6 +438,8 @@
             self.set_status(421)
             return
         target.demand.arrived()
+        if target.demand.turns_away(self):
+            return
         if target.faults.shed:
             target.faults.shed -= 1
             self.set_status(503)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,7 +1,5 @@
 """Targets that name how many requests a second they take from all entry hosts together."""
 
-import asyncio
-import itertools
 import random
 import time
 import unittest
@@ -11,7 +9,6 @@
 import msgspec
 from oleanderhill_dev.fuzz_limits import broken, play
 from oleanderhill_dev.users.site import until
-from returns.pipeline import is_successful
 from tornado.httputil import HTTPHeaders
 
 from oleanderhill.groups.inventory import Instance, Inventory, TargetHost
@@ -63,29 +60,6 @@
 class LimitTest(SiteTest):
     entries = 3
 
-    async def press(self, rate, seconds, path, method="GET", model="", entries=None):
-        """Send requests at a rate to the entry hosts in turn; return replies and seconds."""
-        asked = []
-        turn = itertools.cycle(entries or self.site.entries)
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            asked.append(asyncio.create_task(self.timed(path, method, next(turn), model)))
-            await asyncio.sleep(1 / rate)
-        return await asyncio.gather(*asked)
-
-    async def timed(self, path, method, entry, model):
-        began = time.monotonic()
-        result, _ = await self.ask(path, method, entry=entry, model=model)
-        return result.unwrap() if is_successful(result) else None, time.monotonic() - began
-
-    async def first_told(self, demand, path, method="GET", model=""):
-        """Have a target named its limit to some entry host; return the moment."""
-        seen = len(demand.arrivals)
-        while len(demand.arrivals) == seen:
-            # The busier target is left for the other one.
-            await self.press(100, 0.1, path, method, model, [self.entry])
-        return time.monotonic()
-
     async def limited_head(self, limit):
         """Name a limit at the head of one of two groups; return its demand and the model."""
         model = await self.model_with_two_groups()
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -1,12 +1,14 @@
 """An entry host on stand-ins of the users' platform: store, engine hosts, plain targets."""
 
 import asyncio
+import itertools
 import json
 import time
 import unittest
 from unittest import mock
 
 from oleanderhill_dev.users.site import LARGE, SMALL, StandInSite, until
+from returns.pipeline import is_successful
 from tornado.httputil import HTTPHeaders
 
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
@@ -91,6 +93,29 @@
         result, reader = await self.ask(*arguments, **options)
         return result.unwrap(), reader
 
+    async def press(self, rate, seconds, path, method="GET", model="", entries=None):
+        """Send requests at a rate to the entry hosts in turn; return replies and seconds."""
+        asked = []
+        turn = itertools.cycle(entries or self.site.entries)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            asked.append(asyncio.create_task(self.timed(path, method, next(turn), model)))
+            await asyncio.sleep(1 / rate)
+        return await asyncio.gather(*asked)
+
+    async def timed(self, path, method, entry, model):
+        began = time.monotonic()
+        result, _ = await self.ask(path, method, entry=entry, model=model)
+        return result.unwrap() if is_successful(result) else None, time.monotonic() - began
+
+    async def first_told(self, demand, path, method="GET", model=""):
+        """Have a target named its limit to some entry host; return the moment."""
+        seen = len(demand.arrivals)
+        while len(demand.arrivals) == seen:
+            # The busier target is left for the other one.
+            await self.press(100, 0.1, path, method, model, [self.entry])
+        return time.monotonic()
+
     def runs(self, request_id):
         return [r for r in self.site.engines.runs if r.request_id == request_id]
 
