Leave a target alone for the time that it asks for

Cause: nobody read the Retry-After of a target's answer. A 503 made the target doubtful for 2 s. Doubt is a guess, so it ended with the next event of any stream there, and was set aside where half of the targets were doubtful, which is what a shortage looks like. Ruled out: sends that slip past (0.6 s and more after the answer, first byte 1 to 2 ms after the choice), a wrong key (one host, one group, no clock moved). Class: a target's word that has an end, replaced by a guess.

Now the adapter decodes the time (seconds, fractions, a date by the target's own clock, the longest of several; 2 s where it can't be read) from answers to requests, orders and probes. routing/rests.py keeps it by life until its latest end, whatever happens meanwhile. Such a target is no candidate; the rest is looked at again right before the first byte; orders and probes wait. It is no sign of trouble: no doubt, no probing. After the end one request tries the target, the next ones go once it was taken. Peers hear of it and use that target last, but use it: it asked another host. Where all rest callers are refused at once and told to come back from the first end on, spread out.

--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -31,8 +31,10 @@
     retries,
     standing,
 )
+from oleanderhill.serving.forwarding import Notice
 
 from ..proving import Mutant, testing
+from . import notice_mutants
 
 
 def mutants() -> list[Mutant]:
@@ -139,6 +141,7 @@
         *_at_size(),
         *_of_endings(),
         *_of_limits(),
+        *notice_mutants.mutants(),
     ]
 
 
@@ -300,7 +303,7 @@
 
 
 def _read_without_limit(self: Any, status: int, found: Any) -> Any:
-    return self.tools.codec.read_reply(status, found)._replace(limit=None)
+    return self.tools.codec.read_reply(status, found)._replace(notice=Notice())
 
 
 def _all_answers_are_newer(
--- /dev/null
+++ b/dev/oleanderhill_dev/users/notice_mutants.py
@@ -0,0 +1,75 @@
+"""The safeguards around what targets say of themselves in their answers, each with its proof."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from oleanderhill.platform import headers, orders
+from oleanderhill.routing import rests
+from oleanderhill.serving import driver, placing
+
+from ..proving import Mutant, testing
+
+
+def mutants() -> list[Mutant]:
+    """Return the mutants of rests."""
+    book = rests.Rests
+    site, account, place = (f"test_rests.{c}" for c in ("RestTest", "RestsTest", "PlacingTest"))
+    return [
+        Mutant(
+            "rests are read from answers",
+            [(headers, "_rest", lambda headers: None)],
+            testing(f"{site}.test_resting_head_gets_nothing_while_its_streams_go_on"),
+        ),
+        Mutant(
+            "a resting target is no candidate",
+            [(book, "may_take", lambda self, life, now: True)],
+            testing(
+                f"{place}.test_resting_target_is_passed_over_though_others_are_doubtful_and_it_sends"
+            ),
+        ),
+        Mutant(
+            "looked at again before the first byte",
+            [(book, "may_send", lambda self, life, now: True)],
+            testing(f"{site}.test_request_placed_before_the_news_is_held_back"),
+        ),
+        Mutant(
+            "the latest end that was named",
+            [(book, "ask", _ask_last)],
+            testing(f"{account}.test_rest_lasts_until_the_latest_end_that_was_named"),
+        ),
+        Mutant(
+            "one request tries a target after its rest",
+            [(book, "take", lambda self, life: False)],
+            testing(f"{account}.test_one_request_at_a_time_tries_a_target_after_its_rest"),
+        ),
+        Mutant(
+            "orders and probes wait for the end of a rest",
+            [(orders.EngineOrders, "may_ask", lambda self, instance: True)],
+            testing(f"{site}.test_neither_orders_nor_probes_go_to_a_resting_host"),
+        ),
+        Mutant(
+            "a rest is no sign of trouble",
+            [
+                (
+                    driver.Exchange,
+                    "_turned_away",
+                    lambda self, c, reason, n: self._suspect(c, reason),
+                )
+            ],
+            testing(f"{site}.test_rest_puts_nobody_in_doubt_and_has_nobody_probed"),
+        ),
+        Mutant(
+            "a target that asked a peer for rest is used last",
+            [(placing.LoadBook, "hear_resting", lambda self, lives, now: None)],
+            testing(f"{place}.test_target_that_asked_a_peer_is_used_last_but_used"),
+        ),
+    ]
+
+
+def _ask_last(self: Any, life: str, seconds: float, now: float) -> bool:
+    self._rest_by_life.pop(life, None)
+    return _ASK(self, life, seconds, now)
+
+
+_ASK = rests.Rests.ask
--- a/src/oleanderhill/groups/actions.py
+++ b/src/oleanderhill/groups/actions.py
@@ -64,3 +64,5 @@
     FENCED = "fenced"
     GONE = "gone"
     SILENT = "silent"
+    HELD_BACK = "held back"
+    """Not given: the host asked to be left alone for a time."""
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -86,11 +86,11 @@
         """Take note of how an order ended."""
         if end in (OrderEnd.SILENT, OrderEnd.GONE):
             self._avoid_until[order.instance] = now + AVOID_SECONDS
-        else:
+        elif end != OrderEnd.HELD_BACK:
             # A host back from a cut answers orders long before anybody has a reason to probe it.
             # Silent by its old probes, it would break up each group that it is given to.
             self._probes_missed.pop(order.instance, None)
-        if end != OrderEnd.SILENT:
+        if end not in (OrderEnd.SILENT, OrderEnd.HELD_BACK):
             self._answered_at = now
         if isinstance(order, Stage):
             self._spares.ended(order, end, now)
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -59,6 +59,9 @@
     async def answers(self, instance: Instance, address: str) -> bool:
         """Tell whether a host answers, in this life."""
 
+    def may_ask(self, instance: Instance) -> bool:
+        """Tell whether a host may be asked anything now."""
+
 
 class Limits(NamedTuple):
     """Bounds that the owner keeps.
@@ -241,7 +244,8 @@
         """
         silent = False
         try:
-            known = [i for i in group.members if i in self._inventory.by_instance]
+            listed = [i for i in group.members if i in self._inventory.by_instance]
+            known = [i for i in listed if self._orders.may_ask(i)]
             asked = [silences(partial(self._answers, i)) for i in known]
             for instance, unanswered in zip(known, await asyncio.gather(*asked), strict=True):
                 keeper.probed(instance, unanswered, awake_or_not())
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -32,10 +32,11 @@
 from ..kernel import Kernel
 from ..outcomes import Problem
 from ..records import Records, keep_flushing, log_bounded
+from ..routing.rests import Rests
 from ..routing.target_limits import Asked, TargetLimits
 from ..serving.admission import ReturningCallers, admit
 from ..serving.driver import Exchange, Tools
-from ..serving.forwarding import NamedLimit
+from ..serving.forwarding import Notice
 from ..serving.front import CallerSink, Front, Serve
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
@@ -114,7 +115,7 @@
         self._entries = KeyedCopy(decode_presence, records)
         self._view = ServingView(self._inventory, self._plans, rng)
         limits = TargetLimits(s.host)
-        self._book = LoadBook(s.data_centre, rng, limits)
+        self._book = LoadBook(s.data_centre, rng, limits, Rests())
         me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -149,13 +150,14 @@
             rng,
         )
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
-        self._orders = EngineOrders(HttpCaller(), self._heard)
+        self._orders = EngineOrders(HttpCaller(), self._heard, self._may_ask)
         self._limits = TargetLimitTask(
             self.kernel,
             limits,
             self._inventory,
             self._view.groups,
             self._orders.answers,
+            self._orders.may_ask,
             records,
         )
         self._owner = owner = OwnerTask(
@@ -187,6 +189,7 @@
             self.exposition.request,
             self._quarantine,
             self._limits,
+            self._rest,
         )
         serving = Serve(self._serve, self._ready, self._max_body)
         self.front = Front(
@@ -292,23 +295,41 @@
         self._orders.forget(removal.address)
         self._quarantine.over(str(removal.instance), "gone from the list")
         self._limits.over(str(removal.instance))
+        self._book.rests.forget(str(removal.instance))
 
-    def _heard(self, life: str, named: NamedLimit | None, asked_at: float) -> None:
+    def _heard(self, life: str, notice: Notice, asked_at: float) -> None:
         """Take what an answer to an order or probe says, which counts as a request to the host."""
         self._book.limits.spend(life, time.monotonic())
-        self._limits.answered(life, named, Source(Asked.CONTROL, asked_at))
+        self._limits.answered(life, notice.limit, Source(Asked.CONTROL, asked_at))
+        if notice.rest:
+            self._rest(life, notice.rest)
+
+    def _rest(self, life: str, seconds: float, request_id: str = "") -> None:
+        """Take the word of a target that asks this host to leave it alone."""
+        if self._inventory.host(life) is None:
+            return
+        if self._book.rests.ask(life, seconds, time.monotonic()):
+            self._records.note(
+                "rest", "asked for", instance=life, seconds=seconds, request_id=request_id
+            )
+
+    def _may_ask(self, life: str) -> bool:
+        return self._book.rests.may_send(life, time.monotonic())
 
     def _come_back(self, service: str, model: str) -> float:
         """Return the seconds after which a refused caller may come back."""
         candidates = self._view.candidates(service, model)
-        limited_for = self._book.limited_for(candidates, model, time.monotonic())
-        return self._view.come_back(service, model, limited_for)
+        now = time.monotonic()
+        limited_for = self._book.limited_for(candidates, model, now)
+        rest_left = self._book.rest_left(candidates, now)
+        return self._view.come_back(service, model, limited_for, rest_left)
 
     async def _look(self, name: str, address: str) -> Listening:
         """Look whether a target whose connections were lost is there, and the same."""
         life = self._inventory.life_of(name)
-        engine = life is not None and bool(self._inventory.by_instance[life].domain)
-        if life is not None and engine and await self._orders.answers(life, address):
+        if life is None or not self._inventory.by_instance[life].domain:
+            return await listening(address)
+        if self._orders.may_ask(life) and await self._orders.answers(life, address):
             return Listening.THE_SAME
         return await listening(address)
 
@@ -431,11 +452,21 @@
         show("limit_share", "Requests a second that this host may send them", lambda: limits.share)
         show("limit_sent", "Requests sent within limits", lambda: limits.sent)
         show("limit_held_back", "Times that a limit had a target passed over", self._held_back)
+        rests = self._book.rests
+        show("targets_resting", "Targets that asked this host for rest", self._resting)
+        show("rests_asked", "Times that targets asked this host for rest", lambda: rests.asked)
+        show("rest_held_back", "Times that a rest had a target passed over", self._kept_off)
         show("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
     def _held_back(self) -> int:
         return self._book.limits.held_back
 
+    def _kept_off(self) -> int:
+        return self._book.rests.held_back
+
+    def _resting(self) -> int:
+        return len(self._book.rests.resting(time.monotonic()))
+
 
 def main() -> None:
     """Run an entry host on the platform."""
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -5,10 +5,11 @@
 import math
 import re
 from collections.abc import Callable, Mapping
+from email.utils import parsedate_to_datetime
 
 from tornado.httputil import HTTPHeaders
 
-from ..serving.forwarding import Facts, NamedLimit, Reading
+from ..serving.forwarding import Facts, NamedLimit, Notice, Reading
 
 REQUEST_ID = "Attempt-Id"
 DEADLINE = "Deadline-Ms"
@@ -57,6 +58,12 @@
 _LONGEST_NUMBER = 40
 """Characters of a number in a reply: a longer one is cut, and can't be read."""
 
+_TURNED_AWAY = frozenset({429, 503})
+"""Statuses of answers that may ask for rest."""
+
+UNREADABLE_REST = 2.0
+"""Seconds of rest where a target asks for some and for how long can't be read."""
+
 MOST_UNREAD = 64
 """Names of unread headers that are remembered: a target may send any."""
 
@@ -117,7 +124,7 @@
         self._look_for_unread(headers)
         other = status == OTHER_INSTANCE
         not_run = NOT_RUN in headers or other
-        return Reading(not_run, SEAL in headers, not other, named_limit(headers), _rest(headers))
+        return Reading(not_run, SEAL in headers, not other, read_notice(status, headers))
 
     def _look_for_unread(self, headers: HTTPHeaders) -> None:
         for name in headers:
@@ -153,6 +160,12 @@
         return headers
 
 
+def read_notice(status: int, headers: HTTPHeaders) -> Notice:
+    """Return what a target says of itself in a reply to anything."""
+    rest = _rest(headers) if status in _TURNED_AWAY else None
+    return Notice(named_limit(headers), rest)
+
+
 def named_limit(headers: HTTPHeaders) -> NamedLimit | None:
     """Return the limit that a target names, the least of several, ``None`` where it names none."""
     named = [part for value in headers.get_list(LIMIT) for part in value.split(",")]
@@ -162,12 +175,21 @@
 def _rest(headers: HTTPHeaders) -> float | None:
     """Return the seconds for which a target asks to be left alone, ``None`` where it does not.
 
-    A date, which HTTP allows here as well, is not read: clocks of two hosts may differ by seconds.
+    HTTP allows seconds or a date; of several the longest holds.
     """
-    text = headers.get(RETRY_AFTER, "").strip()
-    if len(text) > _LONGEST_NUMBER or not _DECIMAL.fullmatch(text):
-        return None
-    return max(0.0, float(text))
+    named = headers.get_list(RETRY_AFTER)
+    return max((_seconds_to(text.strip(), headers) for text in named), default=None)
+
+
+def _seconds_to(text: str, headers: HTTPHeaders) -> float:
+    if len(text) <= _LONGEST_NUMBER and _DECIMAL.fullmatch(text):
+        return max(0.0, float(text))
+    try:
+        # Both dates are of the target's clock, which may differ from ours.
+        spoken = parsedate_to_datetime(headers["Date"])
+        return max(0.0, (parsedate_to_datetime(text) - spoken).total_seconds())
+    except (KeyError, TypeError, ValueError):
+        return UNREADABLE_REST
 
 
 def _limit(text: str) -> NamedLimit:
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -14,9 +14,9 @@
 from ..clients.httpcall import Call, CallFailure, HttpCaller, Reply
 from ..groups.actions import Join, Leave, Open, Order, OrderEnd, Stage, Warm
 from ..groups.inventory import Instance
-from ..serving.forwarding import NamedLimit
+from ..serving.forwarding import Notice
 from .decoding import report_born
-from .headers import EXPECT_INSTANCE, OTHER_INSTANCE, named_limit
+from .headers import EXPECT_INSTANCE, OTHER_INSTANCE, read_notice
 
 ORDER_TIMEOUT = 0.8
 """Seconds for an order; a host answers within a few ms or not at all."""
@@ -70,14 +70,19 @@
 class EngineOrders:
     """Gives orders to engine hosts.
 
-    :param heard: takes a host's life, the limit that its answer names, and when it was asked
+    :param heard: takes a host's life, what its answer says of it, and when it was asked
+    :param may_send: tells whether anything may go to a host in a life now
     """
 
     def __init__(
-        self, caller: HttpCaller, heard: Callable[[str, NamedLimit | None, float], None]
+        self,
+        caller: HttpCaller,
+        heard: Callable[[str, Notice, float], None],
+        may_send: Callable[[str], bool],
     ) -> None:
         self._caller = caller
         self._heard = heard
+        self._may_send = may_send
         self.given = 0
         self.asked = 0
 
@@ -87,6 +92,8 @@
         The instance is named, so that another host that got the address refuses it; the term
         makes a host refuse the orders of an owner that was replaced.
         """
+        if not self.may_ask(order.instance):
+            return OrderEnd.HELD_BACK
         self.given += 1
         body = msgspec.json.encode({**_body(order), "fencing_token": term})
         headers = {"Content-Type": "application/json", EXPECT_INSTANCE: order.instance.name}
@@ -110,13 +117,18 @@
         asked_at = time.monotonic()
         found = await self._caller.call(call)
         if is_successful(found) and found.unwrap().status != OTHER_INSTANCE:
-            self._heard(str(instance), named_limit(found.unwrap().headers), asked_at)
+            reply = found.unwrap()
+            self._heard(str(instance), read_notice(reply.status, reply.headers), asked_at)
         return found
 
     def forget(self, address: str) -> None:
         """Close the kept connections to an address whose owner is gone."""
         self._caller.forget(address)
 
+    def may_ask(self, instance: Instance) -> bool:
+        """Tell whether a host may be asked or ordered anything now."""
+        return self._may_send(str(instance))
+
     async def answers(self, instance: Instance, address: str) -> bool:
         """Tell whether a host answers under this address in this life."""
         self.asked += 1
--- a/src/oleanderhill/serving/comeback.py
+++ b/src/oleanderhill/serving/comeback.py
@@ -21,12 +21,21 @@
 """Seconds after which a caller may come back at the latest: limits are often named for a while."""
 
 
-def come_back(serves: bool, rng: random.Random, limited_for: float | None = None) -> float:
+def come_back(
+    serves: bool,
+    rng: random.Random,
+    limited_for: float | None = None,
+    rest_left: float | None = None,
+) -> float:
     """Return the seconds after which a refused caller may come back.
 
     :param serves: some target serves what it asks for
     :param limited_for: seconds until one has room where all name a limit
+    :param rest_left: seconds until the first may be tried where all rest
     """
+    if rest_left is not None:
+        # Never before that end.
+        return min(LATEST, max(SOON, rest_left)) * (1 + 2 * SPREAD * rng.random())
     base = SOON if serves else LATER
     if limited_for is not None:
         base = min(LATEST, max(SOON, limited_for))
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -40,7 +40,7 @@
 from ..types import Member
 from .admission import Accepted
 from .events import EventOrder
-from .forwarding import Codec, Reading
+from .forwarding import Codec, Notice, Reading
 from .incoming import Incoming, Sink
 from .patience import stall_after
 from .placing import Candidate, LoadBook
@@ -65,6 +65,7 @@
         by a goal, in parts of its slots, ``None`` where that is not known
     :param come_back: returns the seconds after which a refused caller may come back to them
     :param report: takes route, outcome and seconds of a request that has ended
+    :param rest: takes the life of a target that asked for rest, the seconds, and the request's id
     """
 
     codec: Codec
@@ -77,6 +78,7 @@
     report: Callable[[str, str, float], None]
     quarantine: QuarantineTask
     limits: TargetLimitTask
+    rest: Callable[[str, float, str], None]
 
 
 class Exchange:
@@ -122,7 +124,8 @@
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
         self._permit: Permit | None = None
-        self._over_limit = False
+        self._held_back = ""
+        self._on_trial = False
         self._tried: set[str] = set()
         self._path: list[str] = []
 
@@ -166,9 +169,13 @@
         if not self.tools.quarantine.may_send(self._identity):
             return False
         now = time.monotonic()
+        choice = self.machine.choice
+        if choice is not None and not self.tools.book.rests.may_send(choice.head.boot_id, now):
+            self._held_back = "the target asked for rest"
+            return False
         permit, self._permit = self._permit, None
         if permit is not None and not self.tools.book.limits.confirm(permit, now):
-            self._over_limit = True
+            self._held_back = "the target's limit was used up"
             return False
         self._sent_at = now
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
@@ -179,11 +186,17 @@
         return self.tools.codec.read_reply(status, headers)
 
     def heard(self, run: Run, reading: Reading) -> None:
-        """Take what the head of a reply says of its target's limit."""
-        if not reading.own or not (reading.sealed or reading.limit):
+        """Take what the head of a reply says of its target."""
+        if not reading.own:
             return
-        source = Source(Asked.REQUEST, self._sent_at, self._in.facts.request_id)
-        self.tools.limits.answered(run.choice.head.boot_id, reading.limit, source)
+        life, request_id = run.choice.head.boot_id, self._in.facts.request_id
+        if reading.notice.rest:
+            self.tools.rest(life, reading.notice.rest, request_id)
+        elif self._on_trial and not reading.not_run:
+            self.tools.book.rests.trial_taken(life, time.monotonic())
+        if reading.sealed or reading.notice.limit:
+            source = Source(Asked.REQUEST, self._sent_at, request_id)
+            self.tools.limits.answered(life, reading.notice.limit, source)
 
     def _selected(self) -> Chosen | Quarantined:
         """Return the next target, unless targets are known to end under the request."""
@@ -210,6 +223,7 @@
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
             return NoChoice(reason, full, full)
         self._permit = self.tools.book.limits.take(found.lives, now)
+        self._on_trial = self.tools.book.rests.take(found.lives[0])
         host = found.host
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
@@ -220,10 +234,11 @@
         load = min(self.tools.book.load(c.target, now) for c in candidates)
         suspects = sum(self.tools.book.is_suspect(c.target, now) for c in candidates)
         limited = sum(self.tools.book.limits.is_limited(c.lives) for c in candidates)
+        resting = sum(not self.tools.book.rests.may_take(c.lives[0], now) for c in candidates)
         slots = candidates[0].host.slots
         return (
             f"no untried target has room: {len(candidates)} targets, {suspects} doubtful, "
-            f"{limited} limited, "
+            f"{limited} limited, {resting} resting, "
             f"least busy {load} of {slots}, tried {len(self._tried)}"
         )
 
@@ -254,6 +269,8 @@
             permit, self._permit = self._permit, None
             if permit is not None:
                 book.limits.give_back(permit)
+            if self._on_trial:
+                book.rests.trial_ended(choice.head.boot_id)
             book.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
@@ -338,9 +355,9 @@
     def _ended(
         self, result: Result[Reply, CallFailure], run: Run, attempt: int, choice: Choice
     ) -> list[Effect]:
-        if run.withheld and self._over_limit:
-            self._over_limit = False
-            return self._handle(ConnectFailed(attempt, "the target's limit was used up"))
+        if run.withheld and self._held_back:
+            reason, self._held_back = self._held_back, ""
+            return self._handle(ConnectFailed(attempt, reason))
         if run.withheld:
             return self._quarantined()
         if not is_successful(result):
@@ -354,8 +371,7 @@
         reply = result.unwrap()
         reading = self.read_reply(reply.status, reply.headers)
         if reading.not_run:
-            if reading.limit is None:
-                self._suspect(choice, f"status {reply.status}", reading.rest)
+            self._turned_away(choice, f"status {reply.status}", reading.notice)
             return self._handle(NotStarted(attempt, f"target said {reply.status}, not run"))
         if run.streaming and (run.fault or run.torn or not run.events):
             self._lost(choice)
@@ -377,10 +393,19 @@
         ran_for = time.monotonic() - self._sent_at
         self.tools.quarantine.lost(self._identity, self._in.facts.request_id, choice.head, ran_for)
 
-    def _suspect(self, choice: Choice, reason: str, rest: float | None = None) -> None:
-        now = time.monotonic()
-        suspected = self.tools.book.is_suspect(choice.group, now)
-        self.tools.book.suspect(choice.group, now)
+    def _turned_away(self, choice: Choice, reason: str, notice: Notice) -> None:
+        """Take note of a refusal. One that says why is no sign that the target is unsound."""
+        if notice.rest:
+            self._note_failure(choice, reason, notice.rest)
+        elif notice.limit is None:
+            self._suspect(choice, reason)
+
+    def _suspect(self, choice: Choice, reason: str) -> None:
+        self._note_failure(choice, reason)
+        self.tools.book.suspect(choice.group, time.monotonic())
+
+    def _note_failure(self, choice: Choice, reason: str, rest: float | None = None) -> None:
+        suspected = self.tools.book.is_suspect(choice.group, time.monotonic())
         self.tools.records.request(
             self._in.facts.request_id,
             "attempt failed",
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -36,21 +36,28 @@
     text: str
 
 
+class Notice(NamedTuple):
+    """What a target says of itself in whatever it answers.
+
+    :param rest: seconds for which it asks this host to leave it alone, ``None`` where it does not
+    """
+
+    limit: NamedLimit | None = None
+    rest: float | None = None
+
+
 class Reading(NamedTuple):
     """What a target's reply means.
 
     :param not_run: the target says that it did not run the request and will not
     :param sealed: it bears the target's signature
     :param own: it comes from the target that was asked, not from another at its address
-    :param rest: seconds for which the target asks this host to leave it alone, ``None`` where it
-        does not
     """
 
     not_run: bool
     sealed: bool
     own: bool = True
-    limit: NamedLimit | None = None
-    rest: float | None = None
+    notice: Notice = Notice()
 
 
 class Codec(Protocol):
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -151,7 +151,8 @@
         hubs_heard = sorted({heard.report.sender for heard in self._far.values()})
         to = audience(self._me, alive, self._rankings, near, hub_silent, hubs_heard)
         self._own_in_total, self._own = self._own, self._own_report(now)
-        busy = self._own.counts or self._own.suspects or self._own.turned_away
+        own = self._own
+        busy = own.counts or own.suspects or own.turned_away or own.resting
         if busy or now - self._reported_at >= IDLE_EVERY:
             self._reported_at = now
             self._send(self._own, to.own, alive)
@@ -187,6 +188,7 @@
             book.own_progress(now),
             book.own_turned_away(now),
             {service: budget.own(now) for service, budget in self._budgets.items()},
+            book.own_resting(now),
         )
 
     def _tell_sums(self, now: float, to: Audience, alive: Mapping[str, Presence]) -> None:
@@ -253,6 +255,7 @@
         self._book.hear(
             peer, report.counts, report.suspects, report.progress, report.turned_away, now
         )
+        self._book.hear_resting(report.resting, now)
         for service, count in report.retries.items():
             if service in self._budgets:
                 self._budgets[service].hear(peer, count, now)
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..groups.inventory import TargetHost
+from ..routing.rests import Rests
 from ..routing.target_limits import TargetLimits
 
 PEER_COUNTS_LAST = 0.6
@@ -74,12 +75,18 @@
 
     :param data_centre: of this entry host
     :param limits: that targets named for all entry hosts together
+    :param rests: that targets asked this host for
     """
 
     def __init__(
-        self, data_centre: str, rng: random.Random, limits: TargetLimits | None = None
+        self,
+        data_centre: str,
+        rng: random.Random,
+        limits: TargetLimits | None = None,
+        rests: Rests | None = None,
     ) -> None:
         self.limits = TargetLimits() if limits is None else limits
+        self.rests = Rests() if rests is None else rests
         self._data_centre = data_centre
         self._rng = rng
         self.heard_later = HEARD_LATER
@@ -91,6 +98,7 @@
         self._heard_turned_away: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._progress_at: dict[str, float] = {}
         self._heard_progress_at: dict[str, float] = {}
+        self._heard_resting_until: dict[str, float] = {}
 
     @property
     def own(self) -> Mapping[str, int]:
@@ -185,6 +193,17 @@
         self._suspect_until = {t: u for t, u in self._suspect_until.items() if u > now}
         return list(self._suspect_until)
 
+    def own_resting(self, now: float) -> list[str]:
+        """Return the lives that asked this host for rest."""
+        return list(self.rests.resting(now))
+
+    def hear_resting(self, lives: Collection[str], now: float) -> None:
+        """Take note of lives that asked a peer for rest: here they are sent requests last."""
+        held = self._heard_resting_until
+        self._heard_resting_until = {life: until for life, until in held.items() if until > now}
+        for life in lives:
+            self._heard_resting_until[life] = now + HEARD_SUSPECT_SECONDS
+
     def is_suspect(self, target: str, now: float) -> bool:
         """Tell whether a target was seen to stall, from here or by a peer."""
         until = self._suspect_until.get(target, 0.0)
@@ -214,7 +233,8 @@
         """Return the target that takes a request, ``None`` if none that is left has room.
 
         The least busy for its slots. One under suspicion only where all are, or where so many are
-        that it says little: a request sent there most likely waits for its caller to give up.
+        that it says little: a request sent there most likely waits for its caller to give up. The
+        same holds for one that asked a peer for rest; one that asked this host takes nothing.
 
         :param places: requests that a target may have, in parts of what it runs at once
         :param connected: tells whether a connection to an address is kept
@@ -222,8 +242,11 @@
             of these move at once, and the least busy target is the same for all: the culprit would
             take them along again, and nobody could tell it from them. Drawn, they go apart
         """
-        left = self._within_limits([c for c in candidates if c.target not in tried], now)
-        sound = [c for c in left if not self.is_suspect(c.target, now)]
+        untried = [c for c in candidates if c.target not in tried]
+        awake = [c for c in untried if self.rests.may_take(c.lives[0], now)]
+        self.rests.held_back += len(untried) - len(awake)
+        left = self._within_limits(awake, now)
+        sound = [c for c in left if not self._is_doubtful(c, now)]
         roomy = [c for c in sound if self._has_room(c, now, places)]
         if not roomy and len(sound) <= len(left) * (1 - BELIEVED):
             # A rush makes groups late for somebody one after the other. Each was let be for two
@@ -237,6 +260,10 @@
         seen = self._seen(roomy, now, connected)
         return min(seen, key=lambda c: (self._rank(c, now, connected), self._rng.random()))
 
+    def _is_doubtful(self, candidate: Candidate, now: float) -> bool:
+        until = self._heard_resting_until.get(candidate.lives[0], 0.0)
+        return until > now or self.is_suspect(candidate.target, now)
+
     def _within_limits(self, candidates: Sequence[Candidate], now: float) -> Sequence[Candidate]:
         if not self.limits.known:
             return candidates
@@ -255,6 +282,13 @@
             return None
         return (1 + self.turned_away(model, now)) / sum(limited)
 
+    def rest_left(self, candidates: Sequence[Candidate], now: float) -> float | None:
+        """Return the seconds until the first of the targets may be tried after its rest.
+
+        :return: ``None`` where some target does not rest
+        """
+        return self.rests.until_one_ends([c.lives[0] for c in candidates], now)
+
     def taken_by_limits(self, candidate: Candidate) -> float:
         """Return how many places of a target its limit leaves empty."""
         rate = self.limits.rate(candidate.lives) if self.limits.known else None
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -44,6 +44,7 @@
     :param progress: seconds since a target last sent something, by target
     :param turned_away: requests that found no target in the last second, by model
     :param retries: requests and retries of the running window, by service
+    :param resting: lives that asked a sender to leave them alone
     """
 
     sender: str
@@ -55,6 +56,7 @@
     progress: dict[str, float]
     turned_away: dict[str, int]
     retries: dict[str, RetryCount] = {}
+    resting: list[str] = []
 
 
 class Audience(NamedTuple):
@@ -123,6 +125,7 @@
     progress: dict[str, float] = {}
     turned_away: dict[str, int] = {}
     retries: dict[str, list[RetryCount]] = {}
+    resting: set[str] = set()
     for report in reports:
         for target, count in report.counts.items():
             counts[target] = counts.get(target, 0) + count
@@ -133,6 +136,7 @@
         for service, spent in report.retries.items():
             retries.setdefault(service, []).append(spent)
         suspects.update(report.suspects)
+        resting.update(report.resting)
     spent_by_service = {s: counted(c) for s, c in retries.items()}
     return LoadReport(
         sender,
@@ -144,6 +148,7 @@
         progress,
         turned_away,
         spent_by_service,
+        sorted(resting),
     )
 
 
@@ -161,7 +166,7 @@
 
 def in_parts(report: LoadReport) -> list[LoadReport]:
     """Return a report as parts that each fit into one datagram."""
-    suspects = set(report.suspects)
+    suspects, resting = set(report.suspects), set(report.resting)
     return [
         report._replace(
             part=number,
@@ -170,6 +175,7 @@
             progress={t: report.progress[t] for t in chunk if t in report.progress},
             turned_away={} if number else report.turned_away,
             retries={} if number else report.retries,
+            resting=[t for t in chunk if t in resting],
         )
         for number, chunk in enumerate(_chunks(report))
     ]
@@ -179,7 +185,8 @@
     """Return the targets of a report by the datagram that they go into."""
     chunks: list[list[str]] = [[]]
     size = 0
-    for target in sorted(report.counts.keys() | report.progress.keys() | set(report.suspects)):
+    named = {*report.counts, *report.progress, *report.suspects, *report.resting}
+    for target in sorted(named):
         row = 2 * len(target) + ROW_BYTES
         if size + row > PART_BYTES:
             chunks.append([])
--- a/src/oleanderhill/serving/target_limits.py
+++ b/src/oleanderhill/serving/target_limits.py
@@ -41,6 +41,7 @@
 
     :param groups: returns the lives of each group that serves, its head first
     :param ask: probes a host in one life at its address; its answer is heard like any other
+    :param may_ask: tells whether that host may be asked now
     """
 
     name = "target limits"
@@ -53,6 +54,7 @@
         inventory: Inventory,
         groups: Callable[[], Iterable[Sequence[str]]],
         ask: Callable[[Instance, str], Awaitable[bool]],
+        may_ask: Callable[[Instance], bool],
         records: Records,
     ) -> None:
         super().__init__(kernel)
@@ -60,6 +62,7 @@
         self._inventory = inventory
         self._groups = groups
         self._ask = ask
+        self._may_ask = may_ask
         self._records = records
 
     async def tick(self) -> None:
@@ -69,7 +72,7 @@
         for lives in self._groups():
             for life in self._limits.to_ask(lives):
                 host = self._inventory.host(life)
-                if host is not None:
+                if host is not None and self._may_ask(host.instance):
                     self.spawn(self._ask_one(host))
 
     async def _ask_one(self, host: TargetHost) -> None:
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -135,12 +135,20 @@
             return None
         return may_wait(prediction, goal, self._slots) / max(1, self._slots)
 
-    def come_back(self, service: str, model: str, limited_for: float | None = None) -> float:
+    def come_back(
+        self,
+        service: str,
+        model: str,
+        limited_for: float | None = None,
+        rest_left: float | None = None,
+    ) -> float:
         """Return the seconds after which a refused caller may come back, spread out.
 
         :param limited_for: seconds until there is room where all targets name a limit
+        :param rest_left: seconds until the first may be tried where all targets rest
         """
-        return come_back(bool(self.candidates(service, model)), self._rng, limited_for)
+        serves = bool(self.candidates(service, model))
+        return come_back(serves, self._rng, limited_for, rest_left)
 
     def groups_by_model(self) -> dict[str, int]:
         """Return the number of serving groups by model."""
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -322,7 +322,7 @@
         # answers: not the one who was in the group. Taken for it, the group would count as whole.
         caller = HttpCaller()
         self.addCleanup(caller.close)
-        orders = EngineOrders(caller, lambda life, named, asked_at: None)
+        orders = EngineOrders(caller, lambda *heard: None, lambda life: True)
         host_ = self.site.engines.host_by_instance["i-0"]
         old = Instance("i-0", host_.born)
         self.assertTrue(await orders.answers(old, host_.address))
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -167,7 +167,7 @@
         headers = HTTPHeaders({"Response-Seal": "s"})
         for value in values:
             headers.add("Server-Limit", value)
-        return HeaderCodec().read_reply(200, headers).limit
+        return HeaderCodec().read_reply(200, headers).notice.limit
 
     def test_decimal_numbers_are_read_as_they_are(self):
         for text, rate in (("1.2", 1.2), ("3", 3.0), (".5", 0.5), ("0", 0.0), ("+2.", 2.0)):
@@ -456,7 +456,9 @@
     def make(self, name):
         account = self.accounts[name] = TargetLimits(name)
         kernel, records = Kernel(), Records(name)
-        task = TargetLimitTask(kernel, account, self.inventory, list, None, records)
+        task = TargetLimitTask(
+            kernel, account, self.inventory, list, None, lambda host: True, records
+        )
         quarantine = SimpleNamespace(news=lambda again: [])
         loads = LoadBook("a", random.Random(1))
         loads.begin("another")  # a host with a request reports at each tick
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -1,10 +1,19 @@
 """Targets that turn a request away and ask to be left alone for a time."""
 
 import asyncio
+import random
 import time
 import unittest
 
 from oleanderhill_dev.users.site import until
+from tornado.httputil import HTTPHeaders
+
+from oleanderhill.groups.actions import Leave, OrderEnd
+from oleanderhill.groups.inventory import Instance, TargetHost
+from oleanderhill.platform.headers import UNREADABLE_REST, HeaderCodec
+from oleanderhill.routing.rests import Rests
+from oleanderhill.serving import comeback
+from oleanderhill.serving.placing import Candidate, LoadBook
 
 from .test_users_site import SiteTest
 
@@ -66,6 +75,46 @@
         again = min(at for at in demand.arrivals if at > told)
         self.assertAlmostEqual(again - told, 1.5, delta=0.4)
 
+    async def test_rest_puts_nobody_in_doubt_and_has_nobody_probed(self):
+        heads, model = await self.heads()
+        probes = self.entry._orders.asked
+        heads[0].demand.rest = str(REST)
+        await self.first_told(heads[0].demand, "/read/x", "POST", model)
+        now = time.monotonic()
+        candidates = self.entry.candidates("pool", model)
+        self.assertFalse(any(self.entry._book.is_suspect(c.target, now) for c in candidates))
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.entry._orders.asked, probes)
+
+    async def test_neither_orders_nor_probes_go_to_a_resting_host(self):
+        heads, model = await self.heads()
+        heads[0].demand.rest = str(REST)
+        await self.first_told(heads[0].demand, "/read/x", "POST", model)
+        given = len(heads[0].orders)
+        instance = Instance(heads[0].instance, heads[0].born)
+        order = Leave(heads[0].group["name"], heads[0].group["epoch"], instance)
+        orders = self.entry._orders
+        self.assertEqual(await orders.give(order, heads[0].address, 1), OrderEnd.HELD_BACK)
+        self.assertFalse(orders.may_ask(instance))
+        self.assertEqual(len(heads[0].orders), given)
+
+    async def test_request_placed_before_the_news_is_held_back(self):
+        chosen = self.entry._book.choose
+        first = []
+
+        def choose(candidates, tried, *more, **others):
+            found = chosen(candidates, tried, *more, **others)
+            if not first and found is not None:
+                first.append(found.lives[0])
+                self.entry._rest(first[0], REST)
+            return found
+
+        self.entry._book.choose = choose
+        reply, _ = await self.reply("/scan/x")
+        self.assertEqual(reply.status, 200)
+        resting = next(t for t in self.site.targets if first[0].startswith(t.instance))
+        self.assertEqual(resting.demand.arrivals, [])
+
 
 async def until_all_told(test):
     """Send requests until each plain target has turned one away."""
@@ -74,5 +123,117 @@
         await test.press(100, 0.1, "/scan/x")
 
 
+class RestsTest(unittest.TestCase):
+    """The account of rests, without a network."""
+
+    def setUp(self):
+        self.rests = Rests()
+
+    def test_rest_lasts_until_the_latest_end_that_was_named(self):
+        for seed in range(200):
+            rng = random.Random(seed)
+            rests, ends, now = Rests(), {}, 0.0
+            for _ in range(60):
+                now += rng.random()
+                life = rng.choice("abc")
+                match rng.randrange(4):
+                    case 0:
+                        seconds = rng.choice((0.1, 1.0, 3.0, 1e9))
+                        rests.ask(life, seconds, now)
+                        ends[life] = max(ends.get(life, 0.0), now + seconds)
+                    case 1:
+                        rests.forget(life)
+                        ends.pop(life, None)
+                    case 2 if rests.may_take(life, now):
+                        rests.take(life)
+                        rests.trial_taken(life, now)
+                    case 3:
+                        rests.trial_ended(life)
+                for name in "abc":
+                    resting = ends.get(name, 0.0) > now
+                    self.assertEqual(rests.may_send(name, now), not resting, seed)
+                    self.assertFalse(resting and rests.may_take(name, now), seed)
+
+    def test_one_request_at_a_time_tries_a_target_after_its_rest(self):
+        self.rests.ask("t", 2.0, 10.0)
+        self.assertFalse(self.rests.may_take("t", 11.9))
+        self.assertTrue(self.rests.may_take("t", 12.0))
+        self.assertTrue(self.rests.take("t"))
+        self.assertFalse(self.rests.may_take("t", 12.1))
+        self.rests.trial_ended("t")
+        self.assertTrue(self.rests.may_take("t", 12.2))
+        self.rests.take("t")
+        self.assertTrue(self.rests.trial_taken("t", 12.3))
+        self.assertFalse(self.rests.take("t"))
+        self.assertTrue(self.rests.may_take("t", 12.3))
+
+    def test_trial_that_is_turned_away_begins_a_new_rest(self):
+        self.rests.ask("t", 2.0, 10.0)
+        self.rests.take("t")
+        self.rests.ask("t", 2.0, 12.5)
+        self.assertFalse(self.rests.trial_taken("t", 12.6))
+        self.rests.trial_ended("t")
+        self.assertFalse(self.rests.may_take("t", 14.4))
+        self.assertTrue(self.rests.may_take("t", 14.5))
+
+    def test_number_is_read_as_http_allows_it(self):
+        def read(status, *named, **headers):
+            found = HTTPHeaders(headers)
+            for text in named:
+                found.add("Retry-After", text)
+            return HeaderCodec().read_reply(status, found).notice.rest
+
+        spoken = "Thu, 03 Dec 2026 10:00:00 GMT"
+        later = "Thu, 03 Dec 2026 10:00:07 GMT"
+        for status in (429, 503):
+            self.assertEqual(read(status, "3"), 3.0)
+        self.assertEqual(read(503, "0.25"), 0.25)
+        self.assertEqual(read(503, "1", "4", "2"), 4.0)
+        self.assertEqual(read(503, "-5"), 0.0)
+        self.assertEqual(read(503, "9" * 30), float("9" * 30))
+        self.assertEqual(read(503, later, Date=spoken), 7.0)
+        for text in ("soon", "nan", "inf", "9" * 50, later, ""):
+            self.assertEqual(read(503, text), UNREADABLE_REST, text)
+        self.assertIsNone(read(503))
+        self.assertIsNone(read(200, "3"))
+
+
+class PlacingTest(unittest.TestCase):
+    """Where requests go while targets rest."""
+
+    def setUp(self):
+        self.book = LoadBook("hall", random.Random(1))
+        self.candidates = [
+            Candidate(name, TargetHost(Instance(name), "desk", f"{name}:1", "hall", False, 6))
+            for name in ("a", "b")
+        ]
+
+    def choose(self, now):
+        found = self.book.choose(self.candidates, set(), now)
+        return found.target if found else None
+
+    def test_resting_target_is_passed_over_though_others_are_doubtful_and_it_sends(self):
+        self.book.rests.ask("a", 3.0, 0.0)
+        self.book.suspect("b", 0.0)
+        self.book.progress("a", 1.0)
+        self.assertEqual(self.choose(1.0), "b")
+        self.book.rests.ask("b", 5.0, 0.0)
+        self.assertIsNone(self.choose(1.0))
+        self.assertEqual(self.book.rest_left(self.candidates, 1.0), 2.0)
+
+    def test_target_that_asked_a_peer_is_used_last_but_used(self):
+        self.book.hear_resting(["a"], 1.0)
+        self.assertEqual({self.choose(1.1) for _ in range(20)}, {"b"})
+        self.book.rests.ask("b", 3.0, 1.0)
+        self.assertEqual(self.choose(1.1), "a")
+
+    def test_refused_callers_come_back_after_the_first_rest_and_apart(self):
+        rng = random.Random(1)
+        waits = {comeback.come_back(True, rng, None, 3.0) for _ in range(50)}
+        self.assertGreaterEqual(min(waits), 3.0)
+        self.assertGreater(max(waits) - min(waits), 1.0)
+        self.assertIsNone(self.book.rest_left(self.candidates, 0.0))
+
+
 if __name__ == "__main__":
     unittest.main()
