--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -32,6 +32,7 @@
 """Seconds after which a host that ended is back, as another."""
 
 LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
 
 FIRST_BORN = 1_788_000_000_000
 """Unix milliseconds before the first host's start."""
@@ -59,9 +60,11 @@
     :param limit: value of the header that names its limit, empty for none
     :param rest: value of the header by which it asks for rest as it turns a request away with 503,
         empty where it takes requests
+    :param leaving: it says in all its answers that it leaves
     """
 
     def __init__(self) -> None:
+        self.leaving = False
         self.limit = ""
         self.rest = ""
         self.arrivals: list[float] = []
@@ -70,10 +73,12 @@
         """Take note of a request that reached the target, whatever becomes of it."""
         self.arrivals.append(time.monotonic())
 
-    def name_limit(self, handler: RequestHandler) -> None:
-        """Name the limit in an answer."""
+    def tell(self, handler: RequestHandler) -> None:
+        """Say in an answer what all answers say."""
         if self.limit:
             handler.set_header(LIMIT_HEADER, self.limit)
+        if self.leaving:
+            handler.set_header(LEAVING_HEADER, "1")
 
     def turns_away(self, handler: RequestHandler) -> bool:
         """Turn a request away if the target wants rest; return whether it did."""
@@ -310,7 +315,7 @@
     async def prepare(self) -> None:
         if not self.host.alive:
             await asyncio.sleep(STALL_SECONDS * 10)
-        self.host.demand.name_limit(self)
+        self.host.demand.tell(self)
         expected = self.request.headers.get("Expect-Instance", self.host.instance)
         if expected != self.host.instance:
             self.set_status(421)
@@ -433,7 +438,7 @@
 
     async def _run(self) -> None:
         target, headers = self.target, self.request.headers
-        target.demand.name_limit(self)
+        target.demand.tell(self)
         if headers.get("Expect-Instance", target.instance) != target.instance:
             self.set_status(421)
             return
