Believe a target that says in an answer that it leaves

Cause: the header Server-Leaving was read by nobody; only the store's list told who leaves. Class: as with the rest, a target's word that is passed on and not acted on. Ruled out: a list that comes late alone; the test has the store list the target as ready all the while.

Now the word is decoded beside limit and rest, from answers to requests, refusals, orders and probes. The inventory keeps it by life: no entry takes it back, also one written anew. The targets are worked out again at once, owners look at once, and it is looked at again right before the first byte. Entry hosts tell each other with their reports, so that nobody else learns by trying. serving/notices.py is the one place that takes what targets say and tells whether something may go to one.

--- a/dev/oleanderhill_dev/users/notice_mutants.py
+++ b/dev/oleanderhill_dev/users/notice_mutants.py
@@ -4,15 +4,55 @@
 
 from typing import Any
 
-from oleanderhill.platform import headers, orders
+from oleanderhill.groups import inventory
+from oleanderhill.platform import headers
 from oleanderhill.routing import rests
-from oleanderhill.serving import driver, placing
+from oleanderhill.serving import driver, leaving, notices, placing
 
 from ..proving import Mutant, testing
 
 
 def mutants() -> list[Mutant]:
-    """Return the mutants of rests."""
+    """Return the mutants of rests and of targets that leave."""
+    return [*_of_rests(), *_of_leaving()]
+
+
+def _of_leaving() -> list[Mutant]:
+    site, word = (f"test_leaving.{c}" for c in ("LeavingTest", "WordTest"))
+    return [
+        Mutant(
+            "targets that say that they leave get nothing",
+            [(inventory.Inventory, "leave", lambda self, life: False)],
+            testing(f"{site}.test_plain_target_that_leaves_by_its_answers_alone_gets_no_requests"),
+        ),
+        Mutant(
+            "no entry takes a target's leaving back",
+            [(inventory.Inventory, "leave", _leave_until_the_next_entry)],
+            testing(f"{word}.test_no_entry_takes_it_back_while_the_life_lasts"),
+        ),
+        Mutant(
+            "peers are told of targets that leave",
+            [(leaving.LeavingTargets, "hear", lambda self, news: None)],
+            testing(f"{site}.test_host_that_never_asked_hears_of_it"),
+        ),
+        Mutant(
+            "targets that leave are looked for before the first byte",
+            [(notices.TargetNotices, "held_back", lambda self, life: "")],
+            testing(f"{site}.test_request_placed_before_the_word_goes_elsewhere"),
+        ),
+    ]
+
+
+def _leave_until_the_next_entry(self: Any, life: str) -> bool:
+    left = _LEAVE(self, life)
+    self._leaving.clear()
+    return left
+
+
+_LEAVE = inventory.Inventory.leave
+
+
+def _of_rests() -> list[Mutant]:
     book = rests.Rests
     site, account, place = (f"test_rests.{c}" for c in ("RestTest", "RestsTest", "PlacingTest"))
     return [
@@ -45,7 +85,7 @@
         ),
         Mutant(
             "orders and probes wait for the end of a rest",
-            [(orders.EngineOrders, "may_ask", lambda self, instance: True)],
+            [(notices.TargetNotices, "may_ask", lambda self, instance: True)],
             testing(f"{site}.test_neither_orders_nor_probes_go_to_a_resting_host"),
         ),
         Mutant(
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -112,6 +112,7 @@
         self._doubtful_until: dict[Instance, float] = {}
         self._life_by_name: dict[str, Instance] = {}
         self._newest_born: dict[str, int] = {}
+        self._leaving: dict[Instance, None] = {}
         self._doubt_ends = float("-inf")
 
     def doubt(self, until: float) -> None:
@@ -136,11 +137,34 @@
         ended = self.discard(instance.name) if known != instance else None
         self._doubtful_until.pop(instance, None)
         before = self.by_instance.get(instance)
+        if instance in self._leaving:
+            # Its entry may be of before, or never say so.
+            host = host._replace(leaving=True)
         if before != host:
             self._replace(before, host)
         self._life_by_name[instance.name] = instance
         return Taken(True, before, ended)
 
+    def leave(self, life: str) -> bool:
+        """Take a host's own word that it leaves, which holds until that life ends.
+
+        :return: whether the list shows that life
+        """
+        host = self.host(life)
+        if host is None:
+            return False
+        self._leaving[host.instance] = None
+        if len(self._leaving) > NAMES_KEPT:
+            del self._leaving[next(iter(self._leaving))]
+        if not host.leaving:
+            self._replace(host, host._replace(leaving=True))
+        return True
+
+    def is_leaving(self, life: str) -> bool:
+        """Tell whether a life is known to leave, by its entry or its own word."""
+        host = self.host(life)
+        return host is not None and host.leaving
+
     def life_of(self, name: str) -> Instance | None:
         """Return the life of a host that the list shows."""
         return self._life_by_name.get(name)
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -53,15 +53,15 @@
 class Orders(Protocol):
     """Gives orders to engine hosts."""
 
+    may_ask: Callable[[Instance], bool]
+    """Tells whether a host may be asked or ordered anything now."""
+
     async def give(self, order: Order, address: str, term: int) -> OrderEnd:
         """Give an order and return how it ended."""
 
     async def answers(self, instance: Instance, address: str) -> bool:
         """Tell whether a host answers, in this life."""
 
-    def may_ask(self, instance: Instance) -> bool:
-        """Tell whether a host may be asked anything now."""
-
 
 class Limits(NamedTuple):
     """Bounds that the owner keeps.
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -40,6 +40,8 @@
 from ..serving.front import CallerSink, Front, Serve
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
+from ..serving.leaving import LeavingTargets
+from ..serving.notices import TargetNotices
 from ..serving.placing import Candidate, LoadBook
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
@@ -150,7 +152,9 @@
             rng,
         )
         self._presence = PresenceTask(self.kernel, me, self._store, self._entries, records, rng)
-        self._orders = EngineOrders(HttpCaller(), self._heard, self._may_ask)
+        self._orders = EngineOrders(
+            HttpCaller(), self._heard, lambda instance: self._notices.may_ask(instance)
+        )
         self._limits = TargetLimitTask(
             self.kernel,
             limits,
@@ -160,6 +164,10 @@
             self._orders.may_ask,
             records,
         )
+        leaving = LeavingTargets(self._inventory, self._refresh, records)
+        self._notices = TargetNotices(
+            self._inventory, self._book.rests, self._limits, leaving, records
+        )
         self._owner = owner = OwnerTask(
             self.kernel,
             me,
@@ -188,8 +196,7 @@
             self._come_back,
             self.exposition.request,
             self._quarantine,
-            self._limits,
-            self._rest,
+            self._notices,
         )
         serving = Serve(self._serve, self._ready, self._max_body)
         self.front = Front(
@@ -203,6 +210,7 @@
             self._quarantine,
             self._budget_by_service,
             self._limits,
+            leaving,
         )
         relay = RelayServer(self.kernel, s.peers, self._mirror)
         vitals = VitalsTask(self.kernel, records, self._counts)
@@ -294,27 +302,12 @@
         self._caller.forget(removal.address)
         self._orders.forget(removal.address)
         self._quarantine.over(str(removal.instance), "gone from the list")
-        self._limits.over(str(removal.instance))
-        self._book.rests.forget(str(removal.instance))
+        self._notices.over(str(removal.instance))
 
     def _heard(self, life: str, notice: Notice, asked_at: float) -> None:
         """Take what an answer to an order or probe says, which counts as a request to the host."""
         self._book.limits.spend(life, time.monotonic())
-        self._limits.answered(life, notice.limit, Source(Asked.CONTROL, asked_at))
-        if notice.rest:
-            self._rest(life, notice.rest)
-
-    def _rest(self, life: str, seconds: float, request_id: str = "") -> None:
-        """Take the word of a target that asks this host to leave it alone."""
-        if self._inventory.host(life) is None:
-            return
-        if self._book.rests.ask(life, seconds, time.monotonic()):
-            self._records.note(
-                "rest", "asked for", instance=life, seconds=seconds, request_id=request_id
-            )
-
-    def _may_ask(self, life: str) -> bool:
-        return self._book.rests.may_send(life, time.monotonic())
+        self._notices.take(life, notice, Source(Asked.CONTROL, asked_at))
 
     def _come_back(self, service: str, model: str) -> float:
         """Return the seconds after which a refused caller may come back."""
@@ -337,9 +330,7 @@
         self._hosts.settle(now)
         self._count_hosts()
         self._asked = self._asked or self._book.any_load()
-        if self._view.refresh(self._catalog):
-            self._quarantine.count_targets(self._view.targets())
-            self._owner.look_soon()
+        self._refresh()
         at = time.monotonic()
         self._view.measure(
             lambda target: self._book.load(target, at),
@@ -347,6 +338,12 @@
             self._book.taken_by_limits,
         )
 
+    def _refresh(self) -> None:
+        """Have the targets worked out anew where hosts or plans have changed."""
+        if self._view.refresh(self._catalog):
+            self._quarantine.count_targets(self._view.targets())
+            self._owner.look_soon()
+
     def _count_hosts(self) -> None:
         self._most_hosts = max(self._most_hosts, len(self._presence.alive()))
         for budget in self._budget_by_service.values():
@@ -452,21 +449,12 @@
         show("limit_share", "Requests a second that this host may send them", lambda: limits.share)
         show("limit_sent", "Requests sent within limits", lambda: limits.sent)
         show("limit_held_back", "Times that a limit had a target passed over", self._held_back)
-        rests = self._book.rests
-        show("targets_resting", "Targets that asked this host for rest", self._resting)
-        show("rests_asked", "Times that targets asked this host for rest", lambda: rests.asked)
-        show("rest_held_back", "Times that a rest had a target passed over", self._kept_off)
+        self._notices.show(self.exposition)
         show("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
     def _held_back(self) -> int:
         return self._book.limits.held_back
 
-    def _kept_off(self) -> int:
-        return self._book.rests.held_back
-
-    def _resting(self) -> int:
-        return len(self._book.rests.resting(time.monotonic()))
-
 
 def main() -> None:
     """Run an entry host on the platform."""
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -23,6 +23,7 @@
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
 
 OTHER_INSTANCE = 421
 """Status of an answer from another instance than the one that was asked."""
@@ -51,7 +52,7 @@
 _KNOWN_IN_REPLIES = (
     _CONNECTION_ONLY
     | _SAYS_NOTHING_TO_US
-    | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER, LIMIT}
+    | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER, LIMIT, LEAVING}
 )
 
 _DECIMAL = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
@@ -163,7 +164,8 @@
 def read_notice(status: int, headers: HTTPHeaders) -> Notice:
     """Return what a target says of itself in a reply to anything."""
     rest = _rest(headers) if status in _TURNED_AWAY else None
-    return Notice(named_limit(headers), rest)
+    leaving = headers.get(LEAVING, "").strip() not in ("", "0")
+    return Notice(named_limit(headers), rest, leaving)
 
 
 def named_limit(headers: HTTPHeaders) -> NamedLimit | None:
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -71,18 +71,18 @@
     """Gives orders to engine hosts.
 
     :param heard: takes a host's life, what its answer says of it, and when it was asked
-    :param may_send: tells whether anything may go to a host in a life now
+    :param may_ask: tells whether anything may go to a host in a life now
     """
 
     def __init__(
         self,
         caller: HttpCaller,
         heard: Callable[[str, Notice, float], None],
-        may_send: Callable[[str], bool],
+        may_ask: Callable[[Instance], bool],
     ) -> None:
         self._caller = caller
         self._heard = heard
-        self._may_send = may_send
+        self.may_ask = may_ask
         self.given = 0
         self.asked = 0
 
@@ -125,10 +125,6 @@
         """Close the kept connections to an address whose owner is gone."""
         self._caller.forget(address)
 
-    def may_ask(self, instance: Instance) -> bool:
-        """Tell whether a host may be asked or ordered anything now."""
-        return self._may_send(str(instance))
-
     async def answers(self, instance: Instance, address: str) -> bool:
         """Tell whether a host answers under this address in this life."""
         self.asked += 1
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -42,13 +42,14 @@
 from .events import EventOrder
 from .forwarding import Codec, Notice, Reading
 from .incoming import Incoming, Sink
+from .notices import TargetNotices
 from .patience import stall_after
 from .placing import Candidate, LoadBook
 from .quarantine import QuarantineTask
 from .retries import SharedRetryBudget
 from .run import Run
 from .standing import Room, Standing, room, standing
-from .target_limits import Source, TargetLimitTask
+from .target_limits import Source
 
 CONNECT_TIMEOUT = 0.12
 """Seconds to connect to a target; within a region the way there and back is under 20 ms, and a
@@ -65,7 +66,6 @@
         by a goal, in parts of its slots, ``None`` where that is not known
     :param come_back: returns the seconds after which a refused caller may come back to them
     :param report: takes route, outcome and seconds of a request that has ended
-    :param rest: takes the life of a target that asked for rest, the seconds, and the request's id
     """
 
     codec: Codec
@@ -77,8 +77,7 @@
     come_back: Callable[[str, str], float]
     report: Callable[[str, str, float], None]
     quarantine: QuarantineTask
-    limits: TargetLimitTask
-    rest: Callable[[str, float, str], None]
+    notices: TargetNotices
 
 
 class Exchange:
@@ -169,9 +168,9 @@
         if not self.tools.quarantine.may_send(self._identity):
             return False
         now = time.monotonic()
-        choice = self.machine.choice
-        if choice is not None and not self.tools.book.rests.may_send(choice.head.boot_id, now):
-            self._held_back = "the target asked for rest"
+        if self.machine.choice is not None:
+            self._held_back = self.tools.notices.held_back(self.machine.choice.head.boot_id)
+        if self._held_back:
             return False
         permit, self._permit = self._permit, None
         if permit is not None and not self.tools.book.limits.confirm(permit, now):
@@ -189,14 +188,11 @@
         """Take what the head of a reply says of its target."""
         if not reading.own:
             return
-        life, request_id = run.choice.head.boot_id, self._in.facts.request_id
-        if reading.notice.rest:
-            self.tools.rest(life, reading.notice.rest, request_id)
-        elif self._on_trial and not reading.not_run:
+        life, notice = run.choice.head.boot_id, reading.notice
+        source = Source(Asked.REQUEST, self._sent_at, self._in.facts.request_id)
+        self.tools.notices.take(life, notice, source, conclusive=reading.sealed)
+        if self._on_trial and not reading.not_run and not notice.rest:
             self.tools.book.rests.trial_taken(life, time.monotonic())
-        if reading.sealed or reading.notice.limit:
-            source = Source(Asked.REQUEST, self._sent_at, request_id)
-            self.tools.limits.answered(life, reading.notice.limit, source)
 
     def _selected(self) -> Chosen | Quarantined:
         """Return the next target, unless targets are known to end under the request."""
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -40,10 +40,12 @@
     """What a target says of itself in whatever it answers.
 
     :param rest: seconds for which it asks this host to leave it alone, ``None`` where it does not
+    :param leaving: it ends soon, and takes no further requests by then
     """
 
     limit: NamedLimit | None = None
     rest: float | None = None
+    leaving: bool = False
 
 
 class Reading(NamedTuple):
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -17,6 +17,7 @@
 from ..kernel import Kernel, Task
 from ..routing.endings import EndingNews
 from ..routing.target_limits import LimitNews
+from .leaving import LeavingNews, LeavingTargets
 from .placing import PEER_COUNTS_LAST, LoadBook
 from .quarantine import QuarantineTask
 from .reports import (
@@ -66,7 +67,7 @@
     report: LoadReport
 
 
-_DECODER = msgspec.msgpack.Decoder(LoadReport | EndingNews | LimitNews)
+_DECODER = msgspec.msgpack.Decoder(LoadReport | EndingNews | LimitNews | LeavingNews)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -84,6 +85,7 @@
     :param peers: returns the entry hosts that are there, the same mapping until they change
     :param budgets: the retry budgets of this host, by service
     :param limits: hears of limits that targets named to others
+    :param leaving: hears of targets that told others that they leave
     """
 
     name = "gossip"
@@ -98,9 +100,11 @@
         quarantine: QuarantineTask,
         budgets: Mapping[str, SharedRetryBudget],
         limits: TargetLimitTask,
+        leaving: LeavingTargets,
     ) -> None:
         super().__init__(kernel)
         self._quarantine = quarantine
+        self._leaving = leaving
         self._limits = limits
         self._heard_at = float("-inf")
         self._budgets = budgets
@@ -158,7 +162,7 @@
             self._send(self._own, to.own, alive)
         if to.hubs or to.neighbours:
             self._tell_sums(now, to, alive)
-        for news in self._limits.news():
+        for news in (*self._limits.news(), *self._leaving.news(self._me.name)):
             self._send_to(_ENCODER.encode(news), to.all, alive)
         if now - self._endings_at >= ENDINGS_EVERY:
             self._endings_at = now
@@ -236,6 +240,9 @@
         if isinstance(report, LimitNews):
             self._limits.hear(report)
             return
+        if isinstance(report, LeavingNews):
+            self._leaving.hear(report)
+            return
         if report.scope == Scope.TOTAL:
             self._take_total(report, self._own_in_total, now)
         elif report.scope == Scope.DATA_CENTRE:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -344,8 +344,9 @@
         )
         loads = LoadBook("a", random.Random(1))
         limits = SimpleNamespace(news=list, reach=lambda hosts, in_touch: None)
+        leaving = SimpleNamespace(news=lambda sender: [])
         gossip = GossipTask(
-            Kernel(), self.alive[name], loads, lambda: self.alive, quarantine, {}, limits
+            Kernel(), self.alive[name], loads, lambda: self.alive, quarantine, {}, limits, leaving
         )
 
         def send_to(data, names, alive):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,11 +1,25 @@
 """Targets that say in their answers that they leave, while the store still lists them as ready."""
 
+import asyncio
+import random
 import unittest
+from unittest import mock
 
+import msgspec
 from oleanderhill_dev.users.site import until
+from tornado.httputil import HTTPHeaders
+
+from oleanderhill.groups.inventory import NAMES_KEPT, Instance, Inventory, TargetHost
+from oleanderhill.platform.headers import HeaderCodec
+from oleanderhill.records import Records
+from oleanderhill.serving import leaving
+from oleanderhill.serving.leaving import LeavingNews, LeavingTargets
 
 from .test_users_site import SiteTest
 
+DATAGRAM = 1_472
+"""Bytes of a datagram that fits into one frame."""
+
 ON_ITS_WAY = 0.5
 """Seconds after an answer in which requests that had left before may still arrive, and in which the
 other entry hosts must hear of it."""
@@ -43,6 +57,112 @@
         answers = await self.press(8, 2.0, "/read/x", "POST", model)
         self.assert_left_alone(heads[0].demand, told, answers)
 
+    async def test_host_that_never_asked_hears_of_it(self):
+        demand = self.site.targets[0].demand
+        demand.leaving = True
+        await self.first_told(demand, "/scan/x")
+        other = self.site.entries[1]
+        await asyncio.sleep(ON_ITS_WAY)
+        self.assertEqual(len(other.candidates("desk", "")), 1)
+
+    async def test_member_that_says_so_to_a_probe_ends_the_groups_time(self):
+        heads, model = await self.two_groups()
+        member = self.site.engines.host_by_instance[heads[0].members[1]]
+        member.demand.leaving = True
+        instance = Instance(member.instance, member.born)
+        await self.entry._orders.answers(instance, member.address)
+        served = [c.host.instance.name for c in self.entry.candidates("pool", model)]
+        self.assertNotIn(heads[0].instance, served)
+
+    async def test_request_placed_before_the_word_goes_elsewhere(self):
+        choose, first = self.entry._book.choose, []
+
+        def placed(*what, **how):
+            found = choose(*what, **how)
+            if not first and found is not None:
+                first.append(found.host.instance.name)
+                self.entry._inventory.leave(found.lives[0])
+            return found
+
+        self.entry._book.choose = placed
+        reply, _ = await self.reply("/scan/x")
+        self.assertEqual(reply.status, 200)
+        target = next(t for t in self.site.targets if t.instance == first[0])
+        self.assertEqual(target.demand.arrivals, [])
+
+
+def make_host(name, born=1, leaves=False):
+    return TargetHost(Instance(name, born), "desk", f"{name}:1", "hall", leaves, 6)
+
+
+class WordTest(unittest.TestCase):
+    """What is kept of a target's word."""
+
+    def setUp(self):
+        self.inventory = Inventory()
+        self.changes = []
+        self.leaving = LeavingTargets(self.inventory, lambda: self.changes.append(1), Records("e1"))
+        self.inventory.put(make_host("a"))
+        self.inventory.put(make_host("b"))
+
+    def test_no_entry_takes_it_back_while_the_life_lasts(self):
+        for seed in range(100):
+            rng, inventory, said, born = random.Random(seed), Inventory(), set(), {"a": 1, "b": 1}
+            for step in range(60):
+                name = rng.choice("ab")
+                match rng.randrange(5):
+                    case 0 | 1:
+                        inventory.put(make_host(name, born[name]))
+                    case 2:
+                        born[name] += 1
+                    case 3:
+                        inventory.remove(name, float(step))
+                    case 4 if inventory.leave(f"{name}@{born[name]}"):
+                        said.add(Instance(name, born[name]))
+                for instance, host in inventory.by_instance.items():
+                    self.assertEqual(host.leaving, instance in said, seed)
+
+    def test_word_of_a_life_that_is_not_listed_is_not_kept(self):
+        self.leaving.said("c@1", "request")
+        self.leaving.hear(LeavingNews("peer", ["a@9", "c@1"]))
+        self.assertEqual((len(self.leaving), self.changes), (0, []))
+
+    def test_word_is_told_with_each_report_and_then_now_and_then(self):
+        with mock.patch.object(leaving.time, "monotonic") as clock:
+            clock.return_value = 100.0
+            self.leaving.said("a@1", "request")
+            told = []
+            for tick in range(100):
+                clock.return_value = 100.0 + tick * 0.05
+                told.append(bool(self.leaving.news("e1")))
+        self.assertTrue(all(told[:10]))
+        self.assertEqual(sum(told[20:]), 2)
+
+    def test_news_fits_into_one_frame(self):
+        for number in range(100):
+            name = f"i-{number:030}"
+            self.inventory.put(make_host(name, 1_788_000_000_000))
+            self.leaving.said(f"{name}@1788000000000", "request")
+        parts = self.leaving.news("front-of-a-long-name")
+        self.assertEqual(sum(len(p.lives) for p in parts), 100)
+        self.assertLess(max(len(msgspec.msgpack.encode(p)) for p in parts), DATAGRAM)
+
+    def test_what_is_kept_is_bounded(self):
+        for number in range(NAMES_KEPT + 10):
+            self.inventory.put(make_host(f"h{number}"))
+            self.inventory.leave(f"h{number}@1")
+            self.inventory.discard(f"h{number}")
+        self.assertEqual(len(self.inventory._leaving), NAMES_KEPT)
+
+    def test_header_is_read_from_answers_of_all_kinds(self):
+        def read(status, **headers):
+            return HeaderCodec().read_reply(status, HTTPHeaders(headers)).notice.leaving
+
+        for status in (200, 404, 421, 500, 503):
+            self.assertTrue(read(status, **{"Server-Leaving": "1"}))
+            self.assertFalse(read(status, **{"Server-Leaving": "0"}))
+            self.assertFalse(read(status))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -462,7 +462,10 @@
         quarantine = SimpleNamespace(news=lambda again: [])
         loads = LoadBook("a", random.Random(1))
         loads.begin("another")  # a host with a request reports at each tick
-        made = GossipTask(kernel, self.alive[name], loads, lambda: self.alive, quarantine, {}, task)
+        leaving = SimpleNamespace(news=lambda sender: [])
+        made = GossipTask(
+            kernel, self.alive[name], loads, lambda: self.alive, quarantine, {}, task, leaving
+        )
 
         def send_to(data, names, alive):
             for other in names if name not in self.gone else ():
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -106,7 +106,7 @@
             found = chosen(candidates, tried, *more, **others)
             if not first and found is not None:
                 first.append(found.lives[0])
-                self.entry._rest(first[0], REST)
+                self.entry._book.rests.ask(first[0], REST, time.monotonic())
             return found
 
         self.entry._book.choose = choose
