Log that the store came back from a copy, and what was read and not taken

The logs of the incident showed neither that revisions went back, nor that a configuration was read and dropped as older than the one held, nor which hosts changed with a list that was read whole. Now the store's adapter keeps the era that answers name (Store-Era, an unread header of an answer of the store until now) and writes a line when it rises; a configuration at a lower revision leaves a line; a list that is read whole writes its changed hosts like a reading of changes. No logic is changed.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -109,7 +109,7 @@
         s, records, rng = self._settings, self._records, self._rng
         self.kernel = Kernel()
         self._caller = HttpCaller()
-        self._store = PlatformStore(s.store, HttpCaller())
+        self._store = PlatformStore(s.store, HttpCaller(), records)
         self._currency = Currency(s.key_removal)
         self._inventory = Inventory()
         self._hosts = HostList(self._inventory, records, self._forget)
@@ -285,7 +285,13 @@
 
     def _change_catalog(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
         """Take a configuration unless it is older than the one held; one never goes back."""
-        if key != CONFIGURATION_KEY or value is None or revision <= self._catalog_revision:
+        if key != CONFIGURATION_KEY or value is None:
+            return False
+        if revision <= self._catalog_revision:
+            if revision < self._catalog_revision:
+                self._records.note(
+                    "settings", "older", revision=revision, held=self._catalog_revision
+                )
             return False
         try:
             self._catalog = decode_configuration(value)
--- a/src/oleanderhill/platform/host_list.py
+++ b/src/oleanderhill/platform/host_list.py
@@ -52,7 +52,10 @@
     def replace(self, items: Sequence[Item], now: float) -> None:
         """Take the whole list anew."""
         found = [self._decode(item.key, item.value) for item in items]
-        for removal in self._inventory.replace([h for h in found if h is not None], now):
+        hosts = [h for h in found if h is not None]
+        held = self._inventory.by_instance
+        self._changed += [_change_of(h) for h in hosts if held.get(h.instance) not in (None, h)]
+        for removal in self._inventory.replace(hosts, now):
             self._take_leave(removal)
 
     def change(self, key: str, value: bytes | None, revision: int, now: float) -> bool:
--- a/src/oleanderhill/platform/store.py
+++ b/src/oleanderhill/platform/store.py
@@ -28,6 +28,7 @@
     StoreError,
     StoreUnavailableError,
 )
+from ..records import Records
 
 CALL_TIMEOUT = 1.0
 """Seconds for a call; the store takes 4 ms, and 60 times as long on a slow day."""
@@ -42,6 +43,10 @@
 MAX_PAGES = 200
 """Pages of a listing; each has some hundred items, so more of them is a fault of the store."""
 
+_ERA = "Store-Era"
+_LONGEST_ERA = 15
+"""Digits of an era."""
+
 _Kind = TypeVar("_Kind")
 
 
@@ -79,12 +84,16 @@
     """Calls to the store; reads and writes are counted, as each has its price.
 
     :param address: ``ip:port``
+    :ivar era: newest one that an answer named, 0 for none; it rises each time that the store comes
+        back from a copy
     """
 
-    def __init__(self, address: str, caller: HttpCaller) -> None:
+    def __init__(self, address: str, caller: HttpCaller, records: Records) -> None:
         self._address = address
         self._caller = caller
+        self._records = records
         self.calls_by_kind: dict[str, int] = {}
+        self.era = 0
 
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all items under a prefix. Pages are not one snapshot: the oldest revision counts."""
@@ -178,7 +187,26 @@
             reuse=True,
             connect_timeout=CONNECT_TIMEOUT,
         )
-        return (await self._caller.call(call)).alt(_store_error)
+        found = (await self._caller.call(call)).alt(_store_error)
+        if is_successful(found):
+            self._look_at_era(found.unwrap())
+        return found
+
+    def _look_at_era(self, reply: Reply) -> None:
+        """Take note of the era that an answer names."""
+        era = _era(reply)
+        if era <= self.era:
+            return
+        if self.era:
+            self._records.note(
+                "dependency", "restored", dependency="store", era=era, before=self.era
+            )
+        self.era = era
+
+
+def _era(reply: Reply) -> int:
+    text = reply.headers.get(_ERA, "").strip()
+    return int(text) if text.isdecimal() and len(text) <= _LONGEST_ERA else 0
 
 
 def _store_error(failure: CallFailure) -> StoreError:
