Soak with targets that ask for rest or leave by their answers, and a store that comes back from copies

Checked: no target at rest gets more than three requests a host within it, one that left gets none, and all that was checked before.

--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -99,6 +99,8 @@
         self.engines.returned = self._return
         self._returned = 0
         self.targets: list[StandInTarget] = []
+        self._target_entries: dict[str, bytes] = {}
+        self._configuration = b""
         self.entries: list[EntryHost] = []
         self._servers: list[Any] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -126,7 +128,14 @@
 
     def configure(self, version: int, keys: dict[str, list[str]], **more: str) -> None:
         """Write a configuration, as the operator does."""
-        self.store.put("op/config", configuration(version, keys, **more))
+        self._configuration = configuration(version, keys, **more)
+        self.store.put("op/config", self._configuration)
+
+    def write_again(self) -> None:
+        """Write what the operator and the plain targets had written; hosts do at each heartbeat."""
+        self.store.put("op/config", self._configuration)
+        for instance, entry in self._target_entries.items():
+            self.write_entry(instance, entry)
 
     def add_host(self, instance: str, domain: str) -> StandInHost:
         """Add an empty engine host."""
@@ -152,7 +161,8 @@
             "max_batch": 6,
             "state": "ready",
         }
-        self.write_entry(instance, json.dumps(entry).encode())
+        self._target_entries[instance] = json.dumps(entry).encode()
+        self.write_entry(instance, self._target_entries[instance])
         self.targets.append(target)
         return target
 
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -19,7 +19,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import NamedTuple
 
@@ -28,9 +28,10 @@
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 
 from ..bench_site import free_address
-from .engines import Demand
+from .engines import Demand, StandInHost
 from .faulty_link import FaultyLink, LinkState
 from .site import LARGE, SMALL, StandInSite, garbage, until
+from .soak_store import CopiedStore
 
 ROOT = Path(__file__).resolve().parents[3]
 ENTRIES = 3
@@ -57,6 +58,15 @@
 
 LIMITS = (0.0, 0.5, 1.2, 4.0)
 
+RESTS = (0.5, 1.5, 3.0)
+"""Seconds for which targets ask to be left alone."""
+
+RESTED_MOST = 3
+"""Requests that an entry host may send within a rest: two, and the first that tries the target."""
+
+LEFT_ALONE = 2.0
+"""Seconds after a target's word that it leaves in which requests may still come to it."""
+
 MOST_CULPRITS = 3
 """The seeds of ``main`` have none, one or two culprits, in turn."""
 
@@ -168,11 +178,25 @@
 
     :param culprits: requests that end each host that begins them
     :param limited: an engine host and a plain target name limits, change and withdraw them
+    :param speaking: an engine host and a plain target ask for rest, and another host says in its
+        answers that it leaves
+    :param restored: the store comes back from copies of itself
     """
 
-    def __init__(self, seed: int, folder: Path, culprits: int = 0, limited: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        culprits: int = 0,
+        limited: bool = False,
+        speaking: bool = False,
+        restored: bool = False,
+    ) -> None:
         self._seed, self._culprits, self._limited = seed, culprits, limited
+        self._speaking, self._restored = speaking, restored
         self._limits: list[tuple[Demand, float]] = []
+        self._rests: list[tuple[Demand, float]] = []
+        self._left: Demand | None = None
         self._rng = random.Random(seed)
         self._folder = folder
         self.site = StandInSite()
@@ -206,9 +230,12 @@
                 rng = random.Random(f"{self._seed} {number}")
                 fatal = f"fatal {number}".encode()
                 callers.append(asyncio.create_task(self._come_again(fatal, rng)))
-            naming = asyncio.create_task(self._name_limits())
+            beside = [asyncio.create_task(t) for t in self._beside()]
             await self._inflict()
-            naming.cancel()
+            for task in beside:
+                task.cancel()
+            await asyncio.gather(*beside, return_exceptions=True)
+            self.site.write_again()
             self._calm_since = time.monotonic()
             await asyncio.sleep(QUIET_SECONDS)
             self._stopping = True
@@ -242,6 +269,7 @@
                 found.append(f"{a.request_id} ran with a key that was removed long before")
         found += self._endings_too_many()
         found += self._limits_exceeded()
+        found += self._words_unheard()
         since = self.asked[-1].sent - LAST_SECONDS
         last = [a for a in self.asked if a.sent > since and a.key not in self.removed_at]
         answered = sum(a.status == 200 for a in last)
@@ -274,6 +302,20 @@
                 found.append(f"a target that named {rate} got {most} requests in a window")
         return found
 
+    def _words_unheard(self) -> list[str]:
+        """Return what came to targets that wanted nothing, once all entry hosts must know."""
+        found = []
+        known = self._calm_since + SETTLED
+        for demand, rest in self._rests:
+            told = [at for at in demand.arrivals if at > known]
+            most = max((sum(at <= t < at + rest for t in told) for at in told), default=0)
+            if demand.rest and most > RESTED_MOST * ENTRIES:
+                found.append(f"a target that asked for {rest} s of rest got {most} requests in it")
+        late = [] if self._left is None else [a for a in self._left.arrivals if a > known]
+        if late and late[-1] > late[0] + LEFT_ALONE:
+            found.append(f"a target that had said that it leaves got {len(late)} requests")
+        return found
+
     def _stream_faults(self, a: Asked) -> list[str]:
         if list(a.numbers) != list(range(len(a.numbers))):
             return [f"{a.request_id} got the events {a.numbers}"]
@@ -338,16 +380,45 @@
             return
         self.asked.append(Asked(request_id, path, key, sent, status, numbers, ended))
 
+    def _beside(self) -> list[Coroutine[None, None, None]]:
+        """Return what goes on beside the faults, drawn apart from them."""
+        beside: list[Coroutine[None, None, None]] = []
+        if self._limited:
+            beside.append(self._name_limits())
+        if self._speaking:
+            beside.append(self._speak())
+        if self._restored:
+            rng = random.Random(f"{self._seed} copies")
+            copied = CopiedStore(self.site.store, rng, self.site.write_again)
+            beside += [copied.copy(), copied.restore()]
+        return beside
+
+    def _heads(self) -> list[StandInHost]:
+        hosts = self.site.engines.host_by_instance.values()
+        found = [h for h in hosts if h.alive and h.group is not None]
+        return [h for h in found if h.group is not None and h.group["state"] == "open"]
+
+    async def _speak(self) -> None:
+        """Have targets ask for rest and take requests again, and one host leave by its answers."""
+        rng = random.Random(f"{self._seed} words")
+        while True:
+            await asyncio.sleep(rng.uniform(0.3, 2.0))
+            heads = self._heads()
+            if self._left is None and len(heads) > 2 and rng.random() < 0.4:
+                self._left = heads[-1].demand
+                self._left.leaving = True
+            rest = rng.choice(RESTS)
+            demand = rng.choice([*(h.demand for h in heads[:1]), self.site.targets[0].demand])
+            demand.rest = "" if rng.random() < 0.3 else str(rest)
+            self._rests = [(d, r) for d, r in self._rests if d is not demand]
+            self._rests.append((demand, rest))
+
     async def _name_limits(self) -> None:
         """Name, change and withdraw limits; the last ones stand until the end."""
         rng = random.Random(f"{self._seed} limits")
-        while self._limited:
+        while True:
             await asyncio.sleep(rng.uniform(0.3, 2.0))
-            heads = [
-                h
-                for h in self.site.engines.host_by_instance.values()
-                if h.alive and h.group is not None and h.group["state"] == "open"
-            ]
+            heads = self._heads()
             rate = rng.choice(LIMITS)
             demand = rng.choice([*(h.demand for h in heads[:1]), self.site.targets[0].demand])
             demand.limit = "" if rng.random() < 0.2 else str(rate)
@@ -492,9 +563,8 @@
             self.removed_at[key] = time.monotonic()
 
 
-async def soak(seed: int, folder: Path, culprits: int, limited: bool) -> Soak:
+async def soak(played: Soak, seed: int) -> Soak:
     """Play one seed, print its row and return it."""
-    played = Soak(seed, folder, culprits, limited)
     await played.run()
     broken = played.found
     statuses = Counter(a.status for a in played.asked)
@@ -502,6 +572,7 @@
         f"soak: seed={seed} faults={len(played.faults)} requests={len(played.asked)} "
         f"answered={statuses[200]} "
         f"limits={[d.limit for d, _ in played._limits]} "
+        f"rests={[d.rest for d, _ in played._rests]} era={played.site.store.era} "
         f"ended={[len(e) for e in played.site.engines.ended_by.values()]} broken={len(broken)}",
         flush=True,
     )
@@ -510,10 +581,17 @@
     return played
 
 
-def play(seed: int, culprits: int = 0, limited: bool = False) -> Soak:
+def play(
+    seed: int,
+    culprits: int = 0,
+    limited: bool = False,
+    speaking: bool = False,
+    restored: bool = False,
+) -> Soak:
     """Play one seed in a folder of its own, which is kept if a promise was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    played = asyncio.run(soak(seed, folder, culprits, limited))
+    played = Soak(seed, folder, culprits, limited, speaking, restored)
+    asyncio.run(soak(played, seed))
     if played.found:
         print(f"soak: seed={seed} logs in {folder}", flush=True)
     else:
@@ -526,7 +604,11 @@
     first, count = (int(a) for a in (sys.argv[1:] or ["1", "5"])[:2])
     failed = 0
     for seed in range(first, first + count):
-        failed += bool(play(seed, seed % MOST_CULPRITS, seed % 2 == 0).found)
+        # Of four seeds one has limits alone, one limits and rests, one a store that comes back
+        # from copies, and one rests beside it.
+        restored = seed % 4 > 1
+        played = play(seed, seed % MOST_CULPRITS, not restored, seed % 2 == 1, restored)
+        failed += bool(played.found)
     print(f"soak: seeds={count} failed={failed}")
     return 1 if failed else 0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,14 @@
     def test_promises_hold_while_targets_name_change_and_withdraw_limits(self):
         self.assertEqual(play(1_200, 0, True).found, [])
 
+    def test_promises_hold_while_targets_ask_for_rest_and_leave_by_their_answers(self):
+        self.assertEqual(play(1_400, 0, False, True).found, [])
+
+    def test_promises_hold_while_the_store_comes_back_from_copies(self):
+        played = play(1_402, 1, False, False, True)
+        self.assertEqual(played.found, [])
+        self.assertGreater(played.site.store.era, 1)
+
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_reload_order_during_the_start_does_not_end_the_process(self):
