Split what grew: one factory of followers, gauges beside what they show, the driver's tools apart

No behaviour changes: the protocol of what keeps a part of the store's content lies beside the mirror, the metrics of limits beside their task, and what all requests of a process share in a module of its own. Tests of layout, rests, leaving, relay, deploy, limits and explaining pass.

--- a/src/oleanderhill/clients/mirror.py
+++ b/src/oleanderhill/clients/mirror.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from returns.pipeline import is_successful
 
@@ -63,6 +63,24 @@
     kept: Callable[[], Sequence[Change]] = tuple
 
 
+class Restorable(Protocol):
+    """Keeps a part of the store's content."""
+
+    def replace(self, items: Sequence[Item], now: float) -> None:
+        """Take the whole content anew."""
+
+    def change(self, key: str, value: bytes | None, revision: Revision, now: float) -> bool:
+        """Take one change; return whether it meant anything."""
+
+    def restored(self, now: float) -> None:
+        """Take note that the next content is of a store that came back from a copy."""
+
+
+def follow(prefix: str, copy: Restorable) -> Follower:
+    """Return the follower that keeps a copy."""
+    return Follower(prefix, copy.replace, copy.change, copy.restored)
+
+
 class Mirror(Task):
     """Owns the readings.
 
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -12,15 +12,13 @@
 import sys
 import time
 from collections.abc import Mapping, Sequence
-from typing import Protocol
 
 from ..clients.currency import Currency
 from ..clients.httpcall import HttpCaller
 from ..clients.keyed import KeyedCopy
 from ..clients.listening import Listening, listening
-from ..clients.mirror import Follower, Mirror
+from ..clients.mirror import Follower, Mirror, follow
 from ..clients.relay import RelayServer
-from ..clients.storage import Item, Revision
 from ..clock import awake_or_not, processor_seconds
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
@@ -36,7 +34,7 @@
 from ..routing.rests import Rests
 from ..routing.target_limits import Asked, TargetLimits
 from ..serving.admission import ReturningCallers, admit
-from ..serving.driver import Exchange, Tools
+from ..serving.driver import Exchange
 from ..serving.forwarding import Notice
 from ..serving.front import CallerSink, Front, Serve
 from ..serving.gossip import GossipTask
@@ -47,6 +45,7 @@
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
 from ..serving.target_limits import Source, TargetLimitTask
+from ..serving.tools import Tools
 from ..serving.view import ServingView
 from ..settings.catalog import Catalog, pick_backend
 from ..vitals import VitalsTask
@@ -274,10 +273,10 @@
                 self._configuration.change,
                 kept=self._configuration.kept,
             ),
-            _follower(HOSTS_PREFIX, self._hosts),
-            _follower(PLAN_PREFIX, self._plans),
-            _follower(PRESENCE_PREFIX, self._entries),
-            _follower(QUARANTINE_PREFIX, self._quarantine),
+            follow(HOSTS_PREFIX, self._hosts),
+            follow(PLAN_PREFIX, self._plans),
+            follow(PRESENCE_PREFIX, self._entries),
+            follow(QUARANTINE_PREFIX, self._quarantine),
         )
 
     def _forget(self, removal: Removal) -> None:
@@ -433,35 +432,10 @@
         show("connections_opened", "Connections to targets", lambda: self._caller.opened)
         show("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         show("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
-        limits = self._book.limits
-        show("target_limits", "Targets that name a limit", lambda: len(limits.rate_by_life))
-        show("limit_share", "Requests a second that this host may send them", lambda: limits.share)
-        show("limit_sent", "Requests sent within limits", lambda: limits.sent)
-        show("limit_held_back", "Times that a limit had a target passed over", self._held_back)
         self._notices.show(self.exposition)
         show("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         show("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
-    def _held_back(self) -> int:
-        return self._book.limits.held_back
-
-
-class _Restorable(Protocol):
-    """Follows a part of the store's content."""
-
-    def replace(self, items: Sequence[Item], now: float) -> None:
-        """Take the whole content anew."""
-
-    def change(self, key: str, value: bytes | None, revision: Revision, now: float) -> bool:
-        """Take one change; return whether it meant anything."""
-
-    def restored(self, now: float) -> None:
-        """Take note that the next content is of a store that came back from a copy."""
-
-
-def _follower(prefix: str, copy: _Restorable) -> Follower:
-    return Follower(prefix, copy.replace, copy.change, copy.restored)
-
 
 def main() -> None:
     """Run an entry host on the platform."""
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Awaitable, Mapping, Sequence
+from typing import Any
 
 from returns.pipeline import is_successful
 from returns.result import Result
 from tornado.httputil import HTTPHeaders
 
-from ..clients.httpcall import Call, CallFailure, HttpCaller, Reply
+from ..clients.httpcall import Call, CallFailure, Reply
 from ..outcomes import HELD_BACK, Problem, Ran, ends_targets
-from ..records import Records
 from ..requests.attempts import (
     Cancel,
     Chosen,
@@ -40,16 +39,15 @@
 from ..types import Member
 from .admission import Accepted
 from .events import EventOrder
-from .forwarding import Codec, Notice, Reading
+from .forwarding import Notice, Reading
 from .incoming import Incoming, Sink
-from .notices import TargetNotices
 from .patience import stall_after
-from .placing import Candidate, LoadBook
-from .quarantine import QuarantineTask
+from .placing import Candidate
 from .retries import SharedRetryBudget
 from .run import Run
 from .standing import Room, Standing, room, standing
 from .target_limits import Source
+from .tools import Tools
 
 CONNECT_TIMEOUT = 0.12
 """Seconds to connect to a target; within a region the way there and back is under 20 ms, and a
@@ -58,28 +56,6 @@
 QUARANTINED = "quarantined"
 
 
-class Tools(NamedTuple):
-    """What all requests of a process share.
-
-    :param candidates: returns the targets that serve a service and model now
-    :param waiting: returns how many requests may wait at a model's group for the last to be on time
-        by a goal, in parts of its slots, ``None`` where that is not known
-    :param come_back: returns the seconds after which a refused caller may come back to them
-    :param report: takes route, outcome and seconds of a request that has ended
-    """
-
-    codec: Codec
-    caller: HttpCaller
-    book: LoadBook
-    records: Records
-    candidates: Callable[[str, str], Sequence[Candidate]]
-    waiting: Callable[[str, float], float | None]
-    come_back: Callable[[str, str], float]
-    report: Callable[[str, str, float], None]
-    quarantine: QuarantineTask
-    notices: TargetNotices
-
-
 class Exchange:
     """One request.
 
--- a/src/oleanderhill/serving/notices.py
+++ b/src/oleanderhill/serving/notices.py
@@ -66,6 +66,7 @@
 
     def show(self, exposition: Exposition) -> None:
         """Show metrics."""
+        self._limits.show(exposition)
         show, rests = exposition.gauge, self._rests
         show("targets_leaving", "Targets that say that they leave", lambda: len(self._leaving))
         show("targets_resting", "Targets that asked this host for rest", self._resting)
--- a/src/oleanderhill/serving/target_limits.py
+++ b/src/oleanderhill/serving/target_limits.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from ..exposition import Exposition
 from ..groups.inventory import Instance, Inventory, TargetHost
 from ..kernel import Kernel, Task
 from ..records import Records
@@ -105,6 +106,17 @@
         """Take note of which entry hosts are there, and whether some of them are heard."""
         self._limits.reach(hosts, in_touch, time.monotonic())
 
+    def show(self, exposition: Exposition) -> None:
+        """Show metrics."""
+        show, limits = exposition.gauge, self._limits
+        show("target_limits", "Targets that name a limit", lambda: len(limits.rate_by_life))
+        show("limit_share", "Requests a second that this host may send them", lambda: limits.share)
+        show("limit_sent", "Requests sent within limits", lambda: limits.sent)
+        show("limit_held_back", "Times that a limit had a target passed over", self._passed_over)
+
+    def _passed_over(self) -> int:
+        return self._limits.held_back
+
     def over(self, life: str) -> None:
         """Forget the limit of a life that is over."""
         self._limits.forget(life)
