--- a/src/oleanderhill/clients/keyed.py
+++ b/src/oleanderhill/clients/keyed.py
@@ -11,7 +11,7 @@
 Value = TypeVar("Value")
 
 
-def _never(held: Value, read: Value) -> bool:
+def _nothing_outlasts(held: Value, read: Value) -> bool:
     """Take what was read for newer."""
     return False
 
@@ -32,7 +32,7 @@
         self,
         decode: Callable[[bytes], Value],
         records: Records,
-        outlasts: Callable[[Value, Value], bool] = _never,
+        outlasts: Callable[[Value, Value], bool] = _nothing_outlasts,
         lost_last: float = 0.0,
     ) -> None:
         self._decode = decode
--- a/src/oleanderhill/routing/rests.py
+++ b/src/oleanderhill/routing/rests.py
@@ -15,13 +15,19 @@
 
 
 class _Rest:
+    """The rest of one target; ``on_trial`` while a request tries it after the end."""
+
     def __init__(self, until: float) -> None:
         self.until = until
         self.on_trial = False
 
 
 class Rests:
-    """The rests of targets, by life. Times are seconds of one clock that no step moves."""
+    """The rests of targets, by life. Times are seconds of one clock that no step moves.
+
+    :ivar asked: times that a target asked for a rest or a longer one
+    :ivar held_back: times that a target was passed over for its rest
+    """
 
     def __init__(self) -> None:
         self._rest_by_life: dict[str, _Rest] = {}
