--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -200,6 +200,8 @@
         self._rng = random.Random(seed)
         self._folder = folder
         self.site = StandInSite()
+        copies = random.Random(f"{seed} copies")
+        self._copied = CopiedStore(self.site.store, copies, self.site.write_again)
         self.programs: list[Program] = []
         self.asked: list[Asked] = []
         self.removed_at: dict[str, float] = {}
@@ -235,7 +237,10 @@
             for task in beside:
                 task.cancel()
             await asyncio.gather(*beside, return_exceptions=True)
-            self.site.write_again()
+            if self._restored:
+                # The last change is lower in number than much that the entry hosts have seen.
+                self._copied.come_back_from_oldest()
+                await self._remove_key()
             self._calm_since = time.monotonic()
             await asyncio.sleep(QUIET_SECONDS)
             self._stopping = True
@@ -388,9 +393,7 @@
         if self._speaking:
             beside.append(self._speak())
         if self._restored:
-            rng = random.Random(f"{self._seed} copies")
-            copied = CopiedStore(self.site.store, rng, self.site.write_again)
-            beside += [copied.copy(), copied.restore()]
+            beside += [self._copied.copy(), self._copied.restore()]
         return beside
 
     def _heads(self) -> list[StandInHost]:
--- a/dev/oleanderhill_dev/users/soak_store.py
+++ b/dev/oleanderhill_dev/users/soak_store.py
@@ -40,6 +40,19 @@
             self._copies.append(self._store.copy())
             await asyncio.sleep(COPY_EVERY)
 
+    def come_back_from_oldest(self) -> None:
+        """Come back from the oldest copy, and have written again what is lost."""
+        if self._copies:
+            self.come_back(self._copies[0])
+            self._write_again()
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Come back from a copy."""
+        self._store.restore(copy)
+        # What was written after the copy is in no later one either.
+        self._copies.clear()
+        self._copies.append(self._store.copy())
+
     async def restore(self) -> None:
         """Go away and come back until cancelled."""
         while True:
@@ -47,11 +60,8 @@
             self._store.faults.silent = True
             try:
                 await asyncio.sleep(self._rng.uniform(0.0, AWAY_MOST))
-                self._store.restore(self._rng.choice(self._copies))
             finally:
                 self._store.faults.silent = False
-            # What was written after the copy is in no later one either.
-            self._copies.clear()
-            self._copies.append(self._store.copy())
+            self.come_back(self._rng.choice(self._copies))
             await asyncio.sleep(self._rng.uniform(0.0, WRITES_AGAIN_WITHIN))
             self._write_again()
