--- a/dev/oleanderhill_dev/model/engines.py
+++ b/dev/oleanderhill_dev/model/engines.py
@@ -15,6 +15,8 @@
 
     :param events: how many it shows before it ends
     :param shown: called at each event; ``ended`` after the last
+    :param host: entry host that sends it
+    :param turned_away: takes the rest that the group asks for in place of running it
     """
 
     def __init__(
@@ -24,7 +26,11 @@
         events: int,
         shown: Callable[[], None],
         ended: Callable[[], None],
+        host: str,
+        turned_away: Callable[[float], None],
     ) -> None:
+        self.host = host
+        self.turned_away = turned_away
         self.urgency = urgency
         self.prompt = prompt
         self.events = events
@@ -43,7 +49,9 @@
         self.stalled = False
         self.busy_ms = 0.0
         self.limit: float | None = None
+        self.rest: float | None = None
         self.arrivals: list[float] = []
+        self.arrivals_by_host: dict[str, list[float]] = {}
         self._times = times
         self._clock = clock
         self._active: list[Work] = []
@@ -54,6 +62,10 @@
     def take(self, work: Work) -> None:
         """Take a request."""
         self.arrivals.append(self._clock.now)
+        self.arrivals_by_host.setdefault(work.host, []).append(self._clock.now)
+        if self.rest is not None:
+            work.turned_away(self.rest)
+            return
         heapq.heappush(self._queue, (work.urgency, next(self._order), work))
         self._run()
 
--- a/dev/oleanderhill_dev/model/policies.py
+++ b/dev/oleanderhill_dev/model/policies.py
@@ -25,6 +25,7 @@
     """Decides for all entry hosts; each has a book of its own."""
 
     name: str
+    hears_rests: bool
 
     def choose(
         self, book: LoadBook, candidates: Sequence[Candidate], ask: Ask, now: float
@@ -46,6 +47,7 @@
 
     name = "shipped"
     room_by_standing = ROOM_AT_ENGINE
+    hears_rests = True
 
     def choose(
         self, book: LoadBook, candidates: Sequence[Candidate], ask: Ask, now: float
@@ -103,6 +105,13 @@
         return super().choose(book, candidates, ask, now)
 
 
+class RestsUnheard(Shipped):
+    """As shipped, but a group that turns a request away is doubtful, whatever time it names."""
+
+    name = "rests unheard"
+    hears_rests = False
+
+
 class FreePlacesOnly(LongQueueForReturned):
     """Least busy group, nobody waits."""
 
--- a/dev/oleanderhill_dev/model/scenario.py
+++ b/dev/oleanderhill_dev/model/scenario.py
@@ -90,6 +90,16 @@
     seconds: float
 
 
+class Shed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Some groups of a model turn all requests away, and ask each entry host for so much rest."""
+
+    at: float
+    model: str
+    groups: int
+    rest: float
+    seconds: float
+
+
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A deployment with its load and faults.
 
@@ -105,6 +115,7 @@
     bursts: list[Burst] = []
     losses: list[Loss] = []
     needs: list[Need] = []
+    sheds: list[Shed] = []
     retry_ratio: float = 0.2
     retry_slack: float = 134.0
     report_loss: float = 0.01
@@ -139,5 +150,10 @@
             raise ScenarioError(f"need at {need.at}: no model is named {need.model}")
         if need.rate < 0 or need.groups < 1:
             raise ScenarioError(f"need at {need.at}: a rate of 0 and a group at least")
+    for shed in scenario.sheds:
+        if shed.model not in names:
+            raise ScenarioError(f"shed at {shed.at}: no model is named {shed.model}")
+        if shed.rest < 0 or shed.groups < 1:
+            raise ScenarioError(f"shed at {shed.at}: a rest of 0 and a group at least")
     if scenario.entry_hosts < 1 or scenario.seconds <= 0:
         raise ScenarioError("a scenario needs an entry host and some seconds")
--- a/dev/oleanderhill_dev/model/site.py
+++ b/dev/oleanderhill_dev/model/site.py
@@ -20,7 +20,7 @@
 from .clockwork import Clockwork
 from .engines import Group, Work
 from .policies import Ask, Policy
-from .scenario import Kind, Loss, Need, Scenario, check
+from .scenario import Kind, Loss, Need, Scenario, Shed, check
 
 REPORT_EVERY = 0.05
 """Seconds between two reports of a host, as shipped."""
@@ -76,6 +76,9 @@
         for need in self.scenario.needs:
             self.clock.at(need.at, partial(self._limit, need, need.rate))
             self.clock.at(need.at + need.seconds, partial(self._limit, need, None))
+        for shed in self.scenario.sheds:
+            self.clock.at(shed.at, partial(self._shed, shed, shed.rest))
+            self.clock.at(shed.at + shed.seconds, partial(self._shed, shed, None))
         self.clock.later(REPORT_EVERY, self._report)
         self.clock.run(self.scenario.seconds + 12.0)
         return self.ends
@@ -112,6 +115,10 @@
         for group in self.groups[need.model][: need.groups]:
             group.limit = rate
 
+    def _shed(self, shed: Shed, rest: float | None) -> None:
+        for group in self.groups[shed.model][: shed.groups]:
+            group.rest = rest
+
     def _report(self) -> None:
         now = self.clock.now
         names = tuple(host.name for host in self.hosts)
@@ -124,10 +131,11 @@
                 book.own_turned_away(now),
             )
             host.book.limits.reach(names, True, now)
-            limits = host.book.limits.news(now)
+            limits, resting = host.book.limits.news(now), book.own_resting(now)
             for other in self.hosts:
                 if other is not host and self.rng.random() >= self.scenario.report_loss:
                     other.book.hear(host.name, *news, now)
+                    other.book.hear_resting(resting, now)
                     for part in limits:
                         other.book.limits.hear(part, lambda life: True, now)
         if now < self.scenario.seconds + 10.0:
@@ -243,6 +251,7 @@
         self._target = ""
         self._written = 0
         self._heard = False
+        self._on_trial = False
         self._progressed = self._sent_at = site.clock.now
         self.over = False
         self._route = _route(caller.kind)
@@ -277,11 +286,14 @@
         self._target, self._arrived = found.target, self._arrived + 1
         self._tried.add(found.target)
         self._host.book.limits.take(found.lives, now)
+        self._on_trial = self._host.book.rests.take(found.target)
         self._host.book.begin(found.target)
         left = self._caller.events - self._written
         prompt = self._caller.prompt + self._written * site.scenario.engine.stride
         urgency = site.policy.urgency(ask, now)
-        work = Work(urgency, prompt, left, self._shown, self._done)
+        work = Work(
+            urgency, prompt, left, self._shown, self._done, self._host.name, self._turned_away
+        )
         self._work = work
         self._progressed = self._sent_at = now
         self._heard = False
@@ -297,12 +309,34 @@
         if not self._arrived:
             self._host.book.turn_away(self._caller.kind.model, now)
         limited_for = self._host.book.limited_for(candidates, self._caller.kind.model, now)
-        self._caller.refused(come_back(bool(candidates), self._site.rng, limited_for))
+        rest_left = self._host.book.rest_left(candidates, now)
+        after = come_back(bool(candidates), self._site.rng, limited_for, rest_left)
+        self._caller.refused(after)
+
+    def _turned_away(self, rest: float) -> None:
+        """Take a group's refusal on its way back."""
+        self._site.clock.later(WAY, lambda: self._go_elsewhere(rest))
+
+    def _go_elsewhere(self, rest: float) -> None:
+        if self.over:
+            return
+        now, book, target = self._site.clock.now, self._host.book, self._target
+        if rest and self._site.policy.hears_rests:
+            book.rests.ask(target, rest, now)
+        else:
+            book.suspect(target, now)
+        self._release()
+        if self._arrived >= self._route.max_attempts or not self._host.budget.take(now):
+            self._refuse(self._site.visible[self._caller.kind.model], now)
+            return
+        self._send()
 
     def _shown(self) -> None:
         now, target = self._site.clock.now, self._target
         if not self._heard:
             self._heard = True
+            if self._on_trial:
+                self._host.book.rests.trial_taken(target, now)
             named = self._site.group_by_name[target].limit
             limits = self._host.book.limits
             limits.answered(target, named, Asked.REQUEST, self._sent_at, now)
@@ -323,6 +357,9 @@
             self._work.gone = True
             self._work = None
             self._host.book.end(self._target)
+            if self._on_trial:
+                self._host.book.rests.trial_ended(self._target)
+                self._on_trial = False
 
     def _look(self, work: Work) -> None:
         """Move on from a group that shows nothing."""
