--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -28,6 +28,7 @@
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 
 from ..bench_site import free_address
+from ..windows import most_within
 from .engines import Demand, StandInHost
 from .faulty_link import FaultyLink, LinkState
 from .site import LARGE, SMALL, StandInSite, garbage, until
@@ -301,8 +302,7 @@
         """Return the limits that all entry hosts together did not keep once all must know."""
         found = []
         for demand, rate in self._limits:
-            told = [at for at in demand.arrivals if at > self._calm_since + SETTLED]
-            most = max((sum(at <= t < at + LIMIT_WINDOW for t in told) for at in told), default=0)
+            most = most_within(LIMIT_WINDOW, demand.arrivals, self._calm_since + SETTLED)
             if demand.limit and most > 1.5 * rate * LIMIT_WINDOW + 5:
                 found.append(f"a target that named {rate} got {most} requests in a window")
         return found
@@ -312,8 +312,7 @@
         found = []
         known = self._calm_since + SETTLED
         for demand, rest in self._rests:
-            told = [at for at in demand.arrivals if at > known]
-            most = max((sum(at <= t < at + rest for t in told) for at in told), default=0)
+            most = most_within(rest, demand.arrivals, known)
             if demand.rest and most > RESTED_MOST * ENTRIES:
                 found.append(f"a target that asked for {rest} s of rest got {most} requests in it")
         late = [] if self._left is None else [a for a in self._left.arrivals if a > known]
--- /dev/null
+++ b/dev/oleanderhill_dev/windows.py
@@ -0,0 +1,14 @@
+"""Counts over sliding windows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+
+def most_within(seconds: float, times: Iterable[float], since: float = float("-inf")) -> int:
+    """Return the most of some times that lie in any window of so many seconds.
+
+    :param since: earlier times don't count
+    """
+    counted = [at for at in times if at >= since]
+    return max((sum(at <= t < at + seconds for t in counted) for at in counted), default=0)
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from oleanderhill_dev.windows import most_within
 
 from oleanderhill.groups import forming
 from oleanderhill.groups.actions import Join, Leave, Open, OrderEnd, Replan, Stage, Warm
@@ -525,7 +526,7 @@
         # that don't know of each other all want to load at once, all day long.
         pacers = [LoadPacer(27.75, 5.0, 6) for _ in range(6)]
         began = [n * 0.1 for n in range(600) for pacer in pacers if pacer.take(n * 0.1)]
-        most = max(sum(1 for t in began if at <= t < at + 5.0) for at in began)
+        most = most_within(5.0, began)
         self.assertLessEqual(most, 27.75)
         self.assertGreater(len(began) / 60, 1.0)
 
@@ -538,7 +539,7 @@
         self.assertEqual(first.at_once, 1)
         pacers = [first, *(LoadPacer(27.75, 5.0, 6, 6) for _ in range(5))]
         began = [n * 0.1 for n in range(300) for pacer in pacers if pacer.take(n * 0.1)]
-        most = max(sum(1 for t in began if at <= t < at + 5.0) for at in began)
+        most = most_within(5.0, began)
         self.assertLessEqual(most, 27.75)
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -24,6 +24,7 @@
     read_scenario,
 )
 from oleanderhill_dev.model.site import Site, worth
+from oleanderhill_dev.windows import most_within
 
 SCENARIOS = Path(__file__).resolve().parents[1] / "dev/oleanderhill_dev/model/scenarios"
 QUESTIONS = Kind("questions", "small", 44.0, 674, 32, 0.2, 0.2, 5.0, 1.8, 0.44)
@@ -99,7 +100,7 @@
         for need in scenario.needs:
             group, rate = site.groups[need.model][0], need.rate
             told = [at for at in group.arrivals if 8.5 <= at < 24.0]
-            most = max(sum(at <= t < at + 4.0 for t in told) for at in told)
+            most = most_within(4.0, told)
             self.assertLessEqual(most, 1.5 * rate * 4.0 + 5)
             self.assertGreaterEqual(len(told), rate * 15.5 / 2)
         over = unheard.groups["small"][0].arrivals
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -9,6 +9,7 @@
 import msgspec
 from oleanderhill_dev.fuzz_limits import broken, play
 from oleanderhill_dev.users.site import until
+from oleanderhill_dev.windows import most_within
 from tornado.httputil import HTTPHeaders
 
 from oleanderhill.groups.inventory import Instance, Inventory, TargetHost
@@ -46,12 +47,6 @@
 """Seconds after which all entry hosts must know of a limit that one of them was told."""
 
 
-def most_in_window(arrivals, since):
-    """Return the most arrivals within any window that begins after a moment."""
-    counted = [at for at in arrivals if at >= since]
-    return max((sum(at <= t < at + WINDOW for t in counted) for at in counted), default=0)
-
-
 def allowed(limit):
     """Return how many requests a limited target may get in a window."""
     return 1.5 * limit * WINDOW + 5
@@ -71,7 +66,7 @@
         return demand, model
 
     def assert_kept_and_used(self, demand, limit, told, seconds):
-        most = most_in_window(demand.arrivals, told + NEWS_TAKES)
+        most = most_within(WINDOW, demand.arrivals, told + NEWS_TAKES)
         self.assertLessEqual(most, allowed(limit))
         used = sum(told <= at < told + seconds for at in demand.arrivals)
         self.assertGreaterEqual(used, limit * seconds / 2)
@@ -232,7 +227,7 @@
                 for account in accounts:
                     if account.take(("t",), tick / 100) is not None:
                         sent.append(tick / 100)
-            self.assertLessEqual(most_in_window(sent, 0.0), allowed(rate))
+            self.assertLessEqual(most_within(WINDOW, sent, 0.0), allowed(rate))
             self.assertGreaterEqual(len(sent), 29 * max(rate, LEAST_RATE) * 0.8)
 
     def test_all_idle_shares_at_once_stay_within_the_bound(self):
