--- a/dev/oleanderhill_dev/model/engines.py
+++ b/dev/oleanderhill_dev/model/engines.py
@@ -16,7 +16,7 @@
     :param events: how many it shows before it ends
     :param shown: called at each event; ``ended`` after the last
     :param host: entry host that sends it
-    :param turned_away: takes the rest that the group asks for in place of running it
+    :param turned_away: takes the back-off that the group asks for in place of running it
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         self.stalled = False
         self.busy_ms = 0.0
         self.limit: float | None = None
-        self.rest: float | None = None
+        self.backoff: float | None = None
         self.arrivals: list[float] = []
         self.arrivals_by_host: dict[str, list[float]] = {}
         self._times = times
@@ -63,8 +63,8 @@
         """Take a request."""
         self.arrivals.append(self._clock.now)
         self.arrivals_by_host.setdefault(work.host, []).append(self._clock.now)
-        if self.rest is not None:
-            work.turned_away(self.rest)
+        if self.backoff is not None:
+            work.turned_away(self.backoff)
             return
         heapq.heappush(self._queue, (work.urgency, next(self._order), work))
         self._run()
--- a/dev/oleanderhill_dev/model/policies.py
+++ b/dev/oleanderhill_dev/model/policies.py
@@ -25,7 +25,7 @@
     """Decides for all entry hosts; each has a book of its own."""
 
     name: str
-    hears_rests: bool
+    hears_backoffs: bool
 
     def choose(
         self, book: LoadBook, candidates: Sequence[Candidate], ask: Ask, now: float
@@ -47,7 +47,7 @@
 
     name = "shipped"
     room_by_standing = ROOM_AT_ENGINE
-    hears_rests = True
+    hears_backoffs = True
 
     def choose(
         self, book: LoadBook, candidates: Sequence[Candidate], ask: Ask, now: float
@@ -105,11 +105,11 @@
         return super().choose(book, candidates, ask, now)
 
 
-class RestsUnheard(Shipped):
+class BackoffsUnheard(Shipped):
     """As shipped, but a group that turns a request away is doubtful, whatever time it names."""
 
-    name = "rests unheard"
-    hears_rests = False
+    name = "back-offs unheard"
+    hears_backoffs = False
 
 
 class FreePlacesOnly(LongQueueForReturned):
--- a/dev/oleanderhill_dev/model/scenario.py
+++ b/dev/oleanderhill_dev/model/scenario.py
@@ -91,12 +91,12 @@
 
 
 class Shed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Some groups of a model turn all requests away, and ask each entry host for so much rest."""
+    """Some groups of a model turn all requests away, and ask each entry host to back off."""
 
     at: float
     model: str
     groups: int
-    rest: float
+    backoff: float
     seconds: float
 
 
@@ -153,7 +153,7 @@
     for shed in scenario.sheds:
         if shed.model not in names:
             raise ScenarioError(f"shed at {shed.at}: no model is named {shed.model}")
-        if shed.rest < 0 or shed.groups < 1:
-            raise ScenarioError(f"shed at {shed.at}: a rest of 0 and a group at least")
+        if shed.backoff < 0 or shed.groups < 1:
+            raise ScenarioError(f"shed at {shed.at}: a back-off of 0 and a group at least")
     if scenario.entry_hosts < 1 or scenario.seconds <= 0:
         raise ScenarioError("a scenario needs an entry host and some seconds")
--- a/dev/oleanderhill_dev/model/site.py
+++ b/dev/oleanderhill_dev/model/site.py
@@ -77,7 +77,7 @@
             self.clock.at(need.at, partial(self._limit, need, need.rate))
             self.clock.at(need.at + need.seconds, partial(self._limit, need, None))
         for shed in self.scenario.sheds:
-            self.clock.at(shed.at, partial(self._shed, shed, shed.rest))
+            self.clock.at(shed.at, partial(self._shed, shed, shed.backoff))
             self.clock.at(shed.at + shed.seconds, partial(self._shed, shed, None))
         self.clock.later(REPORT_EVERY, self._report)
         self.clock.run(self.scenario.seconds + 12.0)
@@ -115,9 +115,9 @@
         for group in self.groups[need.model][: need.groups]:
             group.limit = rate
 
-    def _shed(self, shed: Shed, rest: float | None) -> None:
+    def _shed(self, shed: Shed, backoff: float | None) -> None:
         for group in self.groups[shed.model][: shed.groups]:
-            group.rest = rest
+            group.backoff = backoff
 
     def _report(self) -> None:
         now = self.clock.now
@@ -131,11 +131,11 @@
                 book.own_turned_away(now),
             )
             host.book.limits.reach(names, True, now)
-            limits, resting = host.book.limits.news(now), book.own_resting(now)
+            limits, backing_off = host.book.limits.news(now), book.own_backoffs(now)
             for other in self.hosts:
                 if other is not host and self.rng.random() >= self.scenario.report_loss:
                     other.book.hear(host.name, *news, now)
-                    other.book.hear_resting(resting, now)
+                    other.book.hear_backoffs(backing_off, now)
                     for part in limits:
                         other.book.limits.hear(part, lambda life: True, now)
         if now < self.scenario.seconds + 10.0:
@@ -286,7 +286,7 @@
         self._target, self._arrived = found.target, self._arrived + 1
         self._tried.add(found.target)
         self._host.book.limits.take(found.lives, now)
-        self._on_trial = self._host.book.rests.take(found.target)
+        self._on_trial = self._host.book.backoffs.take(found.target)
         self._host.book.begin(found.target)
         left = self._caller.events - self._written
         prompt = self._caller.prompt + self._written * site.scenario.engine.stride
@@ -309,20 +309,20 @@
         if not self._arrived:
             self._host.book.turn_away(self._caller.kind.model, now)
         limited_for = self._host.book.limited_for(candidates, self._caller.kind.model, now)
-        rest_left = self._host.book.rest_left(candidates, now)
-        after = come_back(bool(candidates), self._site.rng, limited_for, rest_left)
+        backoff_left = self._host.book.backoff_left(candidates, now)
+        after = come_back(bool(candidates), self._site.rng, limited_for, backoff_left)
         self._caller.refused(after)
 
-    def _turned_away(self, rest: float) -> None:
+    def _turned_away(self, backoff: float) -> None:
         """Take a group's refusal on its way back."""
-        self._site.clock.later(WAY, lambda: self._go_elsewhere(rest))
+        self._site.clock.later(WAY, lambda: self._go_elsewhere(backoff))
 
-    def _go_elsewhere(self, rest: float) -> None:
+    def _go_elsewhere(self, backoff: float) -> None:
         if self.over:
             return
         now, book, target = self._site.clock.now, self._host.book, self._target
-        if rest and self._site.policy.hears_rests:
-            book.rests.ask(target, rest, now)
+        if backoff and self._site.policy.hears_backoffs:
+            book.backoffs.ask(target, backoff, now)
         else:
             book.suspect(target, now)
         self._release()
@@ -336,7 +336,7 @@
         if not self._heard:
             self._heard = True
             if self._on_trial:
-                self._host.book.rests.trial_taken(target, now)
+                self._host.book.backoffs.trial_taken(target, now)
             named = self._site.group_by_name[target].limit
             limits = self._host.book.limits
             limits.answered(target, named, Asked.REQUEST, self._sent_at, now)
@@ -358,7 +358,7 @@
             self._work = None
             self._host.book.end(self._target)
             if self._on_trial:
-                self._host.book.rests.trial_ended(self._target)
+                self._host.book.backoffs.trial_ended(self._target)
                 self._on_trial = False
 
     def _look(self, work: Work) -> None:
--- a/dev/oleanderhill_dev/users/demo.py
+++ b/dev/oleanderhill_dev/users/demo.py
@@ -30,16 +30,16 @@
 """Requests of which a head that names a limit may take a few, twenty a second."""
 
 
-REST = 2.0
-REST_REQUESTS = 80
-"""Requests of which a head at rest gets none, twenty a second."""
+BACKOFF = 2.0
+BACKOFF_REQUESTS = 80
+"""Requests of which a head that sheds load gets none, twenty a second."""
 
 ON_ITS_WAY = 0.5
 """Seconds after a target's answer in which requests that had left before may arrive."""
 
 ENTRIES = 2
 WRITTEN_SINCE = 2_000
-"""Writes that the store loses as it comes back from a copy."""
+"""Writes that the store loses as it is restored from a backup."""
 
 IN_FORCE = 2.0
 """Seconds after which a configuration must be in force."""
@@ -95,35 +95,37 @@
     print(f"a head that takes {LIMIT} a second got {len(told)} requests in {LIMIT_WINDOW} s")
 
 
-async def _show_rest(site: StandInSite, caller: HttpCaller, counts: Counter[str]) -> None:
-    """Have a head ask for rest, and count what an entry host sends it meanwhile."""
+async def _show_backoff(site: StandInSite, caller: HttpCaller, counts: Counter[str]) -> None:
+    """Have a head ask to back off, and count what an entry host sends it meanwhile."""
     head = site.entries[0].candidates("pool", SMALL)[0].host.instance.name
     demand = site.engines.host_by_instance[head].demand
-    demand.limit, demand.rest = "", str(REST)
+    demand.limit, demand.backoff = "", str(BACKOFF)
     demand.arrivals.clear()
     asked = []
-    for number in range(REST_REQUESTS):
+    for number in range(BACKOFF_REQUESTS):
         # Even numbers go to the first entry host, and odd ones to the small model.
         asked.append(asyncio.create_task(_ask(site, caller, 3_001 + 2 * number)))
         await asyncio.sleep(0.05)
     await asyncio.gather(*asked)
     first = demand.arrivals[0] if demand.arrivals else 0.0
-    counts["rested"] = sum(first + ON_ITS_WAY < at < first + REST for at in demand.arrivals)
-    demand.rest = ""
-    print(f"a head that asked for {REST} s of rest got {counts['rested']} requests in it")
+    counts["held off"] = sum(first + ON_ITS_WAY < at < first + BACKOFF for at in demand.arrivals)
+    demand.backoff = ""
+    print(f"a head that asked for {BACKOFF} s of back-off got {counts['held off']} requests in it")
 
 
 async def _show_restored(site: StandInSite, counts: Counter[str]) -> None:
-    """Have the store come back from a copy, and change the configuration below known numbers."""
-    copy = site.store.copy()
+    """Restore the store from a backup, and change the configuration below known numbers."""
+    backup = site.store.back_up()
     for _ in range(WRITTEN_SINCE):
         site.store.put("elsewhere", b"x")
-    await until(lambda: all(_revision(e) > copy.revision + WRITTEN_SINCE for e in site.entries))
-    site.store.restore(copy)
+    await until(lambda: all(_revision(e) > backup.revision + WRITTEN_SINCE for e in site.entries))
+    site.store.restore(backup)
     site.configure(2, {"hall": ["key-a"]})
     await asyncio.sleep(IN_FORCE)
     counts["restored"] = sum(_version(e) == 2 for e in site.entries)
-    print(f"the store came back from a copy; {counts['restored']} hosts heard of what came after")
+    print(
+        f"the store was restored from a backup; {counts['restored']} hosts heard of what came after"
+    )
 
 
 def _revision(entry: EntryHost) -> int:
@@ -161,7 +163,7 @@
         f"a request that ends whoever begins it came {FATAL_TIMES} times, ended {counts['ended']}"
     )
     await _show_limit(site, caller, counts)
-    await _show_rest(site, caller, counts)
+    await _show_backoff(site, caller, counts)
     await _show_restored(site, counts)
     sizes = {r.group: r.members_ready for r in site.engines.runs}
     counts["partial"] = sum(1 for size in sizes.values() if size not in (2, 3))
@@ -177,7 +179,7 @@
     print("platform demo: " + " ".join(f"{name}={counts[name]}" for name in names))
     well = counts["answered"] == REQUESTS and not counts["partial"]
     within = counts["limited"] <= 1.5 * LIMIT * LIMIT_WINDOW + 5
-    heard = not counts["rested"] and counts["restored"] == ENTRIES
+    heard = not counts["held off"] and counts["restored"] == ENTRIES
     return 0 if well and within and heard and 0 < counts["ended"] <= MOST_ENDED else 1
 
 
--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -58,15 +58,15 @@
     """What a target says of the requests that it takes, and when they came.
 
     :param limit: value of the header that names its limit, empty for none
-    :param rest: value of the header by which it asks for rest as it turns a request away with 503,
-        empty where it takes requests
+    :param backoff: value of the header by which it asks callers to back off as it turns a request
+        away, empty where it takes requests
     :param leaving: it says in all its answers that it leaves
     """
 
     def __init__(self) -> None:
         self.leaving = False
         self.limit = ""
-        self.rest = ""
+        self.backoff = ""
         self.arrivals: list[float] = []
 
     def arrived(self) -> None:
@@ -81,12 +81,12 @@
             handler.set_header(LEAVING_HEADER, "1")
 
     def turns_away(self, handler: RequestHandler) -> bool:
-        """Turn a request away if the target wants rest; return whether it did."""
-        if not self.rest:
+        """Turn a request away if the target sheds load; return whether it did."""
+        if not self.backoff:
             return False
         handler.set_status(503)
         handler.set_header("Not-Executed", "1")
-        handler.set_header("Retry-After", self.rest)
+        handler.set_header("Retry-After", self.backoff)
         return True
 
 
--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -34,7 +34,7 @@
 from oleanderhill.serving.forwarding import Notice
 
 from ..proving import Mutant, testing
-from . import era_mutants, notice_mutants
+from . import notice_mutants, restored_mutants
 
 
 def mutants() -> list[Mutant]:
@@ -142,7 +142,7 @@
         *_of_endings(),
         *_of_limits(),
         *notice_mutants.mutants(),
-        *era_mutants.mutants(),
+        *restored_mutants.mutants(),
     ]
 
 
--- a/dev/oleanderhill_dev/users/notice_mutants.py
+++ b/dev/oleanderhill_dev/users/notice_mutants.py
@@ -6,15 +6,15 @@
 
 from oleanderhill.groups import inventory
 from oleanderhill.platform import headers
-from oleanderhill.routing import rests
+from oleanderhill.routing import backoffs
 from oleanderhill.serving import driver, leaving, notices, placing
 
 from ..proving import Mutant, testing
 
 
 def mutants() -> list[Mutant]:
-    """Return the mutants of rests and of targets that leave."""
-    return [*_of_rests(), *_of_leaving()]
+    """Return the mutants of back-offs and of targets that leave."""
+    return [*_of_backoffs(), *_of_leaving()]
 
 
 def _of_leaving() -> list[Mutant]:
@@ -52,20 +52,22 @@
 _LEAVE = inventory.Inventory.leave
 
 
-def _of_rests() -> list[Mutant]:
-    book = rests.Rests
-    site, account, place = (f"test_rests.{c}" for c in ("RestTest", "RestsTest", "PlacingTest"))
+def _of_backoffs() -> list[Mutant]:
+    book = backoffs.Backoffs
+    site, account, place = (
+        f"test_backoffs.{c}" for c in ("BackoffTest", "BackoffsTest", "PlacingTest")
+    )
     return [
         Mutant(
-            "rests are read from answers",
-            [(headers, "_rest", lambda headers: None)],
-            testing(f"{site}.test_resting_head_gets_nothing_while_its_streams_go_on"),
+            "back-offs are read from answers",
+            [(headers, "_backoff", lambda headers: None)],
+            testing(f"{site}.test_head_backed_off_from_gets_nothing_while_its_streams_go_on"),
         ),
         Mutant(
-            "a resting target is no candidate",
+            "a target that asked to back off is no candidate",
             [(book, "may_take", lambda self, life, now: True)],
             testing(
-                f"{place}.test_resting_target_is_passed_over_though_others_are_doubtful_and_it_sends"
+                f"{place}.test_target_backed_off_from_is_passed_over_though_others_are_doubtful_and_it_sends"
             ),
         ),
         Mutant(
@@ -76,20 +78,20 @@
         Mutant(
             "the latest end that was named",
             [(book, "ask", _ask_last)],
-            testing(f"{account}.test_rest_lasts_until_the_latest_end_that_was_named"),
+            testing(f"{account}.test_backoff_lasts_until_the_latest_end_that_was_named"),
         ),
         Mutant(
-            "one request tries a target after its rest",
+            "one request tries a target after its time",
             [(book, "take", lambda self, life: False)],
-            testing(f"{account}.test_one_request_at_a_time_tries_a_target_after_its_rest"),
+            testing(f"{account}.test_one_request_at_a_time_tries_a_target_after_its_time"),
         ),
         Mutant(
-            "orders and probes wait for the end of a rest",
+            "orders and probes wait for the end of a back-off",
             [(notices.TargetNotices, "may_ask", lambda self, instance: True)],
-            testing(f"{site}.test_neither_orders_nor_probes_go_to_a_resting_host"),
+            testing(f"{site}.test_neither_orders_nor_probes_go_to_a_host_backed_off_from"),
         ),
         Mutant(
-            "a rest is no sign of trouble",
+            "a back-off is no sign of trouble",
             [
                 (
                     driver.Exchange,
@@ -97,19 +99,19 @@
                     lambda self, c, reason, n: self._suspect(c, reason),
                 )
             ],
-            testing(f"{site}.test_rest_puts_nobody_in_doubt_and_has_nobody_probed"),
+            testing(f"{site}.test_backoff_puts_nobody_in_doubt_and_has_nobody_probed"),
         ),
         Mutant(
-            "a target that asked a peer for rest is used last",
-            [(placing.LoadBook, "hear_resting", lambda self, lives, now: None)],
+            "a target that asked a peer to back off is used last",
+            [(placing.LoadBook, "hear_backoffs", lambda self, lives, now: None)],
             testing(f"{place}.test_target_that_asked_a_peer_is_used_last_but_used"),
         ),
     ]
 
 
 def _ask_last(self: Any, life: str, seconds: float, now: float) -> bool:
-    self._rest_by_life.pop(life, None)
+    self._backoff_by_life.pop(life, None)
     return _ASK(self, life, seconds, now)
 
 
-_ASK = rests.Rests.ask
+_ASK = backoffs.Backoffs.ask
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -32,7 +32,7 @@
 from .engines import Demand, StandInHost
 from .faulty_link import FaultyLink, LinkState
 from .site import LARGE, SMALL, StandInSite, garbage, until
-from .soak_store import CopiedStore
+from .soak_store import RestoredStore
 
 ROOT = Path(__file__).resolve().parents[3]
 ENTRIES = 3
@@ -59,11 +59,11 @@
 
 LIMITS = (0.0, 0.5, 1.2, 4.0)
 
-RESTS = (0.5, 1.5, 3.0)
+BACKOFFS = (0.5, 1.5, 3.0)
 """Seconds for which targets ask to be left alone."""
 
-RESTED_MOST = 3
-"""Requests that an entry host may send within a rest: two, and the first that tries the target."""
+BACKED_OFF_MOST = 3
+"""Requests that an entry host may send within a back-off: two, and the first one after it."""
 
 LEFT_ALONE = 2.0
 """Seconds after a target's word that it leaves in which requests may still come to it."""
@@ -179,9 +179,9 @@
 
     :param culprits: requests that end each host that begins them
     :param limited: an engine host and a plain target name limits, change and withdraw them
-    :param speaking: an engine host and a plain target ask for rest, and another host says in its
+    :param speaking: an engine host and a plain target ask to back off, and another host says in its
         answers that it leaves
-    :param restored: the store comes back from copies of itself
+    :param restored: the store is restored from backups of itself
     """
 
     def __init__(
@@ -196,13 +196,13 @@
         self._seed, self._culprits, self._limited = seed, culprits, limited
         self._speaking, self._restored = speaking, restored
         self._limits: list[tuple[Demand, float]] = []
-        self._rests: list[tuple[Demand, float]] = []
+        self._backoffs: list[tuple[Demand, float]] = []
         self._left: Demand | None = None
         self._rng = random.Random(seed)
         self._folder = folder
         self.site = StandInSite()
-        copies = random.Random(f"{seed} copies")
-        self._copied = CopiedStore(self.site.store, copies, self.site.write_again)
+        drawn = random.Random(f"{seed} copies")
+        self._restoring = RestoredStore(self.site.store, drawn, self.site.write_again)
         self.programs: list[Program] = []
         self.asked: list[Asked] = []
         self.removed_at: dict[str, float] = {}
@@ -240,7 +240,7 @@
             await asyncio.gather(*beside, return_exceptions=True)
             if self._restored:
                 # The last change is lower in number than much that the entry hosts have seen.
-                self._copied.come_back_from_oldest()
+                self._restoring.restore_oldest()
                 await self._remove_key()
             self._calm_since = time.monotonic()
             await asyncio.sleep(QUIET_SECONDS)
@@ -311,10 +311,12 @@
         """Return what came to targets that wanted nothing, once all entry hosts must know."""
         found = []
         known = self._calm_since + SETTLED
-        for demand, rest in self._rests:
-            most = most_within(rest, demand.arrivals, known)
-            if demand.rest and most > RESTED_MOST * ENTRIES:
-                found.append(f"a target that asked for {rest} s of rest got {most} requests in it")
+        for demand, backoff in self._backoffs:
+            most = most_within(backoff, demand.arrivals, known)
+            if demand.backoff and most > BACKED_OFF_MOST * ENTRIES:
+                found.append(
+                    f"a target that asked for {backoff} s of back-off got {most} requests in it"
+                )
         late = [] if self._left is None else [a for a in self._left.arrivals if a > known]
         if late and late[-1] > late[0] + LEFT_ALONE:
             found.append(f"a target that had said that it leaves got {len(late)} requests")
@@ -392,7 +394,7 @@
         if self._speaking:
             beside.append(self._speak())
         if self._restored:
-            beside += [self._copied.copy(), self._copied.restore()]
+            beside += [self._restoring.back_up(), self._restoring.restore()]
         return beside
 
     def _heads(self) -> list[StandInHost]:
@@ -401,7 +403,7 @@
         return [h for h in found if h.group is not None and h.group["state"] == "open"]
 
     async def _speak(self) -> None:
-        """Have targets ask for rest and take requests again, and one host leave by its answers."""
+        """Have targets shed load and take requests again, and one host leave by its answers."""
         rng = random.Random(f"{self._seed} words")
         while True:
             await asyncio.sleep(rng.uniform(0.3, 2.0))
@@ -409,11 +411,11 @@
             if self._left is None and len(heads) > 2 and rng.random() < 0.4:
                 self._left = heads[-1].demand
                 self._left.leaving = True
-            rest = rng.choice(RESTS)
+            backoff = rng.choice(BACKOFFS)
             demand = rng.choice([*(h.demand for h in heads[:1]), self.site.targets[0].demand])
-            demand.rest = "" if rng.random() < 0.3 else str(rest)
-            self._rests = [(d, r) for d, r in self._rests if d is not demand]
-            self._rests.append((demand, rest))
+            demand.backoff = "" if rng.random() < 0.3 else str(backoff)
+            self._backoffs = [(d, r) for d, r in self._backoffs if d is not demand]
+            self._backoffs.append((demand, backoff))
 
     async def _name_limits(self) -> None:
         """Name, change and withdraw limits; the last ones stand until the end."""
@@ -574,7 +576,8 @@
         f"soak: seed={seed} faults={len(played.faults)} requests={len(played.asked)} "
         f"answered={statuses[200]} "
         f"limits={[d.limit for d, _ in played._limits]} "
-        f"rests={[d.rest for d, _ in played._rests]} era={played.site.store.era} "
+        f"backoffs={[d.backoff for d, _ in played._backoffs]} "
+        f"generation={played.site.store.generation} "
         f"ended={[len(e) for e in played.site.engines.ended_by.values()]} broken={len(broken)}",
         flush=True,
     )
@@ -606,8 +609,8 @@
     first, count = (int(a) for a in (sys.argv[1:] or ["1", "5"])[:2])
     failed = 0
     for seed in range(first, first + count):
-        # Of four seeds one has limits alone, one limits and rests, one a store that comes back
-        # from copies, and one rests beside it.
+        # Of four seeds one has limits alone, one limits and back-offs, one a store that comes back
+        # from backups, and one back-offs beside it.
         restored = seed % 4 > 1
         played = play(seed, seed % MOST_CULPRITS, not restored, seed % 2 == 1, restored)
         failed += bool(played.found)
--- a/dev/oleanderhill_dev/users/soak_store.py
+++ b/dev/oleanderhill_dev/users/soak_store.py
@@ -1,4 +1,4 @@
-"""A store that comes back from copies of itself while a soak is played."""
+"""A store that is restored from backups of itself while a soak is played."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from collections import deque
 from collections.abc import Callable
 
-from .store import StandInStore, StoreCopy
+from .store import StandInStore, StoreBackup
 
-COPY_EVERY = 0.2
-COPIES = 25
-"""Copies kept: the oldest is five seconds old."""
+BACK_UP_EVERY = 0.2
+BACKUPS = 25
+"""Backups kept: the oldest is five seconds old."""
 
 AWAY_MOST = 1.5
 """Seconds for which the store is away at most before it comes back."""
@@ -20,8 +20,8 @@
 """Seconds in which the operator and the plain targets write again what was lost."""
 
 
-class CopiedStore:
-    """Takes copies of a store, and has it come back from one of them now and then.
+class RestoredStore:
+    """Takes backups of a store, and has it be restored from one of them now and then.
 
     :param write_again: writes what the operator and the targets had written
     """
@@ -32,26 +32,26 @@
         self._store = store
         self._rng = rng
         self._write_again = write_again
-        self._copies: deque[StoreCopy] = deque(maxlen=COPIES)
+        self._backups: deque[StoreBackup] = deque(maxlen=BACKUPS)
 
-    async def copy(self) -> None:
-        """Take copies until cancelled."""
+    async def back_up(self) -> None:
+        """Take backups until cancelled."""
         while True:
-            self._copies.append(self._store.copy())
-            await asyncio.sleep(COPY_EVERY)
+            self._backups.append(self._store.back_up())
+            await asyncio.sleep(BACK_UP_EVERY)
 
-    def come_back_from_oldest(self) -> None:
-        """Come back from the oldest copy, and have written again what is lost."""
-        if self._copies:
-            self.come_back(self._copies[0])
+    def restore_oldest(self) -> None:
+        """Restore the oldest backup, and have written again what is lost."""
+        if self._backups:
+            self.restore_from(self._backups[0])
             self._write_again()
 
-    def come_back(self, copy: StoreCopy) -> None:
-        """Come back from a copy."""
-        self._store.restore(copy)
-        # What was written after the copy is in no later one either.
-        self._copies.clear()
-        self._copies.append(self._store.copy())
+    def restore_from(self, backup: StoreBackup) -> None:
+        """Restore a backup."""
+        self._store.restore(backup)
+        # What was written after the backup is in no later one either.
+        self._backups.clear()
+        self._backups.append(self._store.back_up())
 
     async def restore(self) -> None:
         """Go away and come back until cancelled."""
@@ -62,6 +62,6 @@
                 await asyncio.sleep(self._rng.uniform(0.0, AWAY_MOST))
             finally:
                 self._store.faults.silent = False
-            self.come_back(self._rng.choice(self._copies))
+            self.restore_from(self._rng.choice(self._backups))
             await asyncio.sleep(self._rng.uniform(0.0, WRITES_AGAIN_WITHIN))
             self._write_again()
--- a/dev/oleanderhill_dev/users/store.py
+++ b/dev/oleanderhill_dev/users/store.py
@@ -44,7 +44,7 @@
         self.late_by = 1.0
 
 
-class StoreCopy(NamedTuple):
+class StoreBackup(NamedTuple):
     """What the store held at a moment."""
 
     items: dict[str, StoredItem]
@@ -55,11 +55,11 @@
 class StandInStore:
     """The store's content and what it does with it.
 
-    :ivar era: rises each time that the store comes back from a copy
+    :ivar generation: rises each time that the store is restored from a backup
     """
 
     def __init__(self) -> None:
-        self.era = 1
+        self.generation = 1
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
         self.history: list[dict[str, Any]] = []
@@ -101,16 +101,16 @@
         self.history.clear()
         self.forgotten = self.revision
 
-    def copy(self) -> StoreCopy:
-        """Return a copy from which the store can come back."""
-        return StoreCopy(dict(self.items), self.revision, frozenset(self.lease_ends))
+    def back_up(self) -> StoreBackup:
+        """Return a backup from which the store can be restored."""
+        return StoreBackup(dict(self.items), self.revision, frozenset(self.lease_ends))
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Come back from a copy: what was written since is gone, and its revisions come again."""
-        self.era += 1
-        self.items, self.revision = dict(copy.items), copy.revision
-        self.history = [e for e in self.history if e["revision"] <= copy.revision]
-        self.lease_ends = {n: e for n, e in self.lease_ends.items() if n in copy.leases}
+    def restore(self, backup: StoreBackup) -> None:
+        """Restore a backup: what was written since is gone, and its revisions come again."""
+        self.generation += 1
+        self.items, self.revision = dict(backup.items), backup.revision
+        self.history = [e for e in self.history if e["revision"] <= backup.revision]
+        self.lease_ends = {n: e for n, e in self.lease_ends.items() if n in backup.leases}
         self._changed.set()
 
     def end_lease(self, lease: int) -> bool:
@@ -182,7 +182,7 @@
 
     def answer(self, status: int, body: dict[str, Any]) -> None:
         self.set_status(status)
-        self.set_header("Store-Era", str(self.store.era))
+        self.set_header("Store-Era", str(self.store.generation))
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(body))
 
--- a/src/oleanderhill/clients/changelog.py
+++ b/src/oleanderhill/clients/changelog.py
@@ -34,8 +34,8 @@
 
     def take(self, revision: Revision, changes: Sequence[Change]) -> None:
         """Take the changes of a reading that reached a revision."""
-        if self.revision is None or self.revision.era < revision.era:
-            # Who has read an earlier era lacks more than the changes of this one.
+        if self.revision is None or self.revision.generation < revision.generation:
+            # Who has read an earlier generation lacks more than the changes of this one.
             self._since = revision
             self._entries.clear()
         self.revision = max(revision, self.revision or NEVER)
@@ -61,6 +61,10 @@
 
     def since(self, after: Revision) -> Sequence[Change] | None:
         """Return the changes after a revision, ``None`` where they are not all kept."""
-        if self.revision is None or after < self._since or after.era != self.revision.era:
+        if (
+            self.revision is None
+            or after < self._since
+            or after.generation != self.revision.generation
+        ):
             return None
         return [e.change for e in self._entries if e.at > after]
--- a/src/oleanderhill/clients/keyed.py
+++ b/src/oleanderhill/clients/keyed.py
@@ -19,12 +19,12 @@
 class KeyedCopy(Generic[Value]):
     """Values by key, each at its newest revision, decoded as they come.
 
-    What this process has read outlasts a store that comes back from a copy, until somebody writes
-    it again or its time is over.
+    What this process has read outlasts a store that is restored from a backup, until somebody
+    writes it again or its time is over.
 
     :param decode: returns a value, or raises ``ValueError`` for one that is malformed
     :param outlasts: tells whether a value that is held is newer than one that was read of a later
-        era of the store, which may be of before the held one
+        generation of the store, which may be of before the held one
     :param lost_last: seconds for which values are kept that a restored store does not have
     """
 
@@ -46,7 +46,7 @@
         self.changes = 0
 
     def restored(self, now: float) -> None:
-        """Take note that the next content is of a store that came back from a copy."""
+        """Take note that the next content is of a store that was restored from a backup."""
         self._restored_at = now
 
     def replace(self, items: Sequence[Item], now: float) -> None:
@@ -97,7 +97,11 @@
             self._records.note("store", "malformed", key=key, reason=str(error))
             return False
         self._lost_until.pop(key, None)
-        if held is not None and held[1].era < revision.era and self._outlasts(held[0], decoded):
+        if (
+            held is not None
+            and held[1].generation < revision.generation
+            and self._outlasts(held[0], decoded)
+        ):
             # What is written next must name what the store has.
             self._held[key] = (held[0], revision)
             return False
--- a/src/oleanderhill/clients/mirror.py
+++ b/src/oleanderhill/clients/mirror.py
@@ -52,7 +52,7 @@
     :param replace: takes the whole content anew, with the time of reading
     :param change: takes one change, with the time of reading; returns whether it meant anything
     :param restored: called before ``replace`` takes content that is older than what is held, as the
-        store came back from a copy
+        store was restored from a backup
     :param kept: returns what is held that the store has lost, for those who read from this host
     """
 
@@ -73,7 +73,7 @@
         """Take one change; return whether it meant anything."""
 
     def restored(self, now: float) -> None:
-        """Take note that the next content is of a store that came back from a copy."""
+        """Take note that the next content is of a store that was restored from a backup."""
 
 
 def follow(prefix: str, copy: Restorable) -> Follower:
@@ -85,7 +85,7 @@
     """Owns the readings.
 
     :param settled: called once after each reading, with the time of reading
-    :ivar restored: times that the store came back from a copy
+    :ivar restored: times that the store was restored from a backup
     :param doubted: called before a reading is taken whose missing entries may come back, with the
         time until which they may
     """
@@ -159,17 +159,17 @@
         """Tell whether there is nothing to tell a peer yet."""
         if self.log.revision is None or after is None:
             return self.log.revision is None
-        if after.era > self.log.revision.era:
+        if after.generation > self.log.revision.generation:
             return True
         changes = self.log.since(after)
         return changes is not None and not changes
 
     def _reading_for(self, after: Revision | None) -> Reading | None:
         revision = self.log.revision
-        if revision is None or (after is not None and after.era > revision.era):
+        if revision is None or (after is not None and after.generation > revision.generation):
             return None
-        # Whoever has read another era lacks everything, also what was not changed since.
-        whole = after is None or after.era < revision.era
+        # Whoever has read another generation lacks everything, also what was not changed since.
+        whole = after is None or after.generation < revision.generation
         changes = self.log.content() if after is None or whole else self.log.since(after)
         if changes is None:
             return None
@@ -216,11 +216,11 @@
     def _take(self, found: Reading) -> None:
         now = awake_or_not()
         held = self.log.revision
-        if held is not None and found.revision.era < held.era:
-            return  # it was on its way while the store came back from a copy
+        if held is not None and found.revision.generation < held.generation:
+            return  # it was on its way while the store was restored from a backup
         if found.doubt > 0:
             self._doubt(now + found.doubt)
-        if held is not None and found.revision.era > held.era:
+        if held is not None and found.revision.generation > held.generation:
             self._restored(held, found, now)
         if found.whole:
             self._replace(found, now)
@@ -239,10 +239,10 @@
         """Take note that what is read next is older than what is held."""
         self._records.note(
             "dependency",
-            "era began",
+            "generation began",
             dependency="store",
-            era=found.revision.era,
-            before=held.era,
+            generation=found.revision.generation,
+            before=held.generation,
             revision=found.revision.number,
             held=held.number,
             source=self._source,
--- a/src/oleanderhill/clients/readings.py
+++ b/src/oleanderhill/clients/readings.py
@@ -12,7 +12,7 @@
 from ..clock import awake_or_not
 from ..exceptions import StoreCutError, StoreError
 from ..records import Records
-from .storage import Change, Changes, EraEndedError, HistoryLostError, Revision, Storage
+from .storage import Change, Changes, GenerationEndedError, HistoryLostError, Revision, Storage
 
 DEAF = 1.3
 """Seconds of changes that a reading may miss: before it drops its history the store may tell
@@ -28,8 +28,8 @@
 
 
 RESTORED_SETTLES = 1.0
-"""Seconds after the store came back from a copy in which it proves nothing: what operators wrote
-after the copy is written again meanwhile, and until then a key that was taken away is in it."""
+"""Seconds after the store was restored from a backup in which it proves nothing: what operators
+wrote since is written again meanwhile, and until then a key that was taken away is in it."""
 
 _PROVED = "unchanged"
 _CHANGED = "the store holds another revision"
@@ -43,7 +43,7 @@
     :param proved_at: time at which this content is proved to have been the newest
     :param read_at: time at which the store was asked
     :param doubt: seconds for which entries that are missing may yet come back
-    :param settling: seconds in which a store whose era has just begun proves nothing
+    :param settling: seconds in which a store whose generation has just begun proves nothing
     """
 
     revision: Revision
@@ -193,7 +193,7 @@
             listing = found.unwrap()
             revisions.append(listing.revision)
             items += [Change(i.key, i.value, i.revision) for i in listing.items]
-        if len({r.era for r in revisions}) > 1:
-            return Failure(EraEndedError())
+        if len({r.generation for r in revisions}) > 1:
+            return Failure(GenerationEndedError())
         # The listings are not one snapshot; whatever changed after the oldest comes again.
         return Success(Reading(min(revisions), True, items, began, began))
--- a/src/oleanderhill/clients/relay.py
+++ b/src/oleanderhill/clients/relay.py
@@ -55,7 +55,7 @@
     :param proof_age: seconds since the content was proved to be the newest
     :param read_age: seconds since the store was asked
     :param doubt: seconds for which entries that are missing may yet come back
-    :param settling: seconds in which a store whose era has just begun proves nothing
+    :param settling: seconds in which a store whose generation has just begun proves nothing
     """
 
     revision: Revision
@@ -85,7 +85,11 @@
 
     async def read(self, after: Revision | None, began: float) -> Result[Reading, StoreError]:
         """Ask the peer for what changed after a revision."""
-        query = "" if after is None else "?" + urlencode({"era": after.era, "after": after.number})
+        query = (
+            ""
+            if after is None
+            else "?" + urlencode({"generation": after.generation, "after": after.number})
+        )
         call = Call(
             self._address,
             "GET",
@@ -107,7 +111,7 @@
             changes = _CHANGES_DECODER.decode(grow(passage.changes))
         except msgspec.DecodeError as error:
             return Failure(StoreUnavailableError(f"{self.name}: malformed reading: {error}"))
-        if after is not None and passage.revision.era < after.era:
+        if after is not None and passage.revision.generation < after.generation:
             # What it proves, it proves of content that the store no longer has.
             return Failure(NoReadingError(self.name))
         if after is not None and passage.revision < after:
@@ -181,11 +185,11 @@
     async def answer(self, path: str, connection: HTTPConnection) -> None:
         """Answer one question: 200 with a reading, 400, or 503 where this host has none to give."""
         query = parse_qs(urlsplit(path).query)
-        after, era = query.get("after", [""])[0], query.get("era", ["0"])[0]
-        if not era.isdecimal() or (after and not after.isdecimal()):
+        after, generation = query.get("after", [""])[0], query.get("generation", ["0"])[0]
+        if not generation.isdecimal() or (after and not after.isdecimal()):
             _reply(connection, 400, b"")
             return
-        since = Revision(int(era), int(after)) if after else None
+        since = Revision(int(generation), int(after)) if after else None
         reading = await self._mirror.news(since, HOLD)
         if reading is None:
             _reply(connection, 503, b"")
--- a/src/oleanderhill/clients/storage.py
+++ b/src/oleanderhill/clients/storage.py
@@ -18,13 +18,13 @@
 class Revision(NamedTuple):
     """A moment of the store's content.
 
-    A store that comes back from a copy gives its revisions out again, for other content. They are
-    numbers within one era; the content of a later era is the newer one, whatever its numbers.
+    A store that is restored from a backup gives its numbers out again, for other content. They
+    count within one generation; the content of a later generation is the newer one.
 
-    :param era: rises each time that the store comes back from a copy, 0 where it names none
+    :param generation: rises each time that the store is restored, 0 where it names none
     """
 
-    era: int
+    generation: int
     number: int
 
 
@@ -33,9 +33,9 @@
 
 
 class Lease(NamedTuple):
-    """A lease; in a later era the same id may be another's."""
+    """A lease; in a later generation the same id may be another's."""
 
-    era: int
+    generation: int
     id: int
 
 
@@ -46,11 +46,11 @@
         super().__init__("the store no longer has these changes")
 
 
-class EraEndedError(StoreError):
-    """The call names a revision of an era that is over: nothing was asked of the store."""
+class GenerationEndedError(StoreError):
+    """The call names a revision of a generation that is over: nothing was asked of the store."""
 
     def __init__(self) -> None:
-        super().__init__("the store has come back from a copy since")
+        super().__init__("the store was restored from a backup since")
 
 
 class StoreConflictError(StoreError):
@@ -115,7 +115,7 @@
     async def changes(self, after: Revision) -> Result[Changes, StoreError]:
         """Read what changed after a revision, all keys, waiting a short while if nothing did.
 
-        :return: :class:`HistoryLostError` also where that revision is of another era
+        :return: :class:`HistoryLostError` also where that revision is of another generation
         """
 
     async def unchanged(self, expected: Mapping[str, Revision]) -> Result[bool, StoreError]:
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -183,9 +183,9 @@
         held = self._plans.get(plan_key(domain))
         plan, revision = held if held is not None else (DomainPlan(domain), NEVER)
         if owns(plan, self._me):
-            if plan.era < self._era():
-                reason = "the store came back from a copy"
-                self._write(plan, revision, renewed(plan, self._era()), reason)
+            if plan.generation < self._generation():
+                reason = "the store was restored from a backup"
+                self._write(plan, revision, renewed(plan, self._generation()), reason)
                 return
             self._keep(now, plan, revision, hosts_by_domain, catalog)
             return
@@ -326,14 +326,14 @@
         keeper.ended(order, end, now)
         self.look_soon()
 
-    def _era(self) -> int:
-        """Return the era of the store that was last read."""
-        return 0 if self._mirror.log.revision is None else self._mirror.log.revision.era
+    def _generation(self) -> int:
+        """Return the generation of the store that was last read."""
+        return 0 if self._mirror.log.revision is None else self._mirror.log.revision.generation
 
     def _write(self, plan: DomainPlan, revision: Revision, new: DomainPlan, reason: str) -> None:
         self._writing.add(plan.domain)
-        if plan.era < self._era() and new.era < self._era():
-            new = renewed(new, self._era())
+        if plan.generation < self._generation() and new.generation < self._generation():
+            new = renewed(new, self._generation())
         written = new._replace(write_id=secrets.token_hex(6), version=plan.version + 1)
         self.spawn(self._commit(revision, written, reason))
 
--- a/src/oleanderhill/groups/plans.py
+++ b/src/oleanderhill/groups/plans.py
@@ -17,11 +17,11 @@
 
 
 TERMS_LEFT_OUT = 100
-"""Terms that may have been given out between a copy of the store and its return."""
+"""Terms that may have been given out between a backup of the store and its return."""
 
 EPOCHS_LEFT_OUT = 1_000
-"""Epochs that may have been given out between a copy of the store and its return: a domain forms a
-few groups a second at most, and a copy is some seconds old."""
+"""Epochs that may have been given out between a backup of the store and its restore: a domain forms
+a few groups a second at most, and a backup is some seconds old."""
 
 
 PLANS_OUTLAST = 60.0
@@ -52,7 +52,7 @@
     :param owner: entry host that may give orders; ``owner_life`` is the start of it that may
     :param term: rises with each take-over; the fencing number of the owner's orders
     :param last_epoch: epoch of the latest group
-    :param era: of the store, in which it was last written
+    :param generation: of the store, in which it was last written
     :param version: counts the writes of its owners
     :param write_id: of the latest write, by which its writer knows it again when its answer is lost
     """
@@ -64,7 +64,7 @@
     last_epoch: int = 0
     groups: tuple[PlannedGroup, ...] = ()
     write_id: str = ""
-    era: int = 0
+    generation: int = 0
     version: int = 0
 
     def with_group(self, model: str, members: tuple[Instance, ...]) -> DomainPlan:
@@ -79,24 +79,26 @@
 
 
 def outlasts(held: DomainPlan, read: DomainPlan) -> bool:
-    """Tell whether a plan that is held is newer than one of a store that came back from a copy.
+    """Tell whether a plan that is held is newer than one of a restored store.
 
     One that was written since the store came back holds, whatever it was made from: its owner has
     given orders by it.
     """
-    return (held.era, held.term, held.version) > (read.era, read.term, read.version)
+    return (held.generation, held.term, held.version) > (read.generation, read.term, read.version)
 
 
-def renewed(plan: DomainPlan, era: int) -> DomainPlan:
-    """Return a plan as it is written in a new era of the store.
+def renewed(plan: DomainPlan, generation: int) -> DomainPlan:
+    """Return a plan as it is written in a new generation of the store.
 
-    Terms and epochs that were given out after the copy are known to engine hosts, and to nobody
+    Terms and epochs that were given out after the backup are known to engine hosts, and to nobody
     else perhaps. Given out again they would stand for other owners and groups; some are left out.
     """
     if not plan.last_epoch:
-        return plan._replace(era=era)
+        return plan._replace(generation=generation)
     return plan._replace(
-        era=era, term=plan.term + TERMS_LEFT_OUT, last_epoch=plan.last_epoch + EPOCHS_LEFT_OUT
+        generation=generation,
+        term=plan.term + TERMS_LEFT_OUT,
+        last_epoch=plan.last_epoch + EPOCHS_LEFT_OUT,
     )
 
 
--- a/src/oleanderhill/platform/configuration.py
+++ b/src/oleanderhill/platform/configuration.py
@@ -49,7 +49,7 @@
             self._records.note("settings", "malformed", revision=revision, reason=str(error))
             return False
         if self.catalog is not None and catalog.version < self.catalog.version:
-            # The store came back from a copy and has lost the one in force.
+            # The store was restored from a backup and has lost the one in force.
             self._note_older(catalog, revision)
             return False
         self._take(catalog, Change(key, value, revision))
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -31,7 +31,7 @@
 from ..kernel import Kernel
 from ..outcomes import Problem
 from ..records import Records, keep_flushing, log_bounded
-from ..routing.rests import Rests
+from ..routing.backoffs import Backoffs
 from ..routing.target_limits import Asked, TargetLimits
 from ..serving.admission import ReturningCallers, admit
 from ..serving.driver import Exchange
@@ -116,7 +116,7 @@
         self._entries = KeyedCopy(decode_presence, records, lost_last=LEASE_SECONDS)
         self._view = ServingView(self._inventory, self._plans, rng)
         limits = TargetLimits(s.host)
-        self._book = LoadBook(s.data_centre, rng, limits, Rests())
+        self._book = LoadBook(s.data_centre, rng, limits, Backoffs())
         me = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -165,7 +165,7 @@
         )
         leaving = LeavingTargets(self._inventory, self._refresh, records)
         self._notices = TargetNotices(
-            self._inventory, self._book.rests, self._limits, leaving, records
+            self._inventory, self._book.backoffs, self._limits, leaving, records
         )
         self._owner = owner = OwnerTask(
             self.kernel,
@@ -296,8 +296,8 @@
         candidates = self._view.candidates(service, model)
         now = time.monotonic()
         limited_for = self._book.limited_for(candidates, model, now)
-        rest_left = self._book.rest_left(candidates, now)
-        return self._view.come_back(service, model, limited_for, rest_left)
+        backoff_left = self._book.backoff_left(candidates, now)
+        return self._view.come_back(service, model, limited_for, backoff_left)
 
     async def _look(self, name: str, address: str) -> Listening:
         """Look whether a target whose connections were lost is there, and the same."""
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -60,10 +60,10 @@
 """Characters of a number in a reply: a longer one is cut, and can't be read."""
 
 _TURNED_AWAY = frozenset({429, 503})
-"""Statuses of answers that may ask for rest."""
+"""Statuses of answers that may ask to back off."""
 
-UNREADABLE_REST = 2.0
-"""Seconds of rest where a target asks for some and for how long can't be read."""
+UNREADABLE_BACKOFF = 2.0
+"""Seconds of back-off where a target asks for one and for how long can't be read."""
 
 MOST_UNREAD = 64
 """Names of unread headers that are remembered: a target may send any."""
@@ -163,9 +163,9 @@
 
 def read_notice(status: int, headers: HTTPHeaders) -> Notice:
     """Return what a target says of itself in a reply to anything."""
-    rest = _rest(headers) if status in _TURNED_AWAY else None
+    backoff = _backoff(headers) if status in _TURNED_AWAY else None
     leaving = headers.get(LEAVING, "").strip() not in ("", "0")
-    return Notice(named_limit(headers), rest, leaving)
+    return Notice(named_limit(headers), backoff, leaving)
 
 
 def named_limit(headers: HTTPHeaders) -> NamedLimit | None:
@@ -174,7 +174,7 @@
     return min(map(_limit, named), key=lambda n: n.rate or 0.0, default=None)
 
 
-def _rest(headers: HTTPHeaders) -> float | None:
+def _backoff(headers: HTTPHeaders) -> float | None:
     """Return the seconds for which a target asks to be left alone, ``None`` where it does not.
 
     HTTP allows seconds or a date; of several the longest holds.
@@ -191,7 +191,7 @@
         spoken = parsedate_to_datetime(headers["Date"])
         return max(0.0, (parsedate_to_datetime(text) - spoken).total_seconds())
     except (KeyError, TypeError, ValueError):
-        return UNREADABLE_REST
+        return UNREADABLE_BACKOFF
 
 
 def _limit(text: str) -> NamedLimit:
--- a/src/oleanderhill/platform/host_list.py
+++ b/src/oleanderhill/platform/host_list.py
@@ -14,7 +14,7 @@
 """Characters of a key in the log: whoever writes into the list may choose a long one."""
 
 GONE_KEPT = 1_000
-"""Lives that went, of which a restored store may still have entries: a copy is seconds old."""
+"""Lives that went, of which a restored store may still have entries: it is seconds old."""
 
 HOSTS_IN_LINE = 30
 """Changed hosts in one line of the log, so that it stays under the 4,096 bytes that a pipe takes
@@ -41,10 +41,10 @@
     Hosts that changed are written together, in a line for each reading: at the start of a large
     fleet each changes several times within seconds.
 
-    A store that comes back from a copy lists hosts as they were. Taken at its word, groups formed
-    since would count as broken, hosts that ended since would get requests, and one that leaves
-    would seem to stay. So what is known here holds until a host has written its entry again, or
-    the time in which it would have is over.
+    A store that is restored from a backup lists hosts as they were. Taken at its word, groups
+    formed since would count as broken, hosts that ended since would get requests, and one that
+    leaves would seem to stay. So what is known here holds until a host has written its entry
+    again, or the time in which it would have is over.
 
     :param forget: drops what is kept of a life that is over
     :param entry_return: seconds after the return of the store in which hosts write again
@@ -68,7 +68,7 @@
         self._settled_at = float("-inf")
 
     def restored(self, now: float) -> None:
-        """Take note that the next list is of a store that came back from a copy."""
+        """Take note that the next list is of a store that was restored from a backup."""
         self._settled_at = now + self._entry_return
 
     def replace(self, items: Sequence[Item], now: float) -> None:
@@ -112,7 +112,7 @@
         for removal in self._inventory.expire(now):
             self._take_leave(removal)
         if self._of_before and now >= self._settled_at:
-            self._believe_the_copy()
+            self._take_the_backup()
         changed, self._changed = self._changed, []
         for first in range(0, len(changed), HOSTS_IN_LINE):
             hosts = changed[first : first + HOSTS_IN_LINE]
@@ -135,7 +135,7 @@
         """Tell whether a host was gone already when the store came back with its entry."""
         return now < self._settled_at and host.instance in self._gone
 
-    def _believe_the_copy(self) -> None:
+    def _take_the_backup(self) -> None:
         """Take the entries that nobody has written again."""
         hosts, self._of_before = self._of_before.values(), {}
         for host in hosts:
--- a/src/oleanderhill/platform/store.py
+++ b/src/oleanderhill/platform/store.py
@@ -16,7 +16,7 @@
     NEVER,
     Change,
     Changes,
-    EraEndedError,
+    GenerationEndedError,
     HistoryLostError,
     Item,
     Lease,
@@ -47,9 +47,9 @@
 MAX_PAGES = 200
 """Pages of a listing; each has some hundred items, so more of them is a fault of the store."""
 
-_ERA = "Store-Era"
-_LONGEST_ERA = 15
-"""Digits of an era."""
+_GENERATION = "Store-Era"
+_LONGEST_GENERATION = 15
+"""Digits of a generation."""
 
 _Kind = TypeVar("_Kind")
 
@@ -88,8 +88,8 @@
     """Calls to the store; reads and writes are counted, as each has its price.
 
     :param address: ``ip:port``
-    :ivar era: newest one that an answer named, 0 for none; it rises each time that the store comes
-        back from a copy
+    :ivar generation: newest one that an answer named, 0 for none; it rises each time that the
+        store is restored from a backup
     """
 
     def __init__(self, address: str, caller: HttpCaller, records: Records) -> None:
@@ -97,7 +97,7 @@
         self._caller = caller
         self._records = records
         self.calls_by_kind: dict[str, int] = {}
-        self.era = 0
+        self.generation = 0
 
     async def list(self, prefix: str) -> Result[Listing, StoreError]:
         """Read all items under a prefix. Pages are not one snapshot: the oldest revision counts."""
@@ -108,11 +108,11 @@
             found = await self._read("list", f"/kv-range?{urlencode(query)}", _Page)
             if not is_successful(found):
                 return Failure(found.failure())
-            era, page = found.unwrap()
-            if revision is not None and revision.era != era:
-                return Failure(EraEndedError())
-            items.extend(_item(i, era) for i in page.items)
-            revision = Revision(era, page.at) if revision is None else revision
+            generation, page = found.unwrap()
+            if revision is not None and revision.generation != generation:
+                return Failure(GenerationEndedError())
+            items.extend(_item(i, generation) for i in page.items)
+            revision = Revision(generation, page.at) if revision is None else revision
             if not page.has_more or not page.items:
                 return Success(Listing(revision, items))
             after = page.items[-1].key
@@ -120,12 +120,12 @@
 
     async def changes(self, after: Revision) -> Result[Changes, StoreError]:
         """Read what changed after a revision, all keys."""
-        if after.era < self.era:
+        if after.generation < self.generation:
             return Failure(HistoryLostError())
         number = after.number
         query = urlencode({"prefix": "", "after": number, "wait_ms": CHANGES_WAIT_MS})
         found = await self._read("changes", f"/kv-watch?{query}", _Watched)
-        if is_successful(found) and found.unwrap()[0] != after.era:
+        if is_successful(found) and found.unwrap()[0] != after.generation:
             # The number has been given out again: what changed before it was never told.
             return Failure(HistoryLostError())
         return found.map(_changes)
@@ -134,10 +134,12 @@
         """Tell whether all keys are at their expected revisions, by a commit of nothing."""
         found = await self._transact("check", expected, ())
         if not is_successful(found):
-            ended = isinstance(found.failure(), EraEndedError)
+            ended = isinstance(found.failure(), GenerationEndedError)
             return Success(False) if ended else Failure(found.failure())
         reply = found.unwrap()
-        if reply.status == 412 or any(_era(reply) != r.era for r in expected.values()):
+        if reply.status == 412 or any(
+            _generation(reply) != r.generation for r in expected.values()
+        ):
             return Success(False)
         return _checked(reply).map(lambda _: True)
 
@@ -149,20 +151,20 @@
         if not is_successful(found):
             return Failure(found.failure())
         reply = found.unwrap()
-        era = _era(reply)
+        generation = _generation(reply)
         if reply.status == 412:
-            return _decoded(reply, _Conflict).bind(lambda c: _conflict(c, era))
+            return _decoded(reply, _Conflict).bind(lambda c: _conflict(c, generation))
         decoded = _checked(reply).bind(lambda r: _decoded(r, _Committed))
-        return decoded.map(lambda c: Revision(era, c.revision))
+        return decoded.map(lambda c: Revision(generation, c.revision))
 
     async def _transact(
         self, kind: str, expected: Mapping[str, Revision], writes: Sequence[Write]
     ) -> Result[Reply, StoreError]:
-        named = [r.era for r in expected.values() if r != NEVER]
-        leases = [w.lease.era for w in writes if w.lease is not None]
-        if any(era < self.era for era in (*named, *leases)):
+        named = [r.generation for r in expected.values() if r != NEVER]
+        leases = [w.lease.generation for w in writes if w.lease is not None]
+        if any(generation < self.generation for generation in (*named, *leases)):
             # The number may stand for other content by now, and the lease be another's.
-            return Failure(EraEndedError())
+            return Failure(GenerationEndedError())
         body = {
             "expected": [{"key": k, "revision": r.number} for k, r in expected.items()],
             "write": [_as_written(w) for w in writes],
@@ -175,22 +177,22 @@
         found = await self._call("grant", "POST", "/kv-lease", {"ttl_ms": int(seconds * 1000)})
         if not is_successful(found):
             return Failure(found.failure())
-        era = _era(found.unwrap())
+        generation = _generation(found.unwrap())
         granted = _checked(found.unwrap()).bind(lambda r: _decoded(r, _Lease))
-        return granted.map(lambda g: Lease(era, g.lease_id))
+        return granted.map(lambda g: Lease(generation, g.lease_id))
 
     async def renew(self, lease: Lease) -> Result[None, StoreError]:
         """Renew a lease."""
-        if lease.era < self.era:
+        if lease.generation < self.generation:
             return Failure(LeaseEndedError())
         found = await self._call("renew", "POST", f"/kv-keep/{lease.id}", {})
-        if is_successful(found) and _era(found.unwrap()) > lease.era:
+        if is_successful(found) and _generation(found.unwrap()) > lease.generation:
             return Failure(LeaseEndedError())
         return found.bind(_checked).map(lambda _: None)
 
     async def end(self, lease: Lease) -> Result[None, StoreError]:
         """End a lease and remove its keys."""
-        if lease.era < self.era:
+        if lease.generation < self.generation:
             return Failure(LeaseEndedError())
         found = await self._call("end", "DELETE", f"/kv-lease-end/{lease.id}", None)
         return found.bind(_checked).map(lambda _: None)
@@ -198,13 +200,13 @@
     async def _read(
         self, kind: str, path: str, type_: type[_Kind]
     ) -> Result[tuple[int, _Kind], StoreError]:
-        """Return the era of an answer and its body."""
+        """Return the generation of an answer and its body."""
         found = await self._call(kind, "GET", path, None)
         if not is_successful(found):
             return Failure(found.failure())
-        era = _era(found.unwrap())
+        generation = _generation(found.unwrap())
         body = _checked(found.unwrap()).bind(lambda reply: _decoded(reply, type_))
-        return body.map(lambda b: (era, b))
+        return body.map(lambda b: (generation, b))
 
     async def _call(
         self, kind: str, method: str, path: str, body: dict[str, Any] | None
@@ -224,24 +226,28 @@
         )
         found = (await self._caller.call(call)).alt(_store_error)
         if is_successful(found):
-            self._look_at_era(found.unwrap())
+            self._look_at_generation(found.unwrap())
         return found
 
-    def _look_at_era(self, reply: Reply) -> None:
-        """Take note of the era that an answer names."""
-        era = _era(reply)
-        if era <= self.era:
+    def _look_at_generation(self, reply: Reply) -> None:
+        """Take note of the generation that an answer names."""
+        generation = _generation(reply)
+        if generation <= self.generation:
             return
-        if self.era:
+        if self.generation:
             self._records.note(
-                "dependency", "restored", dependency="store", era=era, before=self.era
+                "dependency",
+                "restored",
+                dependency="store",
+                generation=generation,
+                before=self.generation,
             )
-        self.era = era
+        self.generation = generation
 
 
-def _era(reply: Reply) -> int:
-    text = reply.headers.get(_ERA, "").strip()
-    return int(text) if text.isdecimal() and len(text) <= _LONGEST_ERA else 0
+def _generation(reply: Reply) -> int:
+    text = reply.headers.get(_GENERATION, "").strip()
+    return int(text) if text.isdecimal() and len(text) <= _LONGEST_GENERATION else 0
 
 
 def _store_error(failure: CallFailure) -> StoreError:
@@ -270,22 +276,22 @@
         return Failure(StoreAnswerLostError(f"malformed answer: {error}"))
 
 
-def _conflict(found: _Conflict, era: int) -> Result[Revision, StoreError]:
-    held = {i.key: _item(i, era) for i in found.items if not i.deleted}
+def _conflict(found: _Conflict, generation: int) -> Result[Revision, StoreError]:
+    held = {i.key: _item(i, generation) for i in found.items if not i.deleted}
     return Failure(StoreConflictError(held))
 
 
-def _item(found: _Item, era: int) -> Item:
-    return Item(found.key, _value(found), Revision(era, found.revision))
+def _item(found: _Item, generation: int) -> Item:
+    return Item(found.key, _value(found), Revision(generation, found.revision))
 
 
 def _changes(found: tuple[int, _Watched]) -> Changes:
-    era, watched = found
+    generation, watched = found
     changes = [
-        Change(e.key, None if e.deleted else _value(e), Revision(era, e.revision))
+        Change(e.key, None if e.deleted else _value(e), Revision(generation, e.revision))
         for e in watched.events
     ]
-    return Changes(Revision(era, watched.at), changes)
+    return Changes(Revision(generation, watched.at), changes)
 
 
 def _value(found: _Item) -> bytes:
--- a/src/oleanderhill/serving/comeback.py
+++ b/src/oleanderhill/serving/comeback.py
@@ -25,17 +25,17 @@
     serves: bool,
     rng: random.Random,
     limited_for: float | None = None,
-    rest_left: float | None = None,
+    backoff_left: float | None = None,
 ) -> float:
     """Return the seconds after which a refused caller may come back.
 
     :param serves: some target serves what it asks for
     :param limited_for: seconds until one has room where all name a limit
-    :param rest_left: seconds until the first may be tried where all rest
+    :param backoff_left: seconds until the first may be tried where this host backs off from all
     """
-    if rest_left is not None:
+    if backoff_left is not None:
         # Never before that end.
-        return min(LATEST, max(SOON, rest_left)) * (1 + 2 * SPREAD * rng.random())
+        return min(LATEST, max(SOON, backoff_left)) * (1 + 2 * SPREAD * rng.random())
     base = SOON if serves else LATER
     if limited_for is not None:
         base = min(LATEST, max(SOON, limited_for))
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -167,8 +167,8 @@
         life, notice = run.choice.head.boot_id, reading.notice
         source = Source(Asked.REQUEST, self._sent_at, self._in.facts.request_id)
         self.tools.notices.take(life, notice, source, conclusive=reading.sealed)
-        if self._on_trial and not reading.not_run and not notice.rest:
-            self.tools.book.rests.trial_taken(life, time.monotonic())
+        if self._on_trial and not reading.not_run and not notice.backoff:
+            self.tools.book.backoffs.trial_taken(life, time.monotonic())
 
     def _selected(self) -> Chosen | Quarantined:
         """Return the next target, unless targets are known to end under the request."""
@@ -195,7 +195,7 @@
                 self.tools.book.turn_away(self._in.facts.model, time.monotonic())
             return NoChoice(reason, full, full)
         self._permit = self.tools.book.limits.take(found.lives, now)
-        self._on_trial = self.tools.book.rests.take(found.lives[0])
+        self._on_trial = self.tools.book.backoffs.take(found.lives[0])
         host = found.host
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
@@ -206,11 +206,11 @@
         load = min(self.tools.book.load(c.target, now) for c in candidates)
         suspects = sum(self.tools.book.is_suspect(c.target, now) for c in candidates)
         limited = sum(self.tools.book.limits.is_limited(c.lives) for c in candidates)
-        resting = sum(not self.tools.book.rests.may_take(c.lives[0], now) for c in candidates)
+        held_off = sum(not self.tools.book.backoffs.may_take(c.lives[0], now) for c in candidates)
         slots = candidates[0].host.slots
         return (
             f"no untried target has room: {len(candidates)} targets, {suspects} doubtful, "
-            f"{limited} limited, {resting} resting, "
+            f"{limited} limited, {held_off} backed off from, "
             f"least busy {load} of {slots}, tried {len(self._tried)}"
         )
 
@@ -242,7 +242,7 @@
             if permit is not None:
                 book.limits.give_back(permit)
             if self._on_trial:
-                book.rests.trial_ended(choice.head.boot_id)
+                book.backoffs.trial_ended(choice.head.boot_id)
             book.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
@@ -367,8 +367,8 @@
 
     def _turned_away(self, choice: Choice, reason: str, notice: Notice) -> None:
         """Take note of a refusal. One that says why is no sign that the target is unsound."""
-        if notice.rest:
-            self._note_failure(choice, reason, notice.rest)
+        if notice.backoff:
+            self._note_failure(choice, reason, notice.backoff)
         elif notice.limit is None:
             self._suspect(choice, reason)
 
@@ -376,7 +376,7 @@
         self._note_failure(choice, reason)
         self.tools.book.suspect(choice.group, time.monotonic())
 
-    def _note_failure(self, choice: Choice, reason: str, rest: float | None = None) -> None:
+    def _note_failure(self, choice: Choice, reason: str, backoff: float | None = None) -> None:
         suspected = self.tools.book.is_suspect(choice.group, time.monotonic())
         self.tools.records.request(
             self._in.facts.request_id,
@@ -386,7 +386,7 @@
             target=choice.group,
             instance=choice.head.boot_id,
             reason=reason,
-            retry_after_s=rest,
+            retry_after_s=backoff,
             was_suspect=suspected,
         )
 
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -39,12 +39,12 @@
 class Notice(NamedTuple):
     """What a target says of itself in whatever it answers.
 
-    :param rest: seconds for which it asks this host to leave it alone, ``None`` where it does not
+    :param backoff: seconds for which it asks this host to send it nothing, ``None`` for none
     :param leaving: it ends soon, and takes no further requests by then
     """
 
     limit: NamedLimit | None = None
-    rest: float | None = None
+    backoff: float | None = None
     leaving: bool = False
 
 
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -156,7 +156,7 @@
         to = audience(self._me, alive, self._rankings, near, hub_silent, hubs_heard)
         self._own_in_total, self._own = self._own, self._own_report(now)
         own = self._own
-        busy = own.counts or own.suspects or own.turned_away or own.resting
+        busy = own.counts or own.suspects or own.turned_away or own.backing_off
         if busy or now - self._reported_at >= IDLE_EVERY:
             self._reported_at = now
             self._send(self._own, to.own, alive)
@@ -192,7 +192,7 @@
             book.own_progress(now),
             book.own_turned_away(now),
             {service: budget.own(now) for service, budget in self._budgets.items()},
-            book.own_resting(now),
+            book.own_backoffs(now),
         )
 
     def _tell_sums(self, now: float, to: Audience, alive: Mapping[str, Presence]) -> None:
@@ -262,7 +262,7 @@
         self._book.hear(
             peer, report.counts, report.suspects, report.progress, report.turned_away, now
         )
-        self._book.hear_resting(report.resting, now)
+        self._book.hear_backoffs(report.backing_off, now)
         for service, count in report.retries.items():
             if service in self._budgets:
                 self._budgets[service].hear(peer, count, now)
--- a/src/oleanderhill/serving/notices.py
+++ b/src/oleanderhill/serving/notices.py
@@ -1,7 +1,7 @@
 """Takes what targets say of themselves in their answers to where each word is kept.
 
-A limit is for all entry hosts together, a rest for the host that was answered, and that a target
-leaves is true for everybody until its life ends.
+A limit is for all entry hosts together, a back-off for the host that was answered, and that a
+target leaves is true for everybody until its life ends.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from ..exposition import Exposition
 from ..groups.inventory import Instance, Inventory
 from ..records import Records
-from ..routing.rests import Rests
+from ..routing.backoffs import Backoffs
 from .forwarding import Notice
 from .leaving import LeavingTargets
 from .target_limits import Source, TargetLimitTask
@@ -23,13 +23,13 @@
     def __init__(
         self,
         inventory: Inventory,
-        rests: Rests,
+        backoffs: Backoffs,
         limits: TargetLimitTask,
         leaving: LeavingTargets,
         records: Records,
     ) -> None:
         self._inventory = inventory
-        self._rests = rests
+        self._backoffs = backoffs
         self._limits = limits
         self._leaving = leaving
         self._records = records
@@ -41,45 +41,51 @@
         """
         if notice.leaving:
             self._leaving.said(life, source.asked.value, source.request_id)
-        if notice.rest:
-            self._rest(life, notice.rest, source)
+        if notice.backoff:
+            self._back_off(life, notice.backoff, source)
         if conclusive or notice.limit is not None:
             self._limits.answered(life, notice.limit, source)
 
     def over(self, life: str) -> None:
         """Forget what a life said that is over."""
-        self._rests.forget(life)
+        self._backoffs.forget(life)
         self._leaving.over(life)
         self._limits.over(life)
 
     def may_ask(self, instance: Instance) -> bool:
         """Tell whether an order or a probe may go to a host now."""
-        return self._rests.may_send(str(instance), time.monotonic())
+        return self._backoffs.may_send(str(instance), time.monotonic())
 
     def held_back(self, life: str) -> str:
         """Return why no request may go to a target now, empty if it may."""
         if self._inventory.is_leaving(life):
             return "the target is leaving"
-        if not self._rests.may_send(life, time.monotonic()):
-            return "the target asked for rest"
+        if not self._backoffs.may_send(life, time.monotonic()):
+            return "the target asked to back off"
         return ""
 
     def show(self, exposition: Exposition) -> None:
         """Show metrics."""
         self._limits.show(exposition)
-        show, rests = exposition.gauge, self._rests
+        show, backoffs = exposition.gauge, self._backoffs
         show("targets_leaving", "Targets that say that they leave", lambda: len(self._leaving))
-        show("targets_resting", "Targets that asked this host for rest", self._resting)
-        show("rests_asked", "Times that targets asked this host for rest", lambda: rests.asked)
-        show("rest_held_back", "Times that a rest had a target passed over", self._passed_over)
-
-    def _rest(self, life: str, seconds: float, source: Source) -> None:
+        show("targets_backed_off", "Targets that asked this host to back off", self._backed_off)
+        show(
+            "backoffs_asked",
+            "Times that targets asked this host to back off",
+            lambda: backoffs.asked,
+        )
+        show(
+            "backoff_held_back", "Times that a back-off had a target passed over", self._passed_over
+        )
+
+    def _back_off(self, life: str, seconds: float, source: Source) -> None:
         # Of a life that is not listed nobody would say when it is over.
         if self._inventory.host(life) is None:
             return
-        if self._rests.ask(life, seconds, time.monotonic()):
+        if self._backoffs.ask(life, seconds, time.monotonic()):
             self._records.note(
-                "rest",
+                "backoff",
                 "asked for",
                 instance=life,
                 seconds=seconds,
@@ -87,8 +93,8 @@
                 request_id=source.request_id,
             )
 
-    def _resting(self) -> int:
-        return len(self._rests.resting(time.monotonic()))
+    def _backed_off(self) -> int:
+        return len(self._backoffs.active(time.monotonic()))
 
     def _passed_over(self) -> int:
-        return self._rests.held_back
+        return self._backoffs.held_back
--- a/src/oleanderhill/serving/placing.py
+++ b/src/oleanderhill/serving/placing.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..groups.inventory import TargetHost
-from ..routing.rests import Rests
+from ..routing.backoffs import Backoffs
 from ..routing.target_limits import TargetLimits
 
 PEER_COUNTS_LAST = 0.6
@@ -75,7 +75,7 @@
 
     :param data_centre: of this entry host
     :param limits: that targets named for all entry hosts together
-    :param rests: that targets asked this host for
+    :param backoffs: that targets asked this host for
     """
 
     def __init__(
@@ -83,10 +83,10 @@
         data_centre: str,
         rng: random.Random,
         limits: TargetLimits | None = None,
-        rests: Rests | None = None,
+        backoffs: Backoffs | None = None,
     ) -> None:
         self.limits = TargetLimits() if limits is None else limits
-        self.rests = Rests() if rests is None else rests
+        self.backoffs = Backoffs() if backoffs is None else backoffs
         self._data_centre = data_centre
         self._rng = rng
         self.heard_later = HEARD_LATER
@@ -98,7 +98,7 @@
         self._heard_turned_away: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._progress_at: dict[str, float] = {}
         self._heard_progress_at: dict[str, float] = {}
-        self._heard_resting_until: dict[str, float] = {}
+        self._heard_backoff_until: dict[str, float] = {}
 
     @property
     def own(self) -> Mapping[str, int]:
@@ -193,16 +193,16 @@
         self._suspect_until = {t: u for t, u in self._suspect_until.items() if u > now}
         return list(self._suspect_until)
 
-    def own_resting(self, now: float) -> list[str]:
-        """Return the lives that asked this host for rest."""
-        return list(self.rests.resting(now))
+    def own_backoffs(self, now: float) -> list[str]:
+        """Return the lives that asked this host to back off."""
+        return list(self.backoffs.active(now))
 
-    def hear_resting(self, lives: Collection[str], now: float) -> None:
-        """Take note of lives that asked a peer for rest: here they are sent requests last."""
-        held = self._heard_resting_until
-        self._heard_resting_until = {life: until for life, until in held.items() if until > now}
+    def hear_backoffs(self, lives: Collection[str], now: float) -> None:
+        """Take note of lives that asked a peer to back off: here they are sent requests last."""
+        held = self._heard_backoff_until
+        self._heard_backoff_until = {life: until for life, until in held.items() if until > now}
         for life in lives:
-            self._heard_resting_until[life] = now + HEARD_SUSPECT_SECONDS
+            self._heard_backoff_until[life] = now + HEARD_SUSPECT_SECONDS
 
     def is_suspect(self, target: str, now: float) -> bool:
         """Tell whether a target was seen to stall, from here or by a peer."""
@@ -234,7 +234,7 @@
 
         The least busy for its slots. One under suspicion only where all are, or where so many are
         that it says little: a request sent there most likely waits for its caller to give up. The
-        same holds for one that asked a peer for rest; one that asked this host takes nothing.
+        same holds for one that asked a peer to back off; one that asked this host takes nothing.
 
         :param places: requests that a target may have, in parts of what it runs at once
         :param connected: tells whether a connection to an address is kept
@@ -243,8 +243,8 @@
             take them along again, and nobody could tell it from them. Drawn, they go apart
         """
         untried = [c for c in candidates if c.target not in tried]
-        awake = [c for c in untried if self.rests.may_take(c.lives[0], now)]
-        self.rests.held_back += len(untried) - len(awake)
+        awake = [c for c in untried if self.backoffs.may_take(c.lives[0], now)]
+        self.backoffs.held_back += len(untried) - len(awake)
         left = self._within_limits(awake, now)
         sound = [c for c in left if not self._is_doubtful(c, now)]
         roomy = [c for c in sound if self._has_room(c, now, places)]
@@ -261,7 +261,7 @@
         return min(seen, key=lambda c: (self._rank(c, now, connected), self._rng.random()))
 
     def _is_doubtful(self, candidate: Candidate, now: float) -> bool:
-        until = self._heard_resting_until.get(candidate.lives[0], 0.0)
+        until = self._heard_backoff_until.get(candidate.lives[0], 0.0)
         return until > now or self.is_suspect(candidate.target, now)
 
     def _within_limits(self, candidates: Sequence[Candidate], now: float) -> Sequence[Candidate]:
@@ -282,12 +282,12 @@
             return None
         return (1 + self.turned_away(model, now)) / sum(limited)
 
-    def rest_left(self, candidates: Sequence[Candidate], now: float) -> float | None:
-        """Return the seconds until the first of the targets may be tried after its rest.
+    def backoff_left(self, candidates: Sequence[Candidate], now: float) -> float | None:
+        """Return the seconds until the first of the targets may be tried again.
 
-        :return: ``None`` where some target does not rest
+        :return: ``None`` where this host does not back off from one of them
         """
-        return self.rests.until_one_ends([c.lives[0] for c in candidates], now)
+        return self.backoffs.until_one_ends([c.lives[0] for c in candidates], now)
 
     def taken_by_limits(self, candidate: Candidate) -> float:
         """Return how many places of a target its limit leaves empty."""
--- a/src/oleanderhill/serving/quarantine.py
+++ b/src/oleanderhill/serving/quarantine.py
@@ -203,7 +203,7 @@
     # For the store
 
     def restored(self, now: float) -> None:
-        """Take note that the store came back from a copy, which may lack records."""
+        """Take note that the store was restored from a backup, which may lack records."""
         del now
         self._restored = True
 
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -44,7 +44,7 @@
     :param progress: seconds since a target last sent something, by target
     :param turned_away: requests that found no target in the last second, by model
     :param retries: requests and retries of the running window, by service
-    :param resting: lives that asked a sender to leave them alone
+    :param backing_off: lives that asked a sender to leave them alone
     """
 
     sender: str
@@ -56,7 +56,7 @@
     progress: dict[str, float]
     turned_away: dict[str, int]
     retries: dict[str, RetryCount] = {}
-    resting: list[str] = []
+    backing_off: list[str] = []
 
 
 class Audience(NamedTuple):
@@ -125,7 +125,7 @@
     progress: dict[str, float] = {}
     turned_away: dict[str, int] = {}
     retries: dict[str, list[RetryCount]] = {}
-    resting: set[str] = set()
+    backing_off: set[str] = set()
     for report in reports:
         for target, count in report.counts.items():
             counts[target] = counts.get(target, 0) + count
@@ -136,7 +136,7 @@
         for service, spent in report.retries.items():
             retries.setdefault(service, []).append(spent)
         suspects.update(report.suspects)
-        resting.update(report.resting)
+        backing_off.update(report.backing_off)
     spent_by_service = {s: counted(c) for s, c in retries.items()}
     return LoadReport(
         sender,
@@ -148,7 +148,7 @@
         progress,
         turned_away,
         spent_by_service,
-        sorted(resting),
+        sorted(backing_off),
     )
 
 
@@ -166,7 +166,7 @@
 
 def in_parts(report: LoadReport) -> list[LoadReport]:
     """Return a report as parts that each fit into one datagram."""
-    suspects, resting = set(report.suspects), set(report.resting)
+    suspects, backing_off = set(report.suspects), set(report.backing_off)
     return [
         report._replace(
             part=number,
@@ -175,7 +175,7 @@
             progress={t: report.progress[t] for t in chunk if t in report.progress},
             turned_away={} if number else report.turned_away,
             retries={} if number else report.retries,
-            resting=[t for t in chunk if t in resting],
+            backing_off=[t for t in chunk if t in backing_off],
         )
         for number, chunk in enumerate(_chunks(report))
     ]
@@ -185,7 +185,7 @@
     """Return the targets of a report by the datagram that they go into."""
     chunks: list[list[str]] = [[]]
     size = 0
-    named = {*report.counts, *report.progress, *report.suspects, *report.resting}
+    named = {*report.counts, *report.progress, *report.suspects, *report.backing_off}
     for target in sorted(named):
         row = 2 * len(target) + ROW_BYTES
         if size + row > PART_BYTES:
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -140,15 +140,15 @@
         service: str,
         model: str,
         limited_for: float | None = None,
-        rest_left: float | None = None,
+        backoff_left: float | None = None,
     ) -> float:
         """Return the seconds after which a refused caller may come back, spread out.
 
         :param limited_for: seconds until there is room where all targets name a limit
-        :param rest_left: seconds until the first may be tried where all targets rest
+        :param backoff_left: seconds until the first may be tried where this host backs off from all
         """
         serves = bool(self.candidates(service, model))
-        return come_back(serves, self._rng, limited_for, rest_left)
+        return come_back(serves, self._rng, limited_for, backoff_left)
 
     def groups_by_model(self) -> dict[str, int]:
         """Return the number of serving groups by model."""
--- a/tests/test_rests.py
+++ b/tests/test_backoffs.py
@@ -10,27 +10,27 @@
 
 from oleanderhill.groups.actions import Leave, OrderEnd
 from oleanderhill.groups.inventory import Instance, TargetHost
-from oleanderhill.platform.headers import UNREADABLE_REST, HeaderCodec
-from oleanderhill.routing.rests import Rests
+from oleanderhill.platform.headers import UNREADABLE_BACKOFF, HeaderCodec
+from oleanderhill.routing.backoffs import Backoffs
 from oleanderhill.serving import comeback
 from oleanderhill.serving.placing import Candidate, LoadBook
 
 from .test_users_site import SiteTest
 
-REST = 3.0
+BACKOFF = 3.0
 """Seconds for which the targets here ask to be left alone."""
 
 IN_FLIGHT = 0.5
 """Seconds after the answer in which requests that had left before may still arrive."""
 
 
-def within_rest(demand):
+def within_backoff(demand):
     """Return how many requests came in the time that the first answer asked to be free of them."""
     first = demand.arrivals[0]
-    return sum(first + IN_FLIGHT < at < first + REST for at in demand.arrivals)
+    return sum(first + IN_FLIGHT < at < first + BACKOFF for at in demand.arrivals)
 
 
-class RestTest(SiteTest):
+class BackoffTest(SiteTest):
     async def heads(self):
         """Return the heads of two groups of a model, and the model."""
         model = await self.model_with_two_groups()
@@ -38,7 +38,7 @@
         by_instance = self.site.engines.host_by_instance
         return [by_instance[c.host.instance.name] for c in found[:2]], model
 
-    async def test_resting_head_gets_nothing_while_its_streams_go_on(self):
+    async def test_head_backed_off_from_gets_nothing_while_its_streams_go_on(self):
         heads, model = await self.heads()
         self.site.engines.pieces = 200
         streams = [asyncio.create_task(self.ask("/read/x", "POST", model=model)) for _ in range(4)]
@@ -46,39 +46,39 @@
         self.site.engines.pieces = 10
         demand = heads[0].demand
         demand.arrivals.clear()
-        demand.rest = str(REST)
+        demand.backoff = str(BACKOFF)
         await self.first_told(demand, "/read/x", "POST", model)
-        answers = await self.press(12, REST, "/read/x", "POST", model)
-        self.assertEqual(within_rest(demand), 0)
+        answers = await self.press(12, BACKOFF, "/read/x", "POST", model)
+        self.assertEqual(within_backoff(demand), 0)
         self.assertEqual({reply.status for reply, _ in answers}, {200})
         await asyncio.gather(*streams)
 
-    async def test_callers_are_refused_at_once_where_all_targets_rest(self):
-        # Not run, and a time to come back that is not before the first target's rest is over.
+    async def test_callers_are_refused_at_once_where_all_are_backed_off_from(self):
+        # Not run, and a time to come back that is not before the first target's time is over.
         for target in self.site.targets:
-            target.demand.rest = str(REST)
+            target.demand.backoff = str(BACKOFF)
         await until_all_told(self)
-        answers = await self.press(20, REST - 1.0, "/scan/x")
+        answers = await self.press(20, BACKOFF - 1.0, "/scan/x")
         for target in self.site.targets:
-            self.assertEqual(within_rest(target.demand), 0)
+            self.assertEqual(within_backoff(target.demand), 0)
         for reply, took in answers:
             self.assertEqual(reply.status, 503)
             self.assertLess(took, 0.3)
             self.assertGreater(float(reply.headers["Retry-After"]), 0.5)
 
-    async def test_target_is_used_again_when_its_rest_is_over(self):
+    async def test_target_is_used_again_when_its_time_is_over(self):
         demand = self.site.targets[0].demand
-        demand.rest = "1.5"
+        demand.backoff = "1.5"
         told = await self.first_told(demand, "/scan/x")
-        demand.rest = ""
+        demand.backoff = ""
         await self.press(12, 3.0, "/scan/x")
         again = min(at for at in demand.arrivals if at > told)
         self.assertAlmostEqual(again - told, 1.5, delta=0.4)
 
-    async def test_rest_puts_nobody_in_doubt_and_has_nobody_probed(self):
+    async def test_backoff_puts_nobody_in_doubt_and_has_nobody_probed(self):
         heads, model = await self.heads()
         probes = self.entry._orders.asked
-        heads[0].demand.rest = str(REST)
+        heads[0].demand.backoff = str(BACKOFF)
         await self.first_told(heads[0].demand, "/read/x", "POST", model)
         now = time.monotonic()
         candidates = self.entry.candidates("pool", model)
@@ -86,9 +86,9 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self.entry._orders.asked, probes)
 
-    async def test_neither_orders_nor_probes_go_to_a_resting_host(self):
+    async def test_neither_orders_nor_probes_go_to_a_host_backed_off_from(self):
         heads, model = await self.heads()
-        heads[0].demand.rest = str(REST)
+        heads[0].demand.backoff = str(BACKOFF)
         await self.first_told(heads[0].demand, "/read/x", "POST", model)
         given = len(heads[0].orders)
         instance = Instance(heads[0].instance, heads[0].born)
@@ -106,14 +106,14 @@
             found = chosen(candidates, tried, *more, **others)
             if not first and found is not None:
                 first.append(found.lives[0])
-                self.entry._book.rests.ask(first[0], REST, time.monotonic())
+                self.entry._book.backoffs.ask(first[0], BACKOFF, time.monotonic())
             return found
 
         self.entry._book.choose = choose
         reply, _ = await self.reply("/scan/x")
         self.assertEqual(reply.status, 200)
-        resting = next(t for t in self.site.targets if first[0].startswith(t.instance))
-        self.assertEqual(resting.demand.arrivals, [])
+        shedding = next(t for t in self.site.targets if first[0].startswith(t.instance))
+        self.assertEqual(shedding.demand.arrivals, [])
 
 
 async def until_all_told(test):
@@ -123,65 +123,65 @@
         await test.press(100, 0.1, "/scan/x")
 
 
-class RestsTest(unittest.TestCase):
-    """The account of rests, without a network."""
+class BackoffsTest(unittest.TestCase):
+    """The account of back-offs, without a network."""
 
     def setUp(self):
-        self.rests = Rests()
+        self.backoffs = Backoffs()
 
-    def test_rest_lasts_until_the_latest_end_that_was_named(self):
+    def test_backoff_lasts_until_the_latest_end_that_was_named(self):
         for seed in range(200):
             rng = random.Random(seed)
-            rests, ends, now = Rests(), {}, 0.0
+            backoffs, ends, now = Backoffs(), {}, 0.0
             for _ in range(60):
                 now += rng.random()
                 life = rng.choice("abc")
                 match rng.randrange(4):
                     case 0:
                         seconds = rng.choice((0.1, 1.0, 3.0, 1e9))
-                        rests.ask(life, seconds, now)
+                        backoffs.ask(life, seconds, now)
                         ends[life] = max(ends.get(life, 0.0), now + seconds)
                     case 1:
-                        rests.forget(life)
+                        backoffs.forget(life)
                         ends.pop(life, None)
-                    case 2 if rests.may_take(life, now):
-                        rests.take(life)
-                        rests.trial_taken(life, now)
+                    case 2 if backoffs.may_take(life, now):
+                        backoffs.take(life)
+                        backoffs.trial_taken(life, now)
                     case 3:
-                        rests.trial_ended(life)
+                        backoffs.trial_ended(life)
                 for name in "abc":
-                    resting = ends.get(name, 0.0) > now
-                    self.assertEqual(rests.may_send(name, now), not resting, seed)
-                    self.assertFalse(resting and rests.may_take(name, now), seed)
-
-    def test_one_request_at_a_time_tries_a_target_after_its_rest(self):
-        self.rests.ask("t", 2.0, 10.0)
-        self.assertFalse(self.rests.may_take("t", 11.9))
-        self.assertTrue(self.rests.may_take("t", 12.0))
-        self.assertTrue(self.rests.take("t"))
-        self.assertFalse(self.rests.may_take("t", 12.1))
-        self.rests.trial_ended("t")
-        self.assertTrue(self.rests.may_take("t", 12.2))
-        self.rests.take("t")
-        self.assertTrue(self.rests.trial_taken("t", 12.3))
-        self.assertFalse(self.rests.take("t"))
-        self.assertTrue(self.rests.may_take("t", 12.3))
-
-    def test_trial_that_is_turned_away_begins_a_new_rest(self):
-        self.rests.ask("t", 2.0, 10.0)
-        self.rests.take("t")
-        self.rests.ask("t", 2.0, 12.5)
-        self.assertFalse(self.rests.trial_taken("t", 12.6))
-        self.rests.trial_ended("t")
-        self.assertFalse(self.rests.may_take("t", 14.4))
-        self.assertTrue(self.rests.may_take("t", 14.5))
+                    held_off = ends.get(name, 0.0) > now
+                    self.assertEqual(backoffs.may_send(name, now), not held_off, seed)
+                    self.assertFalse(held_off and backoffs.may_take(name, now), seed)
+
+    def test_one_request_at_a_time_tries_a_target_after_its_time(self):
+        self.backoffs.ask("t", 2.0, 10.0)
+        self.assertFalse(self.backoffs.may_take("t", 11.9))
+        self.assertTrue(self.backoffs.may_take("t", 12.0))
+        self.assertTrue(self.backoffs.take("t"))
+        self.assertFalse(self.backoffs.may_take("t", 12.1))
+        self.backoffs.trial_ended("t")
+        self.assertTrue(self.backoffs.may_take("t", 12.2))
+        self.backoffs.take("t")
+        self.assertTrue(self.backoffs.trial_taken("t", 12.3))
+        self.assertFalse(self.backoffs.take("t"))
+        self.assertTrue(self.backoffs.may_take("t", 12.3))
+
+    def test_trial_that_is_turned_away_begins_anew(self):
+        self.backoffs.ask("t", 2.0, 10.0)
+        self.backoffs.take("t")
+        self.backoffs.ask("t", 2.0, 12.5)
+        self.assertFalse(self.backoffs.trial_taken("t", 12.6))
+        self.backoffs.trial_ended("t")
+        self.assertFalse(self.backoffs.may_take("t", 14.4))
+        self.assertTrue(self.backoffs.may_take("t", 14.5))
 
     def test_number_is_read_as_http_allows_it(self):
         def read(status, *named, **headers):
             found = HTTPHeaders(headers)
             for text in named:
                 found.add("Retry-After", text)
-            return HeaderCodec().read_reply(status, found).notice.rest
+            return HeaderCodec().read_reply(status, found).notice.backoff
 
         spoken = "Thu, 03 Dec 2026 10:00:00 GMT"
         later = "Thu, 03 Dec 2026 10:00:07 GMT"
@@ -193,13 +193,13 @@
         self.assertEqual(read(503, "9" * 30), float("9" * 30))
         self.assertEqual(read(503, later, Date=spoken), 7.0)
         for text in ("soon", "nan", "inf", "9" * 50, later, ""):
-            self.assertEqual(read(503, text), UNREADABLE_REST, text)
+            self.assertEqual(read(503, text), UNREADABLE_BACKOFF, text)
         self.assertIsNone(read(503))
         self.assertIsNone(read(200, "3"))
 
 
 class PlacingTest(unittest.TestCase):
-    """Where requests go while targets rest."""
+    """Where requests go while targets shed load."""
 
     def setUp(self):
         self.book = LoadBook("hall", random.Random(1))
@@ -212,27 +212,27 @@
         found = self.book.choose(self.candidates, set(), now)
         return found.target if found else None
 
-    def test_resting_target_is_passed_over_though_others_are_doubtful_and_it_sends(self):
-        self.book.rests.ask("a", 3.0, 0.0)
+    def test_target_backed_off_from_is_passed_over_though_others_are_doubtful_and_it_sends(self):
+        self.book.backoffs.ask("a", 3.0, 0.0)
         self.book.suspect("b", 0.0)
         self.book.progress("a", 1.0)
         self.assertEqual(self.choose(1.0), "b")
-        self.book.rests.ask("b", 5.0, 0.0)
+        self.book.backoffs.ask("b", 5.0, 0.0)
         self.assertIsNone(self.choose(1.0))
-        self.assertEqual(self.book.rest_left(self.candidates, 1.0), 2.0)
+        self.assertEqual(self.book.backoff_left(self.candidates, 1.0), 2.0)
 
     def test_target_that_asked_a_peer_is_used_last_but_used(self):
-        self.book.hear_resting(["a"], 1.0)
+        self.book.hear_backoffs(["a"], 1.0)
         self.assertEqual({self.choose(1.1) for _ in range(20)}, {"b"})
-        self.book.rests.ask("b", 3.0, 1.0)
+        self.book.backoffs.ask("b", 3.0, 1.0)
         self.assertEqual(self.choose(1.1), "a")
 
-    def test_refused_callers_come_back_after_the_first_rest_and_apart(self):
+    def test_refused_callers_come_back_after_the_first_end_and_apart(self):
         rng = random.Random(1)
         waits = {comeback.come_back(True, rng, None, 3.0) for _ in range(50)}
         self.assertGreaterEqual(min(waits), 3.0)
         self.assertGreater(max(waits) - min(waits), 1.0)
-        self.assertIsNone(self.book.rest_left(self.candidates, 0.0))
+        self.assertIsNone(self.book.backoff_left(self.candidates, 0.0))
 
 
 if __name__ == "__main__":
--- a/tests/test_eras.py
+++ b/tests/test_generations.py
@@ -1,4 +1,4 @@
-"""What is held while the store comes back from a copy, without a network."""
+"""What is held while the store is restored from a backup, without a network."""
 
 import json
 import random
@@ -16,7 +16,7 @@
 from oleanderhill.clients.storage import (
     NEVER,
     Change,
-    EraEndedError,
+    GenerationEndedError,
     HistoryLostError,
     Item,
     Lease,
@@ -40,25 +40,25 @@
         self.currency = Currency(5.0)
         self.copy = ConfigurationCopy(self.currency, Records("e1"))
 
-    def read(self, version, era, number):
+    def read(self, version, generation, number):
         value = configuration(version, KEYS)
-        return self.copy.change(CONFIGURATION_KEY, value, Revision(era, number), 0.0)
+        return self.copy.change(CONFIGURATION_KEY, value, Revision(generation, number), 0.0)
 
-    def test_no_version_goes_back_whatever_eras_and_revisions_say(self):
+    def test_no_version_goes_back_whatever_generations_and_revisions_say(self):
         for seed in range(100):
             rng = random.Random(seed)
             self.setUp()
-            era, number, newest, acknowledged = 1, 0, 0, 0
+            generation, number, newest, acknowledged = 1, 0, 0, 0
             for _ in range(40):
                 if rng.random() < 0.2:
-                    era, number = era + rng.randint(1, 2), rng.randrange(number + 1)
+                    generation, number = generation + rng.randint(1, 2), rng.randrange(number + 1)
                     acknowledged = rng.randint(0, acknowledged)
                 number += 1
                 acknowledged += rng.randint(0, 1)
                 if not acknowledged:
                     continue
                 late = rng.random() < 0.2
-                self.read(acknowledged, era - late, number)
+                self.read(acknowledged, generation - late, number)
                 held = self.copy.catalog
                 if held is not None:
                     self.assertGreaterEqual(held.version, newest, seed)
@@ -66,7 +66,7 @@
                 if not late:
                     self.assertGreaterEqual(newest, acknowledged, seed)
 
-    def test_older_one_of_a_copy_proves_nothing_until_it_is_written_again(self):
+    def test_older_one_of_a_backup_proves_nothing_until_it_is_written_again(self):
         self.read(7, 1, 50)
         self.assertFalse(self.read(6, 2, 40))
         self.currency.prove(10.0)
@@ -93,9 +93,9 @@
     def items(self, *plans):
         return [Item(f"plan/{p.domain}", encode_plan(p), r) for p, r in plans]
 
-    def test_newest_plan_outlasts_a_copy_and_is_written_by_what_the_store_has(self):
-        old = DomainPlan("d", "a", "l", 1, 5, era=1, version=3)
-        new = DomainPlan("d", "a", "l", 1, 6, era=1, version=4)
+    def test_newest_plan_outlasts_a_backup_and_is_written_by_what_the_store_has(self):
+        old = DomainPlan("d", "a", "l", 1, 5, generation=1, version=3)
+        new = DomainPlan("d", "a", "l", 1, 6, generation=1, version=4)
         self.plans.replace(self.items((new, Revision(1, 90))), 0.0)
         self.plans.restored(10.0)
         self.plans.replace(self.items((old, Revision(2, 80))), 10.0)
@@ -104,8 +104,8 @@
         self.plans.put("plan/d", encode_plan(again), Revision(2, 81))
         self.assertEqual(self.plans.get("plan/d"), (again, Revision(2, 81)))
 
-    def test_plan_that_the_copy_lacks_is_kept_until_its_time_is_over(self):
-        plan = DomainPlan("d", "a", "l", 1, 5, era=1, version=3)
+    def test_plan_that_the_backup_lacks_is_kept_until_its_time_is_over(self):
+        plan = DomainPlan("d", "a", "l", 1, 5, generation=1, version=3)
         self.plans.replace(self.items((plan, Revision(1, 90))), 0.0)
         self.plans.restored(10.0)
         self.plans.replace([], 10.0)
@@ -116,30 +116,30 @@
         self.plans.expire(70.0)
         self.assertNotIn("plan/d", self.plans.by_key)
 
-    def test_plan_that_is_missing_without_a_copy_is_gone(self):
-        plan = DomainPlan("d", "a", "l", 1, 5, era=1, version=3)
+    def test_plan_that_is_missing_without_a_restore_is_gone(self):
+        plan = DomainPlan("d", "a", "l", 1, 5, generation=1, version=3)
         self.plans.replace(self.items((plan, Revision(1, 90))), 0.0)
         self.plans.replace([], 1.0)
         self.assertIsNone(self.plans.get("plan/d"))
 
-    def test_plan_written_since_the_return_holds(self):
-        held = DomainPlan("d", "a", "l", 4, 9, era=1, version=30)
-        since = DomainPlan("d", "b", "l", 2, 7, era=2, version=4)
+    def test_plan_written_since_the_restore_holds(self):
+        held = DomainPlan("d", "a", "l", 4, 9, generation=1, version=30)
+        since = DomainPlan("d", "b", "l", 2, 7, generation=2, version=4)
         self.plans.replace(self.items((held, Revision(1, 90))), 0.0)
         self.plans.restored(10.0)
         self.plans.replace(self.items((since, Revision(2, 80))), 10.0)
         self.assertEqual(self.plans.by_key["plan/d"], since)
 
     def test_renewed_plan_repeats_neither_terms_nor_epochs(self):
-        plan = DomainPlan("d", "a", "l", 3, 12, era=1, version=9)
+        plan = DomainPlan("d", "a", "l", 3, 12, generation=1, version=9)
         again = renewed(plan, 2)
         self.assertGreater(again.term, plan.term + 50)
         self.assertGreater(again.last_epoch, plan.last_epoch + 500)
-        self.assertEqual(renewed(DomainPlan("d"), 2), DomainPlan("d", era=2))
+        self.assertEqual(renewed(DomainPlan("d"), 2), DomainPlan("d", generation=2))
 
 
 class ChangeLogTest(unittest.TestCase):
-    def test_who_has_read_another_era_is_told_everything(self):
+    def test_who_has_read_another_generation_is_told_everything(self):
         log = ChangeLog()
         log.replace(Revision(1, 100), [Change("a", b"1", Revision(1, 90))])
         log.replace(Revision(2, 60), [Change("a", b"0", Revision(2, 50))])
@@ -194,7 +194,7 @@
         self.hosts.replace([self.item(*what, **how)], 10.0)
         self.hosts.settle(10.0)
 
-    def test_group_that_the_copy_does_not_know_stands_until_its_host_writes_again(self):
+    def test_group_that_the_backup_does_not_know_stands_until_its_host_writes_again(self):
         self.known(9)
         self.restore(7, group=grouped("g1"))
         self.assertEqual(self.membership(), "g2")
@@ -215,14 +215,14 @@
         self.restore(10, group=grouped("g3"))
         self.assertEqual(self.membership(), "g3")
 
-    def test_host_that_leaves_still_leaves_whatever_the_copy_says(self):
+    def test_host_that_leaves_still_leaves_whatever_the_backup_says(self):
         self.hosts.replace([self.item(9, state="draining")], 0.0)
         self.restore(7)
         self.hosts.settle(13.0)
         self.change(12)
         self.assertTrue(self.inventory.by_instance[Instance("a", 5)].leaving)
 
-    def test_host_that_was_gone_does_not_come_back_by_the_copy(self):
+    def test_host_that_was_gone_does_not_come_back_by_the_backup(self):
         self.known(9)
         self.hosts.change("servers/a", None, Revision(1, 60), 5.0)
         self.restore(9)
@@ -239,11 +239,11 @@
     """A caller of the store that answers as it is told."""
 
     def __init__(self):
-        self.era, self.status, self.body, self.paths = 1, 200, b"{}", []
+        self.generation, self.status, self.body, self.paths = 1, 200, b"{}", []
 
     async def call(self, call):
         self.paths.append(call.path)
-        headers = HTTPHeaders({"Store-Era": str(self.era)})
+        headers = HTTPHeaders({"Store-Era": str(self.generation)})
         return Success(Reply(self.status, headers, self.body))
 
 
@@ -256,26 +256,26 @@
         self.answers.body = b'{"events": [], "at": 50}'
         found = await self.store.changes(Revision(1, 50))
         self.assertEqual(found.unwrap().revision, Revision(1, 50))
-        self.answers.era = 2
+        self.answers.generation = 2
         found = await self.store.changes(Revision(1, 50))
         self.assertIsInstance(found.failure(), HistoryLostError)
         self.answers.body = b'{"revision": 50}'
         self.assertIs((await self.store.unchanged({"k": Revision(1, 50)})).unwrap(), False)
         self.assertIs((await self.store.unchanged({"k": Revision(2, 50)})).unwrap(), True)
 
-    async def test_check_that_meets_the_new_era_first_proves_nothing(self):
-        self.answers.era = 2
+    async def test_check_that_meets_the_new_generation_first_proves_nothing(self):
+        self.answers.generation = 2
         self.assertIs((await self.store.unchanged({"k": Revision(1, 50)})).unwrap(), False)
 
-    async def test_nothing_is_written_by_a_revision_or_lease_of_an_ended_era(self):
-        self.answers.era = 2
+    async def test_nothing_is_written_by_a_revision_or_lease_of_an_ended_generation(self):
+        self.answers.generation = 2
         await self.store.grant(3.0)
         calls = len(self.answers.paths)
         write = Write("k", b"v")
         found = await self.store.commit({"k": Revision(1, 50)}, [write])
-        self.assertIsInstance(found.failure(), EraEndedError)
+        self.assertIsInstance(found.failure(), GenerationEndedError)
         found = await self.store.commit({"k": NEVER}, [write._replace(lease=Lease(1, 7))])
-        self.assertIsInstance(found.failure(), EraEndedError)
+        self.assertIsInstance(found.failure(), GenerationEndedError)
         for ended in (self.store.renew, self.store.end):
             self.assertIsInstance((await ended(Lease(1, 7))).failure(), LeaseEndedError)
         self.assertEqual(len(self.answers.paths), calls)
@@ -283,17 +283,17 @@
         found = await self.store.commit({"k": NEVER}, [write])
         self.assertEqual(found.unwrap(), Revision(2, 51))
 
-    async def test_lease_whose_renewal_meets_the_new_era_has_ended(self):
+    async def test_lease_whose_renewal_meets_the_new_generation_has_ended(self):
         self.answers.body = b'{"lease_id": 7}'
         lease = (await self.store.grant(3.0)).unwrap()
-        self.answers.era = 2
+        self.answers.generation = 2
         self.assertIsInstance((await self.store.renew(lease)).failure(), LeaseEndedError)
 
-    async def test_era_rises_by_any_answer_and_never_falls(self):
-        for era, status, newest in ((1, 200, 1), (4, 503, 4), (2, 200, 4), (5, 412, 5)):
-            self.answers.era, self.answers.status = era, status
+    async def test_generation_rises_by_any_answer_and_never_falls(self):
+        for generation, status, newest in ((1, 200, 1), (4, 503, 4), (2, 200, 4), (5, 412, 5)):
+            self.answers.generation, self.answers.status = generation, status
             self.assertFalse(is_successful(await self.store.list("p")))
-            self.assertEqual(self.store.era, newest)
+            self.assertEqual(self.store.generation, newest)
 
 
 if __name__ == "__main__":
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,10 +6,10 @@
 
 import msgspec
 from oleanderhill_dev.model.policies import (
+    BackoffsUnheard,
     LeastBusy,
     LimitsUnheard,
     LongQueueForReturned,
-    RestsUnheard,
     Shipped,
 )
 from oleanderhill_dev.model.scenario import (
@@ -107,26 +107,26 @@
         self.assertGreater(sum(10.0 <= at < 14.0 for at in over), 1.5 * 1.2 * 4.0 + 5)
         self.assertGreater(worth(ends), worth(before) - 0.05)
 
-    def test_groups_that_ask_for_rest_get_it_and_serve_again_within_a_second(self):
+    def test_groups_that_ask_to_be_let_alone_are_and_serve_again_within_a_second(self):
         for groups in (2, 5):
             shed = Shed(5.0, "small", groups, 3.0, 6.0)
             site, unheard = (
-                Site(short(sheds=[shed]), policy, 1) for policy in (Shipped(), RestsUnheard())
+                Site(short(sheds=[shed]), policy, 1) for policy in (Shipped(), BackoffsUnheard())
             )
             ends, before = site.play(), unheard.play()
             shedding = site.groups["small"][:groups]
-            self.assertLessEqual(max(most_in_a_rest(g, shed) for g in shedding), 2)
-            self.assertGreater(max(most_in_a_rest(g, shed) for g in unheard.groups["small"]), 2)
+            self.assertLessEqual(max(most_in_a_backoff(g, shed) for g in shedding), 2)
+            self.assertGreater(max(most_in_a_backoff(g, shed) for g in unheard.groups["small"]), 2)
             end = shed.at + shed.seconds
             again = min(at for g in shedding for at in g.arrivals if at >= end)
             self.assertLess(again, end + 1.0)
             self.assertGreater(worth(ends), worth(before) - 0.05)
 
 
-def most_in_a_rest(group, shed):
-    """Return the most requests that one host sent in the rest that an answer had asked it for."""
+def most_in_a_backoff(group, shed):
+    """Return the most requests that one host sent within a back-off that it was asked for."""
     return max(
-        sum(told + 0.5 < at < told + shed.rest for at in arrivals)
+        sum(told + 0.5 < at < told + shed.backoff for at in arrivals)
         for arrivals in group.arrivals_by_host.values()
         for told in arrivals
         if shed.at <= told < shed.at + shed.seconds
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -54,8 +54,8 @@
 from oleanderhill.serving.reports import hub_ranking
 
 
-def rev(number, era=1):
-    return Revision(era, number)
+def rev(number, generation=1):
+    return Revision(generation, number)
 
 
 class ChangeLogTest(unittest.TestCase):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,13 +38,13 @@
     def test_promises_hold_while_targets_name_change_and_withdraw_limits(self):
         self.assertEqual(play(1_200, 0, True).found, [])
 
-    def test_promises_hold_while_targets_ask_for_rest_and_leave_by_their_answers(self):
+    def test_promises_hold_while_targets_shed_and_leave_by_their_answers(self):
         self.assertEqual(play(1_400, 0, False, True).found, [])
 
-    def test_promises_hold_while_the_store_comes_back_from_copies(self):
+    def test_promises_hold_while_the_store_is_restored_from_backups(self):
         played = play(1_402, 1, False, False, True)
         self.assertEqual(played.found, [])
-        self.assertGreater(played.site.store.era, 1)
+        self.assertGreater(played.site.store.generation, 1)
 
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -1,4 +1,4 @@
-"""A store that was away and comes back from a copy some seconds old."""
+"""A store that was away and is restored from a backup some seconds old."""
 
 import asyncio
 import json
@@ -22,7 +22,7 @@
 """Seconds in which the operator writes again what was lost."""
 
 WRITTEN_SINCE = 3_000
-"""Writes between the copy and the outage: so far behind are the revisions of the new era."""
+"""Writes between backup and outage: so far behind are the revisions of the new generation."""
 
 AWAY = 1.0
 """Seconds for which the store is away."""
@@ -31,15 +31,15 @@
 class RestoredTest(SiteTest):
     entries = 3
 
-    async def restore(self, copy, refuses=False):
-        """Have the store go away, silent or refusing all calls, and come back from a copy."""
+    async def restore(self, backup, refuses=False):
+        """Have the store go away, silent or refusing all calls, and be restored from a backup."""
         store = self.site.store
         for number in range(WRITTEN_SINCE):
             store.put("elsewhere", str(number).encode())
         await self.until_known(store.revision)
         store.faults.silent, store.faults.status = not refuses, 503 if refuses else 0
         await asyncio.sleep(AWAY)
-        store.restore(copy)
+        store.restore(backup)
         store.faults.silent, store.faults.status = False, 0
 
     async def until_known(self, revision):
@@ -49,12 +49,12 @@
     def versions(self):
         return [entry._catalog.version for entry in self.site.entries]
 
-    async def test_configurations_after_the_return_come_into_force_and_none_goes_back(self):
-        copy = self.site.store.copy()
+    async def test_configurations_after_the_restore_come_into_force_and_none_goes_back(self):
+        backup = self.site.store.back_up()
         self.site.configure(2, KEYS)
         await until(lambda: self.versions() == [2, 2, 2])
         seen = set()
-        await self.restore(copy)
+        await self.restore(backup)
         written = time.monotonic()
         while time.monotonic() < written + BACK:
             seen.update(self.versions())
@@ -64,8 +64,8 @@
         self.site.configure(3, KEYS, pay_prefix="/pay-here/")
         await until(lambda: self.versions() == [3, 3, 3], IN_FORCE)
 
-    async def test_target_that_says_that_it_leaves_after_the_return_gets_no_requests(self):
-        await self.restore(self.site.store.copy())
+    async def test_target_that_says_that_it_leaves_after_the_restore_gets_no_requests(self):
+        await self.restore(self.site.store.back_up())
         await asyncio.sleep(BACK)
         key = "servers/t-0"
         entry = json.loads(self.site.store.items[key].value) | {"state": "draining"}
@@ -76,9 +76,9 @@
 
         await until(known, IN_FORCE)
 
-    async def test_key_that_was_taken_away_after_the_return_is_dead(self):
-        copy = self.site.store.copy()
-        await self.restore(copy)
+    async def test_key_that_was_taken_away_after_the_restore_is_dead(self):
+        backup = self.site.store.back_up()
+        await self.restore(backup)
         await asyncio.sleep(BACK)
         self.site.store.put("op/config", configuration(2, {"hall": ["key-a"], "yard": []}))
         await asyncio.sleep(IN_FORCE)
@@ -86,23 +86,23 @@
             self.assertEqual((await self.reply("/scan/x", key="key-b", entry=entry))[0].status, 401)
             self.assertEqual((await self.reply("/scan/x", entry=entry))[0].status, 200)
 
-    async def test_group_formed_since_the_copy_goes_on_and_is_not_named_again(self):
+    async def test_group_formed_since_the_backup_goes_on_and_is_not_named_again(self):
         model = await self.model_with_two_groups()
         epochs = {h.group["epoch"] for h in self.engines() if h.group}
-        copy = self.site.store.copy()
-        for key in [k for k in copy.items if "plan" in k]:
-            del copy.items[key]
+        backup = self.site.store.back_up()
+        for key in [k for k in backup.items if "plan" in k]:
+            del backup.items[key]
         await self.settled()
         heads = self.heads(model)
         self.assertEqual(len(heads), 2)
         leaves = self.leaves()
         serving = asyncio.create_task(self.press(10, AWAY + 5.0, "/read/x", "POST", model))
-        await self.restore(copy, refuses=True)
+        await self.restore(backup, refuses=True)
         answers = await serving
         self.assertEqual({reply.status for reply, _ in answers}, {200})
         self.assertEqual((self.heads(model), self.leaves()), (heads, leaves))
         plan = next(iter(self.entry._plans.by_key.values()))
-        self.assertEqual(plan.era, self.site.store.era)
+        self.assertEqual(plan.generation, self.site.store.generation)
         self.assertGreater(plan.last_epoch, max(epochs) + 500)
 
     def engines(self):
@@ -121,9 +121,9 @@
             await asyncio.sleep(2.0)
 
     async def test_entry_hosts_stay_present_and_one_reads_for_all(self):
-        copy = self.site.store.copy()
-        for key in [k for k in copy.items if "entry" in k]:
-            del copy.items[key]
+        backup = self.site.store.back_up()
+        for key in [k for k in backup.items if "entry" in k]:
+            del backup.items[key]
         fewest = []
 
         async def look():
@@ -132,7 +132,7 @@
                 await asyncio.sleep(0.01)
 
         looking = asyncio.create_task(look())
-        await self.restore(copy)
+        await self.restore(backup)
         await asyncio.sleep(4.0)
         looking.cancel()
         self.assertEqual(min(fewest), 3)
@@ -144,19 +144,19 @@
         ]
         self.assertEqual(sum(bool(n) for n in reading), 1)
 
-    async def test_copy_taken_just_before_hides_nothing_though_its_revisions_come_again(self):
+    async def test_backup_taken_just_before_hides_nothing_though_its_revisions_come_again(self):
         for version in (2, 3, 4):
-            copy = self.site.store.copy()
+            backup = self.site.store.back_up()
             store = self.site.store
             store.put("elsewhere", b"lost")
             await self.until_known(store.revision)
-            store.restore(copy)
+            store.restore(backup)
             self.site.configure(version, KEYS)
             store.put("elsewhere", b"again")
             await until(lambda v=version: self.versions() == [v, v, v], IN_FORCE)
 
-    async def test_quarantine_that_the_copy_lacks_holds_and_is_written_again(self):
-        copy = self.site.store.copy()
+    async def test_quarantine_that_the_backup_lacks_holds_and_is_written_again(self):
+        backup = self.site.store.back_up()
         record = QuarantineRecord("entry-0", {"a@1": {}, "b@1": {}, "c@1": {}}, True)
         key = QUARANTINE_PREFIX + "0f" * 16
         self.site.store.put(key, msgspec.json.encode(record))
@@ -166,7 +166,7 @@
             return [e._quarantine.problem("0f" * 16, Ran.NO) is not None for e in entries]
 
         await until(lambda: refused() == [True, True, True])
-        await self.restore(copy)
+        await self.restore(backup)
         await until(lambda: key in self.site.store.items, 6.0)
         self.assertEqual(refused(), [True, True, True])
 
