--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -48,6 +48,7 @@
 from ..serving.placement import Candidate, LoadTracker
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
+from ..serving.shared_counters import SharedCounters
 from ..serving.target_limits import StatementSource, TargetLimitTask
 from ..serving.view import ServingView
 from ..settings.catalog import Catalog, pick_backend
@@ -122,6 +123,7 @@
         self._plans = KeyedCopy(decode_plan, records, supersedes, PLAN_RETENTION_SECONDS)
         self._presences = KeyedCopy(decode_presence, records, retain_missing_s=LEASE_SECONDS)
         self._view = ServingView(self._inventory, self._plans, rng)
+        self._counters = SharedCounters(s.host, s.data_centre)
         limits = TargetLimits(s.host)
         self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
@@ -225,6 +227,7 @@
             self._retry_budget_by_service,
             self._limits,
             leaving,
+            self._counters,
         )
         relay = RelayServer(self.kernel, s.peers, self._mirror)
         vitals = VitalsTask(self.kernel, records, self._vitals)
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -34,6 +34,7 @@
     subtract,
 )
 from .retries import SharedRetryBudget
+from .shared_counters import CounterReport, SharedCounters
 from .target_limits import TargetLimitTask
 
 REPORT_INTERVAL = 0.05
@@ -70,7 +71,9 @@
     report: LoadReport
 
 
-_DECODER = msgspec.msgpack.Decoder(LoadReport | EndingNews | LimitUpdate | LeavingUpdate)
+_DECODER = msgspec.msgpack.Decoder(
+    LoadReport | EndingNews | LimitUpdate | LeavingUpdate | CounterReport
+)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -89,6 +92,7 @@
     :param budgets: the retry budgets of this host, by service
     :param limits: receives rate limits that targets stated to other entry hosts
     :param leaving: receives targets that announced their shutdown to other entry hosts
+    :param counters: counters that are summed over all entry hosts
     """
 
     name = "gossip"
@@ -104,8 +108,10 @@
         budgets: Mapping[str, SharedRetryBudget],
         limits: TargetLimitTask,
         leaving: LeavingTargets,
+        counters: SharedCounters,
     ) -> None:
         super().__init__(kernel)
+        self._counters = counters
         self._quarantine = quarantine
         self._leaving = leaving
         self._limits = limits
@@ -172,6 +178,8 @@
             *self._leaving.pending_updates(self._me.name),
         ):
             self._send_to(_ENCODER.encode(update), to.all, alive)
+        for report, names in self._counters.outgoing(to, now):
+            self._send_to(_ENCODER.encode(report), names, alive)
         if now - self._crash_update_at >= CRASH_UPDATE_INTERVAL:
             self._crash_update_at = now
             self._send_crash_updates(now, to, alive)
@@ -259,6 +267,9 @@
         if isinstance(report, LeavingUpdate):
             self._leaving.apply_peer_update(report)
             return
+        if isinstance(report, CounterReport):
+            self._counters.receive(report, now)
+            return
         if report.scope == Scope.TOTAL:
             self._apply_total(report, self._own_in_total, now)
         elif report.scope == Scope.DATA_CENTRE:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -20,6 +20,7 @@
 from oleanderhill.serving.gossip import GossipTask
 from oleanderhill.serving.placement import LoadTracker
 from oleanderhill.serving.reports import aggregator_ranking
+from oleanderhill.serving.shared_counters import SharedCounters
 
 from .test_users_site import SiteTest
 
@@ -357,7 +358,15 @@
         limits = SimpleNamespace(pending_updates=list, update_hosts=lambda hosts, has_peers: None)
         leaving = SimpleNamespace(pending_updates=lambda sender: [])
         gossip = GossipTask(
-            Kernel(), self.alive[name], loads, lambda: self.alive, quarantine, {}, limits, leaving
+            Kernel(),
+            self.alive[name],
+            loads,
+            lambda: self.alive,
+            quarantine,
+            {},
+            limits,
+            leaving,
+            SharedCounters(),
         )
 
         def send_to(data, names, alive):
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -33,6 +33,7 @@
 from oleanderhill.serving.gossip import GossipTask
 from oleanderhill.serving.placement import Candidate, LoadTracker
 from oleanderhill.serving.reports import aggregator_ranking
+from oleanderhill.serving.shared_counters import SharedCounters
 from oleanderhill.serving.target_limits import StatementSource, TargetLimitTask
 
 from .test_users_site import SiteTest
@@ -462,7 +463,15 @@
         loads.begin("another")  # a host with a request in flight reports at each tick
         leaving = SimpleNamespace(pending_updates=lambda sender: [])
         made = GossipTask(
-            kernel, self.alive[name], loads, lambda: self.alive, quarantine, {}, task, leaving
+            kernel,
+            self.alive[name],
+            loads,
+            lambda: self.alive,
+            quarantine,
+            {},
+            task,
+            leaving,
+            SharedCounters(),
         )
 
         def send_to(data, names, alive):
