Gauges with a label whose values are read at each scrape

An operator saw the number of serving groups, not of which model, so a model that lacked hosts while another had room did not show. Values by model are read by one function at each scrape, as those without a label are; a gauge registered for each value was weighed and dropped, because models come and go with the configuration.

--- a/src/oleanderhill/exposition.py
+++ b/src/oleanderhill/exposition.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
@@ -12,6 +14,19 @@
 """Upper bounds in seconds. The latency goals of the routes and the timeouts are among them."""
 
 
+class _LabelledGauge(Collector):
+    def __init__(
+        self, name: str, text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        self._name, self._text, self._label, self._read = name, text, label, read
+
+    def collect(self) -> Iterable[GaugeMetricFamily]:
+        family = GaugeMetricFamily(self._name, self._text, labels=[self._label])
+        for value, number in sorted(self._read().items()):
+            family.add_metric([value], number)
+        return [family]
+
+
 class Exposition:
     """The metrics of one process."""
 
@@ -39,6 +54,12 @@
         gauge = Gauge(f"oleanderhill_{name}", text, registry=self._registry)
         gauge.set_function(read)
 
+    def gauge_by(
+        self, name: str, text: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register a gauge with one label, whose values are read at each scrape."""
+        self._registry.register(_LabelledGauge(f"oleanderhill_{name}", text, label, read))
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
