The stand-in of an engine host closes by order

An owner that gives up a group orders its head to close and waits until it reports ready. The stand-in rejected that order as unknown. It now accepts nothing more, finishes the streams that run, and is ready again.

--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -119,6 +119,7 @@
         self.model = ""
         self.seen_epoch = 0
         self.seen_fence = 0
+        self.running = 0
         self.leaving = False
         self.alive = True
         self.faults = OrderFaults()
@@ -192,6 +193,8 @@
                 return self._join(order)
             case "open":
                 return self._open(order)
+            case "close":
+                return self._close(order)
             case "leave":
                 return self._leave(order)
             case "phase":
@@ -254,6 +257,24 @@
             group["state"] = "open"
             self.publish()
 
+    def _close(self, order: dict[str, Any]) -> int:
+        if not self._is_current_group(order) or self.group is None:
+            return 409
+        if self.group["state"] == "open":
+            self.group["state"] = "closing"
+            self.publish()
+            self._finish_closing(self.group)
+        return 200
+
+    def _finish_closing(self, group: dict[str, Any]) -> None:
+        if self.group is not group or group["state"] != "closing":
+            return
+        if self.running:
+            self.site.schedule(EVENT_SECONDS, lambda: self._finish_closing(group))
+            return
+        group["state"] = "ready"
+        self.publish()
+
     def _leave(self, order: dict[str, Any]) -> int:
         if not self._is_current_group(order):
             return 409
@@ -392,6 +413,7 @@
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
         born = host.born
+        host.running += 1
         try:
             for number in range(first, host.site.events_per_stream):
                 if host.born != born:
@@ -400,6 +422,8 @@
         except StreamClosedError:
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        finally:
+            host.running -= 1
 
     async def _send_event(self, number: int) -> None:
         host = self.host
