Capacity follows demand: spares serve, groups are given up for a model that is short

What callers saw: in a burst of the small model its callers were refused while spares with its weights stood by until an average of four seconds had risen, and a shortage that lasted was never met by a model that had room. Loads for the smaller model used up the spares that mend a large group.

Now the present demand, fast to rise and slow to fall, decides when spares form groups; those that mend large groups stay. A group of a model in excess is given up where the shortage has lasted for twice the time that its hosts serve nobody. Owners agree by plans and a rank by rendezvous, and count what free hosts are about to form. A group that is given up leaves the plan first, its head is closed, and its hosts leave when it has run dry; a new owner does the same from plans and entries. The first mix prefers, among equally good ones, that which leaves each data centre groups of each model.

Weighed: giving up a large group in a burst of seconds (its hosts load for longer than it lasts), loads while a host serves (it could mend no group of its own), a reservation in the store (one more write, and an owner that dies holding it).

Why it works: an owner's count of what others may do now never falls below what they do, as it depends on plans alone.

--- a/src/oleanderhill/groups/actions.py
+++ b/src/oleanderhill/groups/actions.py
@@ -41,6 +41,14 @@
     instance: Instance
 
 
+class Close(NamedTuple):
+    """Order the head of a group to accept nothing more and to finish its requests."""
+
+    group: str
+    epoch: int
+    instance: Instance
+
+
 class Stage(NamedTuple):
     """Order a host to load a model's weights before it joins a group."""
 
@@ -53,9 +61,11 @@
 
     plan: DomainPlan
     reason: str
+    given_up: tuple[str, ...] = ()
+    """Names of the serving groups that it gives up for another model."""
 
 
-Order = Join | Warm | Open | Leave | Stage
+Order = Join | Warm | Open | Close | Leave | Stage
 Action = Order | Replan
 
 
--- a/src/oleanderhill/groups/composing.py
+++ b/src/oleanderhill/groups/composing.py
@@ -33,6 +33,15 @@
 its current requests fill. At this ratio four fifths of its slots are in use, and the first request
 that reaches a busy group has to wait."""
 
+GETTING_FULL_RATIO = 1.4
+"""A model's groups are getting full if there are fewer than this multiple of the number that its
+present requests fill. Spares then form groups early: by the time that those serve, a burst that
+grows by two fifths has filled all slots."""
+
+LACKING_NEAR_FACTOR = 0.5
+"""Factor on the supply of a model that has no group in the data centre of a domain. The data centre
+may be cut off and then has to serve its own callers."""
+
 
 class ModelNeed(NamedTuple):
     """A model and its demand, from the viewpoint of one domain.
@@ -54,6 +63,11 @@
     elsewhere: float = 0.0
     others: int = 0
     filled: float = 0.0
+    pressing: float = 0.0
+    near: int | None = None
+    lasting: float = 0.0
+    lasting_staged: float = 0.0
+    peak: float | None = None
 
 
 class FreeHost(NamedTuple):
@@ -109,11 +123,22 @@
         return need is goal or free - need.hosts >= goal.hosts
 
     ready = [n for n in needs if n.hosts <= staged.get(n.model, 0)]
-    fitting = [n for n in ready if leaves_hosts_for_goal(n) and _may_form(plan, n, free, desired)]
+    fitting = [
+        n
+        for n in ready
+        if leaves_hosts_for_goal(n) and _may_form(plan, n, staged, free, desired, needs)
+    ]
     return min(fitting, key=lambda n: supply(plan, n), default=None)
 
 
-def _may_form(plan: DomainPlan, need: ModelNeed, free: int, desired: Composition) -> bool:
+def _may_form(
+    plan: DomainPlan,
+    need: ModelNeed,
+    staged: Mapping[str, int],
+    free: int,
+    desired: Composition,
+    needs: Sequence[ModelNeed],
+) -> bool:
     """Return whether a group for a model may be formed of the free hosts.
 
     Spares replace lost members of existing groups, so they are used for a new group only to reach
@@ -123,17 +148,55 @@
     Expected load alone is no reason to use spares: the spares of nine domains were used for groups
     of a model whose groups were only half full. 15 groups of 32 then lost a member one after the
     other, and none was formed again, for lack of one host.
+
+    For a model whose groups are nearly full, spares with the weights of a larger model stay free up
+    to the number that mends a group of it. For one whose groups are only getting full, as many
+    spares stay free whatever their weights.
     """
     if need.need <= 0 or need.hosts > free:
         return False
     own = sum(1 for g in plan.groups if g.model == need.model)
     if free - need.hosts >= desired.spares or own < desired.mix.get(need.model, 0):
         return True
-    return own + need.others < UNDERSUPPLY_RATIO * need.filled
+    if own + need.others < UNDERSUPPLY_RATIO * need.filled:
+        return free - _mending_spares(plan, need, staged, free, desired, needs) >= need.hosts
+    if own + need.others < GETTING_FULL_RATIO * need.pressing:
+        return free - _mending_reserve(plan, need, desired, needs) >= need.hosts
+    return False
+
+
+def _mending_reserve(
+    plan: DomainPlan, need: ModelNeed, desired: Composition, needs: Sequence[ModelNeed]
+) -> int:
+    """Return how many spares should stay free for groups of larger models than the given one."""
+    planned = {g.model for g in plan.groups}
+    larger = any(n.hosts > need.hosts and n.model in planned for n in needs)
+    return math.ceil(desired.spares / 2) if larger else 0
+
+
+def _mending_spares(
+    plan: DomainPlan,
+    need: ModelNeed,
+    staged: Mapping[str, int],
+    free: int,
+    desired: Composition,
+    needs: Sequence[ModelNeed],
+) -> int:
+    """Return how many of the spares that should stay free have only the weights of larger models.
+
+    A host that has the weights of several models counts for each of them.
+    """
+    planned = {g.model for g in plan.groups}
+    larger = [n.model for n in needs if n.hosts > need.hosts and n.model in planned]
+    with_others = max(0, sum(staged.values()) - free)
+    only_larger = max(0, sum(staged.get(m, 0) for m in larger) - with_others)
+    return min(_mending_reserve(plan, need, desired, needs), only_larger)
 
 
 def initial_mix(
-    hosts_by_domain: Mapping[str, int], needs: Sequence[ModelNeed]
+    hosts_by_domain: Mapping[str, int],
+    needs: Sequence[ModelNeed],
+    data_centre_by_domain: Mapping[str, str] | None = None,
 ) -> dict[str, Counter[str]]:
     """Return how many groups of each model each domain should form initially.
 
@@ -146,27 +209,60 @@
       were rejected.
     - Placing groups by size. Large groups then get domains of their own, and small groups the
       remaining hosts.
+
+    Of allocations that are equally good, the one is used that gives the worst supplied data centre
+    more groups for its part of the hosts: a data centre that is cut off serves its own callers.
+
+    :param data_centre_by_domain: data centre in which each domain is
     """
     open_needs = [n for n in needs if n.need > 0]
-    distributed = _Allocation(hosts_by_domain)
-    distributed.distribute(open_needs)
-    placed = _Allocation(hosts_by_domain)
-    pooled = _Allocation({"": sum(placed.free.values())}, spares=False)
+    pooled = _Allocation({"": sum(_Allocation(hosts_by_domain).free.values())}, spares=False)
     pooled.distribute(open_needs)
-    placed.place_by_size(open_needs, pooled.count_by_model)
-    placed.distribute(open_needs)
-    best = max((distributed, placed), key=lambda allocation: allocation.worst_supply(open_needs))
+    near = data_centre_by_domain or {}
+    # Of equally good allocations the first is used; only the last two choose by data centre.
+    allocations = [_Allocation(hosts_by_domain, near, even) for even in (False, False, True, True)]
+    for number, allocation in enumerate(allocations):
+        if number % 2:
+            allocation.place_by_size(open_needs, pooled.count_by_model)
+        allocation.distribute(open_needs)
+    best = max(allocations, key=lambda a: (a.worst_supply(open_needs), a.worst_near(open_needs)))
     return best.mix
 
 
 class _Allocation:
     """Allocation of the hosts of all domains to groups."""
 
-    def __init__(self, hosts_by_domain: Mapping[str, int], spares: bool = True) -> None:
+    def __init__(
+        self,
+        hosts_by_domain: Mapping[str, int],
+        data_centre_by_domain: Mapping[str, str] | None = None,
+        even: bool = False,
+        spares: bool = True,
+    ) -> None:
         self._spares = {d: spare_hosts(n) if spares else 0 for d, n in hosts_by_domain.items()}
         self.free = {d: n - self._spares[d] for d, n in hosts_by_domain.items()}
         self.mix: dict[str, Counter[str]] = {d: Counter() for d in hosts_by_domain}
         self.count_by_model: Counter[str] = Counter()
+        near = data_centre_by_domain or {}
+        self._data_centre = {d: near.get(d, "") for d in hosts_by_domain}
+        self._hosts_near: Counter[str] = Counter()
+        for domain, hosts in hosts_by_domain.items():
+            self._hosts_near[self._data_centre[domain]] += hosts
+        self._even = even
+        self._count_near: Counter[tuple[str, str]] = Counter()
+
+    def worst_near(self, needs: Sequence[ModelNeed]) -> float:
+        """Return the lowest ratio of groups to need over all models and data centres."""
+        total = self._hosts_near.total()
+        return min(
+            (
+                self._count_near[data_centre, n.model] / (n.need * hosts / total)
+                for data_centre, hosts in self._hosts_near.items()
+                for n in needs
+                if hosts
+            ),
+            default=0.0,
+        )
 
     def worst_supply(self, needs: Sequence[ModelNeed]) -> float:
         """Return the lowest ratio of groups to need over all models."""
@@ -199,8 +295,19 @@
                 left.remove(need)
 
     def _allocate(self, need: ModelNeed, fitting: Sequence[str]) -> None:
-        """Allocate a group in the domain with the fewest of its model, then the most free hosts."""
-        domain = min(fitting, key=lambda d: (self.mix[d][need.model], -self.free[d], d))
+        """Allocate a group in the domain with the fewest of its model, then the most free hosts.
+
+        Data centres are equally supplied first if the allocation is to be even.
+        """
+
+        def rank(domain: str) -> tuple[float, int, int, str]:
+            data_centre = self._data_centre[domain]
+            hosts = max(1, self._hosts_near[data_centre])
+            near = self._count_near[data_centre, need.model] / hosts if self._even else 0.0
+            return near, self.mix[domain][need.model], -self.free[domain], domain
+
+        domain = min(fitting, key=rank)
+        self._count_near[self._data_centre[domain], need.model] += 1
         self.mix[domain][need.model] += 1
         self.free[domain] -= need.hosts
         self.count_by_model[need.model] += 1
@@ -223,7 +330,9 @@
 def supply(plan: DomainPlan, need: ModelNeed) -> float:
     """Return the supply of a model: its groups, here and in other domains, relative to its need."""
     own = sum(1 for g in plan.groups if g.model == need.model)
-    return (own + need.elsewhere + 0.5) / need.need
+    lacking_near = need.near is not None and own + need.near == 0
+    factor = LACKING_NEAR_FACTOR if lacking_near else 1.0
+    return factor * (own + need.elsewhere + 0.5) / need.need
 
 
 def loads_to_order(
@@ -243,7 +352,7 @@
         group, left = _pick(left, need)
         orders += [(h.instance, need.model) for h in group if h.model != need.model and h.available]
         plan = plan.with_group(need.model, tuple(h.instance for h in group))
-    return orders + _spares(plan, left, needs)
+    return orders + _spares(plan, left, desired, needs)
 
 
 def _next_goal(
@@ -262,7 +371,7 @@
         loads = max(0, need.hosts - staged.get(need.model, 0))
         return supply(plan, need) * (1 + LOAD_PENALTY * loads / need.hosts)
 
-    fitting = [n for n in needs if _may_form(plan, n, free, desired)]
+    fitting = [n for n in needs if _may_form(plan, n, staged, free, desired, needs)]
     return min(fitting, key=rank, default=None)
 
 
@@ -280,15 +389,19 @@
 
 
 def _spares(
-    plan: DomainPlan, left: Sequence[FreeHost], needs: Sequence[ModelNeed]
+    plan: DomainPlan, left: Sequence[FreeHost], desired: Composition, needs: Sequence[ModelNeed]
 ) -> list[tuple[Instance, str]]:
-    """Return loads for the remaining hosts: one spare for each model before a second for any."""
+    """Return loads for the remaining hosts: one spare for each model before a second for any.
+
+    If the groups of a model are getting full, its next group comes first, after the spares that
+    mend groups of larger models.
+    """
     spares = Counter(h.model for h in left)
     orders = []
     for host in left:
         if host.model or not host.available:
             continue
-        need = min(
+        need = _full_model(plan, spares, desired, needs) or min(
             (n for n in needs if n.need > 0),
             key=lambda n: (spares[n.model], supply(plan, n)),
             default=None,
@@ -297,3 +410,21 @@
             spares[need.model] += 1
             orders.append((host.instance, need.model))
     return orders
+
+
+def _full_model(
+    plan: DomainPlan, spares: Mapping[str, int], desired: Composition, needs: Sequence[ModelNeed]
+) -> ModelNeed | None:
+    """Return the least supplied of the models whose groups are getting full."""
+
+    def is_full(need: ModelNeed) -> bool:
+        own = sum(1 for g in plan.groups if g.model == need.model)
+        return own + need.others < GETTING_FULL_RATIO * need.pressing
+
+    def leaves_reserve(need: ModelNeed) -> bool:
+        larger = [n.model for n in needs if n.hosts > need.hosts]
+        held = sum(spares.get(m, 0) for m in larger)
+        return held >= _mending_reserve(plan, need, desired, needs)
+
+    full = [n for n in needs if n.need > 0 and is_full(n) and leaves_reserve(n)]
+    return min(full, key=lambda n: supply(plan, n), default=None)
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -18,6 +18,7 @@
 
 from .actions import Action, Join, Leave, Open, Order, OrderOutcome, Replan, Stage
 from .composing import (
+    Composition,
     FreeHost,
     ModelNeed,
     desired_composition,
@@ -25,9 +26,12 @@
     next_initial_model,
     next_model,
 )
+from .giving_up import DomainView, GivingUp, formable
 from .inventory import Instance, MemberState, TargetHost
+from .needs import Fleet
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup
+from .running_dry import RunningDry
 from .spares import Spares
 
 ORDER_REPEAT_SECONDS = 1.2
@@ -86,6 +90,8 @@
     def __init__(self, pacer: LoadPacer) -> None:
         self.pacer = pacer
         self._spares = Spares(pacer)
+        self._running_dry = RunningDry()
+        self._giving_up = GivingUp()
         self._ordered_at: dict[tuple[type[Order], Order], float] = {}
         self._planned_since: dict[str, float] = {}
         self._fault_since: dict[str, float] = {}
@@ -132,6 +138,7 @@
         needs: Sequence[ModelNeed],
         initial: Mapping[str, int] | None,
         restarted: Collection[Instance] = (),
+        fleet: Fleet | None = None,
     ) -> list[Action]:
         """Return the actions to take now.
 
@@ -141,6 +148,7 @@
             list is incomplete; ``None`` once loads are rate-limited
         :param restarted: members whose hosts have since restarted and have therefore left their
             groups
+        :param fleet: state of all domains, by which groups may be given up; ``None`` if not known
         """
         loads_free = initial is not None
         self._prune(plan, host_by_instance)
@@ -162,8 +170,15 @@
                 plan = plan.without_group(group.name)
             else:
                 actions.extend(self._order_members_out(now, group, host_by_instance))
-        actions.extend(self._remove_unplanned_members(now, plan, host_by_instance))
-        formed = self._form_new(now, plan, host_by_instance, needs, initial)
+        actions.extend(self._remove_unplanned_members(now, plan, host_by_instance, needs))
+        desired = desired_composition(plan.domain, len(host_by_instance), needs)
+        if fleet is not None and initial is None:
+            view = DomainView(plan, self._fault_free(plan), host_by_instance, desired, fleet)
+            given_up = self._giving_up.decide(now, view, self._completed, needs)
+            if given_up is not None and not dissolved:
+                return [*actions, given_up]
+            needs = formable(view, self._free(now, plan, host_by_instance), needs)
+        formed = self._form_new(now, plan, host_by_instance, desired, needs, initial)
         if formed is not None or dissolved:
             reasons = [f"dissolved {d}" for d in dissolved]
             if formed is not None:
@@ -171,7 +186,7 @@
                 reasons.append(reason)
             return [*actions, Replan(plan, "; ".join(reasons))]
         if initial is None or initial:
-            actions.extend(self._prepare_spares(now, plan, host_by_instance, needs, loads_free))
+            actions += self._prepare_spares(now, plan, host_by_instance, desired, needs, loads_free)
         return actions
 
     def _prune(self, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> None:
@@ -289,15 +304,24 @@
         return [action for order in orders for action in self._order_if_due(now, order)]
 
     def _remove_unplanned_members(
-        self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
+        self,
+        now: float,
+        plan: DomainPlan,
+        hosts: Mapping[Instance, TargetHost],
+        needs: Sequence[ModelNeed],
     ) -> list[Action]:
-        """Order hosts to leave groups that are not planned: they reappeared, or joined late."""
+        """Order hosts to leave groups that are not planned: they reappeared, or joined late.
+
+        A whole group that serves first finishes its requests.
+        """
         held = {i for g in plan.groups for i in g.members}
-        actions: list[Action] = []
+        remaining = {i: h for i, h in hosts.items() if not self._has_left(now, h)}
+        closing = self._running_dry.observe(now, plan, remaining, needs)
+        actions = [a for order in closing for a in self._order_if_due(now, order)]
         for host in hosts.values():
             if host.instance in held or host.membership is None or self._has_left(now, host):
                 continue
-            if host.instance in self._spares.warming:
+            if host.instance in self._spares.warming or host.instance in self._running_dry.members:
                 continue
             membership = host.membership
             actions += self._order_if_due(
@@ -329,12 +353,12 @@
         now: float,
         plan: DomainPlan,
         hosts: Mapping[Instance, TargetHost],
+        desired: Composition,
         needs: Sequence[ModelNeed],
         initial: Mapping[str, int] | None,
     ) -> tuple[DomainPlan, str] | None:
         free = self._free(now, plan, hosts)
         fault_free = self._fault_free(plan)
-        desired = desired_composition(plan.domain, len(hosts), needs)
         reasons = []
         while True:
             if initial is not None:
@@ -385,11 +409,11 @@
         now: float,
         plan: DomainPlan,
         hosts: Mapping[Instance, TargetHost],
+        desired: Composition,
         needs: Sequence[ModelNeed],
         loads_free: bool,
     ) -> list[Action]:
         """Order free hosts to load weights and warm up for future groups."""
-        desired = desired_composition(plan.domain, len(hosts), needs)
         left = self._available_hosts(now, plan, hosts)
         wanted = loads_to_order(self._fault_free(plan), left, desired, needs)
         loads = self._spares.load(now, wanted, loads_free)
@@ -400,6 +424,7 @@
     ) -> list[FreeHost]:
         """Return the hosts in no fault-free group, including those that will be free shortly."""
         free = [self._spares.as_free(h, now) for h in self._free(now, plan, hosts)]
+        dry = [self._spares.as_free(hosts[i], now) for i in self._running_dry.members]
         faulty = [g for g in plan.groups if g.name in self._fault_since]
         soon = [
             FreeHost(i, g.model, False)
@@ -407,7 +432,7 @@
             for i in g.members
             if i in hosts and not hosts[i].leaving and now >= self._avoid_until.get(i, 0.0)
         ]
-        return [*free, *soon]
+        return [*free, *soon, *(h._replace(available=False) for h in dry)]
 
 
 def _is_member(group: PlannedGroup, host: TargetHost) -> bool:
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 import time
-from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from typing import NamedTuple, Protocol
@@ -23,7 +22,8 @@
 from .composing import ModelNeed, initial_mix
 from .engine_hosts import EngineHosts, HostsByDomain
 from .forming import DomainKeeper
-from .inventory import Instance, Inventory
+from .inventory import Instance, Inventory, TargetHost
+from .needs import DemandReader, Fleet, FleetCopy, model_needs
 from .ownership import Presence, owns, should_take, taken_over
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, in_new_generation, plan_key
@@ -82,8 +82,7 @@
 
     :param first_loads_free: returns whether loads are still exempt from the rate limit
     :param is_suspect: returns whether this or another entry host observed a group to stall
-    :param demand: returns a model's demand in groups (see :class:`.composing.ModelNeed`)
-    :param filled: returns how many of a model's groups its current requests fill
+    :ivar groups_given_up: number of serving groups that this host gave up for other models
     """
 
     name = "owner"
@@ -103,8 +102,7 @@
         limits: LoadLimits,
         first_loads_free: Callable[[], bool],
         is_suspect: Callable[[str], bool],
-        demand: Callable[[str], float],
-        filled: Callable[[str], float],
+        demand: DemandReader,
         records: Records,
     ) -> None:
         super().__init__(kernel)
@@ -120,14 +118,16 @@
         self._first_loads_free = first_loads_free
         self._is_suspect = is_suspect
         self._demand = demand
-        self._filled = filled
         self._records = records
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
         self._retry_write_at: dict[str, float] = {}
         self._probe_rounds = ProbeRounds()
         self._engine_hosts = EngineHosts(inventory)
+        self._fleet_copy = FleetCopy()
+        self._fleet: Fleet | None = None
         self._max_listed = 0
+        self.groups_given_up = 0
         self._list_grew_at = float("-inf")
         self._next_refresh: asyncio.TimerHandle | None = None
         self._refresh_duration = 0.0
@@ -174,6 +174,7 @@
             return
         alive = self._alive()
         hosts_by_domain = self._engine_hosts.by_domain(catalog)
+        self._fleet = None
         self._probe_rounds.retain({g.name for p in self._plans.by_key.values() for g in p.groups})
         for domain in sorted(hosts_by_domain):
             if domain not in self._writing and now >= self._retry_write_at.get(domain, 0.0):
@@ -209,8 +210,12 @@
         hosts_by_domain: HostsByDomain,
         catalog: Catalog,
     ) -> None:
+        if self._fleet is None:
+            plans = self._plans.by_key.values()
+            self._fleet = self._fleet_copy.available(plans, hosts_by_domain)
+        fleet = self._fleet
         hosts = hosts_by_domain[plan.domain]
-        needs = self._model_needs(plan.domain, catalog, {h.service for h in hosts.values()})
+        needs = self._model_needs(now, plan.domain, fleet, catalog, hosts)
         domains = len(hosts_by_domain)
         keeper = self._keeper_by_domain.get(plan.domain)
         if keeper is None:
@@ -222,14 +227,19 @@
                 self._probe_rounds.clear(group.name)
             elif self._probe_rounds.begin(group.name, now):
                 self.spawn(self._probe(group, keeper))
-        initial = self._initial_mix(now, plan.domain, hosts_by_domain, needs)
+        initial = self._initial_mix(now, plan.domain, hosts_by_domain, needs, fleet)
         members = {i for g in plan.groups for i in g.members}
         restarted = {i for i in members if self._inventory.ended(i)}
-        for action in keeper.decide(now, plan, hosts, needs, initial, restarted):
+        for action in keeper.decide(now, plan, hosts, needs, initial, restarted, fleet):
             self._execute(action, plan, revision, keeper)
 
     def _initial_mix(
-        self, now: float, domain: str, hosts: HostsByDomain, needs: Sequence[ModelNeed]
+        self,
+        now: float,
+        domain: str,
+        hosts: HostsByDomain,
+        needs: Sequence[ModelNeed],
+        fleet: Fleet,
     ) -> Mapping[str, int] | None:
         """Return the initial groups for a domain, or ``None`` once loads are rate-limited.
 
@@ -240,12 +250,13 @@
         if not self._first_loads_free():
             return None
         count_by_domain = {d: len(found) for d, found in hosts.items()}
+        data_centre_by_domain = {d: s.data_centre for d, s in fleet.items()}
         listed = sum(count_by_domain.values())
         if listed > self._max_listed:
             self._max_listed, self._list_grew_at = listed, now
         if now - self._list_grew_at < LIST_SETTLED_AFTER:
             return {}
-        return initial_mix(count_by_domain, needs).get(domain, {})
+        return initial_mix(count_by_domain, needs, data_centre_by_domain).get(domain, {})
 
     async def _probe(self, group: PlannedGroup, keeper: DomainKeeper) -> None:
         """Probe all members of a group that was observed to stall.
@@ -286,31 +297,27 @@
         per_window = rate * limits.load_window * limits.load_factor + limits.load_extra
         return LoadPacer(per_window, limits.load_window, domains, max_concurrent)
 
-    def _model_needs(self, domain: str, catalog: Catalog, services: set[str]) -> list[ModelNeed]:
+    def _model_needs(
+        self,
+        now: float,
+        domain: str,
+        fleet: Fleet,
+        catalog: Catalog,
+        hosts: Mapping[Instance, TargetHost],
+    ) -> list[ModelNeed]:
         """Return the models of the services that have hosts in a domain, with their demand."""
-        others = [p for p in self._plans.by_key.values() if p.domain != domain]
-        planned = Counter(g.model for p in others for g in p.groups)
-        shapes = [s for n in sorted(services) if (s := catalog.service_by_name.get(n)) is not None]
-        return [
-            ModelNeed(
-                model.name,
-                model.hosts,
-                self._demand(model.name),
-                model.load_seconds,
-                planned[model.name] / max(1, len(others)),
-                planned[model.name],
-                self._filled(model.name),
-            )
-            for service in shapes
-            if service.engine is not None
-            for model in service.engine.model_by_name.values()
-        ]
+        services = sorted({h.service for h in hosts.values()})
+        shapes = [s for n in services if (s := catalog.service_by_name.get(n)) is not None]
+        engines = [s.engine for s in shapes if s.engine is not None]
+        models = [m for e in engines for m in e.model_by_name.values()]
+        at_once = min((e.loads_at_once for e in engines), default=1) // max(1, len(fleet))
+        return model_needs(domain, models, fleet, self._demand, at_once, now)
 
     def _execute(
         self, action: Action, plan: DomainPlan, revision: Revision, keeper: DomainKeeper
     ) -> None:
         if isinstance(action, Replan):
-            self._write(plan, revision, action.plan, action.reason)
+            self._write(plan, revision, action.plan, action.reason, action.given_up)
             return
         host = self._inventory.by_instance.get(action.instance)
         if host is None:
@@ -340,14 +347,23 @@
         """Return the generation of the store at the latest reading."""
         return 0 if self._mirror.log.revision is None else self._mirror.log.revision.generation
 
-    def _write(self, plan: DomainPlan, revision: Revision, new: DomainPlan, reason: str) -> None:
+    def _write(
+        self,
+        plan: DomainPlan,
+        revision: Revision,
+        new: DomainPlan,
+        reason: str,
+        given_up: Sequence[str] = (),
+    ) -> None:
         self._writing.add(plan.domain)
         if plan.generation < self._generation() and new.generation < self._generation():
             new = in_new_generation(new, self._generation())
         written = new._replace(write_id=secrets.token_hex(6), version=plan.version + 1)
-        self.spawn(self._commit(revision, written, reason))
+        self.spawn(self._commit(revision, written, reason, given_up))
 
-    async def _commit(self, revision: Revision, plan: DomainPlan, reason: str) -> None:
+    async def _commit(
+        self, revision: Revision, plan: DomainPlan, reason: str, given_up: Sequence[str]
+    ) -> None:
         """Write a plan. If there is no answer, the next reading shows whether it took effect."""
         key = plan_key(plan.domain)
         try:
@@ -355,6 +371,7 @@
             outcome = "written"
             self._retry_write_at.pop(plan.domain, None)
             if is_successful(written):
+                self.groups_given_up += len(given_up)
                 self._plans.put(key, encode_plan(plan), written.unwrap())
             else:
                 error = written.failure()
@@ -372,6 +389,7 @@
                 after_revision=revision,
                 reason=reason,
                 groups=len(plan.groups),
+                given_up=given_up,
             )
         finally:
             self._writing.discard(plan.domain)
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -26,6 +26,7 @@
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
 from ..groups.inventory import Inventory, Removal
+from ..groups.needs import DemandReader
 from ..groups.owner import LoadLimits, OwnerTask
 from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
 from ..groups.plans import PLAN_PREFIX, PLAN_RETENTION_SECONDS, decode_plan, supersedes
@@ -191,8 +192,7 @@
             LoadLimits(s.load_window, s.load_factor),
             self._loads_exempt,
             lambda group: self._book.is_suspect(group, time.monotonic()),
-            self._view.demand,
-            self._view.occupied_groups,
+            DemandReader(self._view.demand, self._view.occupied_groups, self._view.demand_history),
             records,
         )
         self._codec = HeaderCodec(self._log_unknown_header)
@@ -344,6 +344,7 @@
             lambda target: self._book.load(target, at),
             lambda model: self._book.rejections(model, at),
             self._book.slots_lost_to_limits,
+            now,
         )
 
     def _refresh_targets(self) -> None:
@@ -465,6 +466,10 @@
         self._notices.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
+        register("groups_given_up", "For other models", lambda: self._owner.groups_given_up)
+        by = self.exposition.gauge_by
+        by("model_groups", "Serving groups", "model", lambda: self._view.groups_by_model())
+        by("model_groups_surplus", "Beyond demand", "model", self._view.groups_beyond_demand)
 
 
 def main() -> None:
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -12,7 +12,7 @@
 from returns.result import Result
 
 from ..clients.httpcall import Call, CallFailure, HttpCaller, Reply
-from ..groups.actions import Join, Leave, Open, Order, OrderOutcome, Stage, Warm
+from ..groups.actions import Close, Join, Leave, Open, Order, OrderOutcome, Stage, Warm
 from ..groups.inventory import Instance
 from ..serving.forwarding import Notice
 from .decoding import decode_report
@@ -56,6 +56,12 @@
     return {"operation": "open", "group": order.group.name, "epoch": order.group.epoch}
 
 
+@_body.register
+def _(order: Close) -> dict[str, Any]:
+    # In this mode the head finishes the requests that it has, also those in its queue.
+    return {"operation": "close", "group": order.group, "epoch": order.epoch, "mode": "queue"}
+
+
 @_body.register
 def _(order: Leave) -> dict[str, Any]:
     return {"operation": "leave", "group": order.group, "epoch": order.epoch}
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 from ..clients.keyed import KeyedCopy
+from ..groups.composing import UNDERSUPPLY_RATIO
+from ..groups.demand import DemandHistory
 from ..groups.inventory import Inventory
 from ..groups.plans import DomainPlan
 from ..groups.serving_groups import ServingGroup, serving_groups
@@ -54,6 +56,7 @@
         self._expected_by_model: Mapping[str, float] = {}
         self._prediction_by_model: Mapping[str, Prediction] = {}
         self._slots = 1
+        self.demand_history = DemandHistory()
 
     def refresh(self, catalog: Catalog | None) -> bool:
         """Recompute the targets if their inputs changed; return whether they did."""
@@ -162,6 +165,12 @@
         """Return the number of serving groups by model."""
         return {model: len(groups) for model, groups in self._by_model.items()}
 
+    def groups_beyond_demand(self) -> dict[str, float]:
+        """Return by model how many more groups serve than its present demand needs."""
+        models = self._by_model.keys() | self._demand_by_model.keys()
+        needed = {m: UNDERSUPPLY_RATIO * self.demand_history.present(m) for m in models}
+        return {m: round(len(self._by_model.get(m, ())) - n, 2) for m, n in needed.items()}
+
     def groups(self) -> Iterable[tuple[str, ...]]:
         """Return the incarnations of each serving group's members, the head first."""
         return (c.incarnations for candidates in self._by_model.values() for c in candidates)
@@ -176,8 +185,9 @@
         load: Callable[[str], int],
         rejections: Callable[[str], int],
         slots_lost_to_limits: Callable[[Candidate], float],
+        now: float = 0.0,
     ) -> None:
-        """Update the moving average of the demand for each model.
+        """Update the moving average and the history of the demand for each model.
 
         :param load: returns the requests in flight at a target
         :param rejections: returns the requests for a model rejected within the last second, which
@@ -185,7 +195,9 @@
             appear to have no demand
         :param slots_lost_to_limits: returns the slots of a target that its rate limit leaves
             unused. They serve no requests, so other slots are needed in their place
+        :param now: time of this sample
         """
+        occupied_by_model: dict[str, float] = {}
         for model in self._by_model.keys() | self._demand_by_model.keys():
             candidates = self._by_model.get(model, ())
             slots = max((c.host.slots for c in candidates), default=self._slots)
@@ -196,6 +208,8 @@
             previous = self._demand_by_model.get(model, 0.0)
             occupied = requests / max(1, slots)
             self._demand_by_model[model] = previous + DEMAND_SMOOTHING * (occupied - previous)
+            occupied_by_model[model] = occupied
+        self.demand_history.record(occupied_by_model, self._demand_by_model, now)
 
     def demand(self, model: str) -> float:
         """Return a model's demand in groups: its occupancy plus the weighted expected share."""
