--- a/dev/oleanderhill_dev/capacity.py
+++ b/dev/oleanderhill_dev/capacity.py
@@ -253,6 +253,15 @@
 - *Next acknowledgement after a kill* is about the lease of an owner, three seconds, at any size.
 - At {least} entry hosts {least_served} of the requests were served: its domains are too small for
   the large model (`docs/POLICY.md`).
+
+Capacity that follows demand (`groups/needs.py`, `groups/shifting.py`) sends no messages, and an
+order more for a group that is given up. By a run of single functions for 2,222 domains of 18 engine
+hosts on a busy machine, an owner spends 0.8 to 1.3 ms a refresh on the state of all domains and 2.3
+to 3 ms on the needs of the models (1.1 to 2 ms before), and some 0.05 ms on the decision while no
+model is short; while one is, 17 ms a refresh and 60 ms a look, of which there is one in a second at
+most. Five refreshes a second are regular; those that news begins take a twentieth of a core at most
+(`REFRESH_SPACING_FACTOR`). The state of all domains takes 0.9 MB at an owner, the demand of two
+models 15 KB on each entry host.
 """
 
 
