A target that fails every request at once no longer attracts all of them

Ten of 162 targets said they were healthy and failed all they got.

Cause: a 500 is an answer, so the target was in no doubt, and it ends at once, so the target was never busy: the least loaded of all, it got ever more requests (the busiest target had 10.4 times the mean). Second tries used up the retry budget.

Now a failed request goes on counting as load for as long as a served one would take, so such a target gets its share at most; and the answers of the last two seconds are counted over all entry hosts (SharedCounters): from three failures on that are half of its answers, a target is avoided for three seconds. It is avoided like a suspect, so never if half of the targets are. A 504 of a target is a deadline and doesn't count.

Tests: 30 hosts and 40 groups, one of which fails at once, without a network: over five times its share without the mend, under its share with it; single failures (14 in 100) exclude nobody; counts of several hosts add up; three entry hosts in a process avoid a plain target and serve it again.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -35,6 +35,7 @@
 from ..outcomes import Problem
 from ..records import Records, flush_periodically, log_to_descriptor
 from ..routing.backoffs import Backoffs
+from ..routing.failing_targets import ANSWERS, FAILURES, Counts, FailingTargets
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
 from ..serving.context import ForwardingContext
@@ -125,7 +126,10 @@
         self._view = ServingView(self._inventory, self._plans, rng)
         self._counters = SharedCounters(s.host, s.data_centre)
         limits = TargetLimits(s.host)
-        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
+        failing = FailingTargets(self._counters.peers, self._log_failing)
+        self._counters.register(FAILURES, failing.own_failures)
+        self._counters.register(ANSWERS, failing.own_answers)
+        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs(), failing)
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -304,6 +308,17 @@
         self._quarantine.incarnation_ended(str(removal.instance), "removed from the host list")
         self._notices.incarnation_ended(str(removal.instance))
 
+    def _log_failing(self, target: str, counts: Counts, avoided: bool) -> None:
+        """Log that a target is avoided because it answers with failures, or is tried again."""
+        self._records.note(
+            "target",
+            "failing" if avoided else "tried again",
+            target=target,
+            failures=counts.failures,
+            answers=counts.answers,
+            hosts=self._counters.hosts,
+        )
+
     def _apply_notice(self, incarnation: str, notice: Notice, sent_at: float) -> None:
         """Apply the notice in a reply to an order or probe, and count it in the host's limit."""
         self._book.limits.count_without_permit(incarnation, time.monotonic())
@@ -463,6 +478,11 @@
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
+        register(
+            "targets_failing",
+            "Targets that are avoided because they answer with failures",
+            lambda: len(self._book.failing.avoided(time.monotonic())),
+        )
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -44,7 +44,7 @@
 from .events import EventSequence
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
-from .placement import Candidate
+from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS, Candidate
 from .retries import SharedRetryBudget
 from .stall_timeout import stall_timeout_for
 from .target_limits import StatementSource
@@ -55,6 +55,9 @@
 
 QUARANTINED = "quarantined"
 
+TARGET_DEADLINE_STATUS = 504
+"""Status with which a target ends a request at its deadline; that does not show a fault."""
+
 
 class Exchange:
     """One forwarded request.
@@ -103,6 +106,7 @@
         self._permit: Permit | None = None
         self._hold_reason = ""
         self._on_trial = False
+        self._target_failed = False
         self._tried_targets: set[str] = set()
         self._attempt_log: list[str] = []
 
@@ -237,6 +241,7 @@
         self._tried_targets.add(choice.group)
         self._attempt_log.append(f"{choice.group}:{choice.head.host}")
         tracker.begin(choice.group)
+        began, self._target_failed = time.monotonic(), False
         run = Attempt(self, choice)
         task = asyncio.ensure_future(self.context.caller.call(self._call(choice), run))
         quarantined = self.context.quarantine.begin(self._identity)
@@ -253,7 +258,12 @@
                 tracker.limits.give_back(permit)
             if self._on_trial:
                 tracker.backoffs.trial_ended(choice.head.boot_id)
-            tracker.end(choice.group)
+            if self._target_failed:
+                generates = self._accepted.route.generates
+                seconds = REQUEST_SECONDS if generates else PLAIN_REQUEST_SECONDS
+                tracker.end_failed(choice.group, began + seconds)
+            else:
+                tracker.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
     def _call(self, choice: Choice) -> Call:
@@ -369,6 +379,8 @@
         if not reading.signed:
             return self._advance(Lost(attempt, f"status {reply.status} without a signature"))
         self.context.quarantine.answered(self._identity, self._incoming.facts.request_id)
+        self._target_failed = reply.status >= 500 and reply.status != TARGET_DEADLINE_STATUS
+        self.context.book.failing.record(choice.group, self._target_failed, time.monotonic())
         if not run.streaming:
             reply = reply._replace(body=b"".join(run.chunks))
             if self._sink.started:
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from collections import Counter, deque
@@ -10,6 +11,7 @@
 
 from ..groups.inventory import TargetHost
 from ..routing.backoffs import Backoffs
+from ..routing.failing_targets import FailingTargets
 from ..routing.target_limits import TargetLimits
 
 PEER_COUNTS_MAX_AGE = 0.6
@@ -55,6 +57,9 @@
 REQUEST_SECONDS = 1.0
 """Approximate duration of a request at an engine. It converts requests in flight to a rate."""
 
+PLAIN_REQUEST_SECONDS = 0.1
+"""Approximate duration of a request at a plain target."""
+
 
 class Candidate(NamedTuple):
     """A target that could take a request.
@@ -80,6 +85,7 @@
     :param data_centre: data centre of this entry host
     :param limits: rate limits that targets stated for all entry hosts together
     :param backoffs: back-offs that targets requested from this host
+    :param failing: targets that answer with failures
     """
 
     def __init__(
@@ -88,13 +94,16 @@
         rng: random.Random,
         limits: TargetLimits | None = None,
         backoffs: Backoffs | None = None,
+        failing: FailingTargets | None = None,
     ) -> None:
+        self.failing = FailingTargets() if failing is None else failing
         self.limits = TargetLimits() if limits is None else limits
         self.backoffs = Backoffs() if backoffs is None else backoffs
         self._data_centre = data_centre
         self._rng = rng
         self.peer_report_delay = PEER_REPORT_DELAY
         self._own: dict[str, int] = {}
+        self._held: list[tuple[float, str]] = []
         self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._suspect_until: dict[str, float] = {}
         self._peer_suspect_until: dict[str, float] = {}
@@ -113,6 +122,21 @@
         """Count a request that is sent to a target."""
         self._own[target] = self._own.get(target, 0) + 1
 
+    def end_failed(self, target: str, until: float) -> None:
+        """Stop counting a request that a target failed, but only at a later time.
+
+        A target that fails at once is never busy. If its requests stopped counting at once, it
+        would be the least loaded one for ever more of them.
+
+        :param until: monotonic time at which a request that it serves would have ended
+        """
+        heapq.heappush(self._held, (until, target))
+
+    def release_failed(self, now: float) -> None:
+        """Stop counting the failed requests whose time is over."""
+        while self._held and self._held[0][0] <= now:
+            self.end(heapq.heappop(self._held)[1])
+
     def end(self, target: str) -> None:
         """Stop counting a request that has ended at a target."""
         left = self._own.get(target, 0) - 1
@@ -187,6 +211,7 @@
 
     def drop_stale_peers(self, now: float) -> None:
         """Drop reports of peers that are too old to be used."""
+        self.release_failed(now)
         for table in (self._peers, self._peer_rejected):
             for peer in [p for p, (at, _) in table.items() if now - at > PEER_COUNTS_MAX_AGE]:
                 del table[peer]
@@ -254,6 +279,7 @@
             among them would crash that target under the same requests, and could not be
             distinguished from them
         """
+        self.release_failed(now)
         untried = [c for c in candidates if c.target not in tried]
         available = [c for c in untried if self.backoffs.may_place(c.incarnations[0], now)]
         self.backoffs.held_back += len(untried) - len(available)
@@ -275,7 +301,8 @@
 
     def _is_doubtful(self, candidate: Candidate, now: float) -> bool:
         until = self._peer_backoff_until.get(candidate.incarnations[0], 0.0)
-        return until > now or self.is_suspect(candidate.target, now)
+        failing = self.failing.is_failing(candidate.target, now)
+        return failing or until > now or self.is_suspect(candidate.target, now)
 
     def _within_limits(self, candidates: Sequence[Candidate], now: float) -> Sequence[Candidate]:
         if not self.limits.known:
