Read the operator's evacuations and send nothing more to an evacuated data centre

Callers' requests went on to targets of a data centre for as long as its evacuation lasted, because no entry host read the operator's key. It is now one more subscription of the mirror, and costs no call: one listing covers all that the operator writes. Targets there are no candidates, a request chosen before is checked once more before its first byte, and owners form, load and count nothing there. In the time that the bound leaves after a careful estimate of the acknowledgement, those targets still take what the others have no room for.

Weighed: a peer of an earlier release doesn't relay the key, and a host that reads from it would take every evacuation for absent. A relay names the prefixes that it copies; a peer that doesn't is left out until its process has been replaced.

--- a/src/oleanderhill/clients/mirror.py
+++ b/src/oleanderhill/clients/mirror.py
@@ -128,6 +128,16 @@
         self._fast_poll_until = float("-inf")
         self._read_applied = asyncio.Event()
 
+    @property
+    def prefixes(self) -> Sequence[str]:
+        """Return the key prefixes that the copy covers."""
+        return [f.prefix for f in self._subscriptions]
+
+    @property
+    def read_at(self) -> float:
+        """Return the time at which the store was last asked for content that was applied."""
+        return self._read_at
+
     async def start(self) -> None:
         """Start reading."""
         self.spawn(self._read_loop())
--- a/src/oleanderhill/clients/relay.py
+++ b/src/oleanderhill/clients/relay.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 from urllib.parse import parse_qs, urlencode, urlsplit
 
@@ -26,7 +27,12 @@
 )
 
 from ..clock import boottime_seconds
-from ..exceptions import NoStoreCopyError, StoreError, StoreUnavailableError
+from ..exceptions import (
+    IncompletePeerCopyError,
+    NoStoreCopyError,
+    StoreError,
+    StoreUnavailableError,
+)
 from ..kernel import Kernel, Task
 from .compression import compress_message, decompress_message
 from .httpcall import Call, HttpCaller
@@ -48,6 +54,10 @@
 IDLE_TIMEOUT = 30.0
 """Seconds for which a peer's idle connection stays open; a live peer asks again immediately."""
 
+PREFIXES_HEADER = "Copied-Prefixes"
+"""Header of a reply with the key prefixes that the content covers, separated by spaces. A host of
+an earlier release omits it and may lack keys that are new since."""
+
 
 class EncodedReading(NamedTuple):
     """A read as sent to a peer, with ages instead of times, as clocks of hosts differ.
@@ -78,12 +88,16 @@
     """Reads the content from another entry host.
 
     :param address: ``ip:port`` of its :class:`RelayServer`
+    :param prefixes: key prefixes that the peer's copy must cover
     """
 
-    def __init__(self, name: str, address: str, caller: HttpCaller) -> None:
+    def __init__(
+        self, name: str, address: str, caller: HttpCaller, prefixes: Sequence[str] = ()
+    ) -> None:
         self.name = name
         self._address = address
         self._caller = caller
+        self._prefixes = prefixes
 
     async def read(self, after: Revision | None, began: float) -> Result[ReadResult, StoreError]:
         """Read the changes after a revision from the peer."""
@@ -108,6 +122,10 @@
             return Failure(NoStoreCopyError(self.name))
         if reply.status != 200:
             return Failure(StoreUnavailableError(f"{self.name}: status {reply.status}"))
+        covered = reply.headers.get(PREFIXES_HEADER, "").split()
+        missing = next((p for p in self._prefixes if p not in covered), None)
+        if missing is not None:
+            return Failure(IncompletePeerCopyError(self.name, missing))
         try:
             encoded = _DECODER.decode(reply.body)
             changes = _CHANGES_DECODER.decode(decompress_message(encoded.changes))
@@ -170,6 +188,7 @@
         super().__init__(kernel)
         self._address = address
         self._mirror = mirror
+        self._prefixes = " ".join(mirror.prefixes)
         self._encoded_changes: tuple[Revision, dict[Revision | None, bytes]] = (NEVER, {})
         self._http = HTTPServer(_ConnectionDelegate(self), idle_connection_timeout=IDLE_TIMEOUT)
 
@@ -206,7 +225,7 @@
             reading.uncertain_s,
             reading.settle_s,
         )
-        _reply(connection, 200, _ENCODER.encode(encoded))
+        _reply(connection, 200, _ENCODER.encode(encoded), {PREFIXES_HEADER: self._prefixes})
 
     def _encode_changes(self, since: Revision | None, reading: ReadResult) -> bytes:
         """Return the encoded changes of a read, cached for all peers at the same revision.
@@ -224,9 +243,11 @@
         return changes_by_revision[since]
 
 
-def _reply(connection: HTTPConnection, status: int, body: bytes) -> None:
+def _reply(
+    connection: HTTPConnection, status: int, body: bytes, more: Mapping[str, str] | None = None
+) -> None:
     start = ResponseStartLine("HTTP/1.1", status, responses[status])
-    headers = HTTPHeaders({"Content-Length": str(len(body))})
+    headers = HTTPHeaders({"Content-Length": str(len(body)), **(more or {})})
     written = connection.write_headers(start, headers, body)
     # Errors are ignored: a peer that disconnected has already asked another source.
     written.add_done_callback(lambda w: w.cancelled() or w.exception())
--- a/src/oleanderhill/exceptions.py
+++ b/src/oleanderhill/exceptions.py
@@ -94,6 +94,13 @@
         super().__init__(f"{peer} has no copy of the store's data")
 
 
+class IncompletePeerCopyError(StoreError):
+    """The entry host that was asked copies only a part of what this one needs from the store."""
+
+    def __init__(self, peer: str, missing: str) -> None:
+        super().__init__(f"{peer} doesn't read {missing!r} from the store")
+
+
 class StoreAnswerLostError(StoreError):
     """The call was sent and no response was received, so it may have been applied."""
 
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -95,6 +95,7 @@
         self._unanswered_probes: dict[Instance, int] = {}
         self._answered_at = float("-inf")
         self._avoid_until: dict[Instance, float] = {}
+        self._closed: Collection[Instance] = ()
 
     def ended(self, order: Order, end: OrderOutcome, now: float) -> None:
         """Record the outcome of an order."""
@@ -132,6 +133,7 @@
         needs: Sequence[ModelNeed],
         initial: Mapping[str, int] | None,
         restarted: Collection[Instance] = (),
+        closed: Collection[Instance] = (),
     ) -> list[Action]:
         """Return the actions to take now.
 
@@ -141,18 +143,26 @@
             list is incomplete; ``None`` once loads are rate-limited
         :param restarted: members whose hosts have since restarted and have therefore left their
             groups
+        :param closed: hosts of an evacuated data centre. They aren't assigned to groups and load
+            nothing. Their groups stay planned, and those that still form go on once it is taken
+            back
         """
+        self._closed = closed
         loads_free = initial is not None
         self._prune(plan, host_by_instance)
         self._spares.observe(now, host_by_instance, needs)
         actions: list[Action] = []
         dissolved: list[str] = []
         for group in plan.groups:
+            paused = any(i in closed for i in group.members)
+            if paused:
+                self._planned_since[group.name] = now
             self._planned_since.setdefault(group.name, now)
             fault = self._fault(now, group, host_by_instance, needs)
             if fault is None:
                 self._fault_since.pop(group.name, None)
-                actions.extend(self._continue_forming(now, group, host_by_instance, loads_free))
+                if not paused:
+                    actions.extend(self._continue_forming(now, group, host_by_instance, loads_free))
                 continue
             self._fault_since.setdefault(group.name, now)
             if self._in_leaving_grace(now, group, fault):
@@ -370,6 +380,7 @@
             for h in hosts.values()
             if h.instance not in held
             and not h.leaving
+            and h.instance not in self._closed
             and self._has_left(now, h)
             and h.instance not in self._spares.warming
             and now >= self._avoid_until.get(h.instance, 0.0)
@@ -405,7 +416,10 @@
             FreeHost(i, g.model, False)
             for g in faulty
             for i in g.members
-            if i in hosts and not hosts[i].leaving and now >= self._avoid_until.get(i, 0.0)
+            if i in hosts
+            and i not in self._closed
+            and not hosts[i].leaving
+            and now >= self._avoid_until.get(i, 0.0)
         ]
         return [*free, *soon]
 
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -244,6 +244,10 @@
         """
         return self._last_change_by_domain.get(domain, 0)
 
+    def hosts_by_data_centre(self) -> Mapping[str, int]:
+        """Return the number of listed hosts by data centre."""
+        return Counter(h.data_centre for h in self.by_instance.values())
+
     def engines(self, service: str) -> int:
         """Return the number of hosts of a service that are in a fabric domain."""
         return self._engines_by_service[service]
--- a/src/oleanderhill/groups/readers.py
+++ b/src/oleanderhill/groups/readers.py
@@ -18,7 +18,7 @@
 from ..clients.relay import PeerSource
 from ..clients.storage import Revision, Storage
 from ..clients.store_reads import Source, StoreSource
-from ..exceptions import NoStoreCopyError, StoreError
+from ..exceptions import IncompletePeerCopyError, NoStoreCopyError, StoreError
 from ..ownership import rendezvous
 from ..records import Records
 from .ownership import PRESENCE_PREFIX, Presence, rank_by_strength
@@ -83,6 +83,9 @@
     :param entries: presences of the entry hosts, as cached by the mirror
     :param held: returns the cached revisions, by key, of the keys that freshness checks cover
     :param record_verified: called with the time at which the cached data was verified to be current
+    :param copied: key prefixes that a peer's copy must cover. An earlier release may not know some;
+        without them this host would take what they hold for absent. Such a peer isn't asked again
+        until its process has been replaced
     """
 
     def __init__(
@@ -95,8 +98,13 @@
         held: Callable[[], Mapping[str, Revision]],
         record_verified: Callable[[float], None],
         records: Records,
+        copied: Sequence[str] = (),
     ) -> None:
         self._me = me
+        self._copied = copied
+        self._records = records
+        self._incomplete: dict[str, str] = {}
+        self._life_by_name: dict[str, str] = {}
         self._storage = storage
         self._store = StoreSource(storage, prefixes, held, record_verified, records)
         self._entries = entries
@@ -128,8 +136,13 @@
         self._entries_seen = self._entries.changes
         alive = {p.name: p for p in self._entries.by_key.values()}
         self._reads_store = self._store.run_freshness_checks = reads_store(self._me, alive)
+        self._life_by_name = {name: p.life for name, p in alive.items()}
+        self._incomplete = {
+            n: life for n, life in self._incomplete.items() if self._life_by_name.get(n) == life
+        }
         self._peers = [
-            PeerSource(p.name, p.address, self._caller) for p in peers_to_ask(self._me, alive)
+            PeerSource(p.name, p.address, self._caller, self._copied)
+            for p in peers_to_ask(self._me, alive)
         ]
 
     def failed(self, source: Source, error: StoreError, now: float) -> None:
@@ -137,6 +150,9 @@
         if source is self._store:
             seconds = AVOID_STORE_SECONDS
         else:
+            if isinstance(error, IncompletePeerCopyError):
+                self._incomplete[source.name] = self._life_by_name.get(source.name, "")
+                self._records.note("dependency", "peer skipped", reason=str(error))
             seconds = (
                 AVOID_EMPTY_SECONDS if isinstance(error, NoStoreCopyError) else AVOID_SILENT_SECONDS
             )
@@ -144,7 +160,11 @@
         self._avoid_until[source.name] = now + seconds
 
     def _not_avoided(self, sources: Sequence[Source], now: float) -> list[Source]:
-        return [s for s in sources if now >= self._avoid_until.get(s.name, 0.0)]
+        return [
+            s
+            for s in sources
+            if now >= self._avoid_until.get(s.name, 0.0) and s.name not in self._incomplete
+        ]
 
     async def _load_presences(self, now: float) -> None:
         """Load the presences, so that a starting host can read everything else from a peer."""
--- a/src/oleanderhill/operators/explaining.py
+++ b/src/oleanderhill/operators/explaining.py
@@ -96,7 +96,7 @@
 def _subjects(line: LogLine) -> set[str]:
     """Return all subjects of a line."""
     subjects = set()
-    for name in ("request_id", "target", "group", "about", "instance", "domain"):
+    for name in ("request_id", "target", "group", "about", "instance", "domain", "data_centre"):
         value = line.fields.get(name)
         if isinstance(value, str):
             subjects.add(value)
@@ -112,7 +112,7 @@
 
 def _involved(line: LogLine) -> set[str]:
     """Return the groups and hosts in a line about a request."""
-    involved = {str(line.fields["target"])} if "target" in line.fields else set()
+    involved = {str(line.fields[n]) for n in ("target", "data_centre") if n in line.fields}
     for place in line.fields.get("path") or ():
         if isinstance(place, str):
             involved |= set(place.split(":"))
--- a/src/oleanderhill/platform/decoding.py
+++ b/src/oleanderhill/platform/decoding.py
@@ -22,6 +22,10 @@
 )
 
 CONFIGURATION_KEY = "op/config"
+EVACUATIONS_PREFIX = "op/evacuate/"
+OPERATOR_PREFIX = "op/"
+"""Prefix of all keys that the operator writes, so that one listing reads them."""
+
 HOSTS_PREFIX = "servers/"
 
 _REPEATABLE_BY_ROUTE_KIND = {
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -25,6 +25,7 @@
 from ..clock import boottime_seconds, processor_seconds
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
+from ..groups.evacuations import Evacuations
 from ..groups.inventory import Inventory, Removal
 from ..groups.owner import LoadLimits, OwnerTask
 from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
@@ -54,7 +55,7 @@
 from ..settings.catalog import Catalog, pick_backend
 from ..vitals import VitalsTask
 from .configuration import ConfigurationCopy
-from .decoding import CONFIGURATION_KEY, HOSTS_PREFIX
+from .decoding import CONFIGURATION_KEY, EVACUATIONS_PREFIX, HOSTS_PREFIX, OPERATOR_PREFIX
 from .headers import HeaderCodec
 from .host_list import HostList
 from .orders import EngineOrders
@@ -122,7 +123,10 @@
         )
         self._plans = KeyedCopy(decode_plan, records, supersedes, PLAN_RETENTION_SECONDS)
         self._presences = KeyedCopy(decode_presence, records, retain_missing_s=LEASE_SECONDS)
-        self._view = ServingView(self._inventory, self._plans, rng)
+        self._evacuations = Evacuations(
+            records, EVACUATIONS_PREFIX, s.evacuation_seconds, lambda: self._mirror.read_at
+        )
+        self._view = ServingView(self._inventory, self._plans, rng, self._evacuations)
         self._counters = SharedCounters(s.host, s.data_centre)
         limits = TargetLimits(s.host)
         self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
@@ -137,7 +141,9 @@
             records,
         )
         followers = self._subscriptions()
-        prefixes = [f.prefix for f in followers]
+        copied = [f.prefix for f in followers]
+        # One listing covers everything that the operator writes, as each is billed.
+        prefixes = [OPERATOR_PREFIX, *(p for p in copied if not p.startswith(OPERATOR_PREFIX))]
         sources = ReadingSources(
             own_presence,
             self._store,
@@ -147,6 +153,7 @@
             self._configuration.revisions,
             self._freshness.record_verified,
             records,
+            copied,
         )
         self._mirror = Mirror(
             self.kernel,
@@ -193,6 +200,7 @@
             lambda group: self._book.is_suspect(group, time.monotonic()),
             self._view.demand,
             self._view.occupied_groups,
+            self._evacuations,
             records,
         )
         self._codec = HeaderCodec(self._log_unknown_header)
@@ -207,6 +215,8 @@
             self.exposition.request,
             self._quarantine,
             self._notices,
+            self._evacuations,
+            self._view.evacuated_candidates,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -291,6 +301,7 @@
                 self._configuration.change,
                 retained=self._configuration.retained,
             ),
+            subscribe(EVACUATIONS_PREFIX, self._evacuations),
             subscribe(HOSTS_PREFIX, self._hosts),
             subscribe(PLAN_PREFIX, self._plans),
             subscribe(PRESENCE_PREFIX, self._presences),
@@ -334,6 +345,7 @@
 
     def _on_store_read(self, now: float) -> None:
         self._hosts.finish_read(now)
+        self._evacuations.finish_read(now, self._inventory.hosts_by_data_centre)
         self._plans.expire(now)
         self._presences.expire(now)
         self._update_host_count()
@@ -463,6 +475,7 @@
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
+        self._evacuations.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
--- a/src/oleanderhill/platform/settings.py
+++ b/src/oleanderhill/platform/settings.py
@@ -26,6 +26,8 @@
     budget_slack: float = 100.0
     ceiling_window_s: float = 5.0
     ceiling_factor: float = 1.1
+    # Absent where the deployment has no evacuations.
+    evacuate_ms: float | None = None
 
 
 class _Platform(msgspec.Struct):
@@ -64,6 +66,8 @@
     :param first_start: whether this is the first start of the whole deployment
     :param grace_seconds: time between the stop signal and the forced end of the process
     :param key_removal_seconds: time after which a removed API key must be rejected everywhere
+    :param evacuation_seconds: time after the acknowledgement of an evacuation after which nothing
+        may be sent to the data centre, ``None`` if the deployment states none
     :param strength: capacity for comparison with other hosts: CPU share times link rate in Mbit/s
     """
 
@@ -83,6 +87,7 @@
     load_window: float
     load_factor: float
     strength: float = 0.0
+    evacuation_seconds: float | None = None
 
 
 def read_settings(path: str | None = None) -> EntrySettings:
@@ -115,4 +120,5 @@
         bounds.ceiling_window_s,
         bounds.ceiling_factor,
         machine.cpu_share * machine.cpu_cores * machine.link_mbps,
+        None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1000,
     )
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..clients.httpcall import HttpCaller
+from ..groups.evacuations import Evacuations
 from ..records import Records
 from .forwarding import Codec
 from .notices import TargetNotices
@@ -21,6 +22,8 @@
         one still meets a latency goal, as a fraction of its slots; ``None`` if unknown
     :param retry_delay: returns the seconds after which a rejected caller may retry, by service and
         model
+    :param evacuated_candidates: returns those that ``candidates`` leaves out because their data
+        centre is evacuated
     :param report: records route, outcome and duration in seconds of a finished request
     """
 
@@ -34,3 +37,5 @@
     report: Callable[[str, str, float], None]
     quarantine: QuarantineTask
     notices: TargetNotices
+    evacuations: Evacuations
+    evacuated_candidates: Callable[[str, str], Sequence[Candidate]]
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders
 
 from ..clients.httpcall import Call, CallFailure, Reply
+from ..clock import boottime_seconds
 from ..outcomes import HELD_BACK, Problem, Ran, ends_targets
 from ..requests.attempts import (
     Cancel,
@@ -103,6 +104,7 @@
         self._permit: Permit | None = None
         self._hold_reason = ""
         self._on_trial = False
+        self._chosen: Candidate | None = None
         self._tried_targets: set[str] = set()
         self._attempt_log: list[str] = []
 
@@ -149,7 +151,7 @@
         if self.machine.choice is not None:
             self._hold_reason = self.context.notices.reason_to_skip(
                 self.machine.choice.head.boot_id
-            )
+            ) or self._evacuation_reason(self.machine.choice)
         if self._hold_reason:
             return False
         permit, self._permit = self._permit, None
@@ -160,6 +162,24 @@
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
         return True
 
+    def _evacuation_reason(self, choice: Choice) -> str:
+        """Return that the data centre of the target is evacuated, empty if it isn't."""
+        chosen = self._chosen
+        if chosen is None:
+            return ""
+        evacuations = self.context.evacuations
+        reason = evacuations.reason_to_skip(chosen.data_centres, boottime_seconds())
+        if reason:
+            self.context.records.request(
+                self._incoming.facts.request_id,
+                "held back",
+                False,
+                target=choice.group,
+                data_centre=evacuations.among(chosen.data_centres),
+                reason=reason,
+            )
+        return reason
+
     def read_reply(self, status: int, headers: HTTPHeaders) -> ReplyInfo:
         """Decode the status and headers of a reply."""
         return self.context.codec.read_reply(status, headers)
@@ -194,18 +214,41 @@
         found = self.context.book.choose(
             candidates, self._tried_targets, now, queue_limit, connected, spread
         )
+        if found is None and (evacuated := self._still_open()):
+            found = self.context.book.choose(
+                evacuated, self._tried_targets, now, queue_limit, connected, spread
+            )
         if found is None:
             no_capacity = bool(candidates)
-            reason = self._describe_no_capacity(candidates) if no_capacity else "no target serves"
+            reason = (
+                self._describe_no_capacity(candidates) if no_capacity else self._describe_none()
+            )
             if not self.machine.attempts_sent:
                 self.context.book.count_rejection(self._incoming.facts.model, time.monotonic())
             return NoChoice(reason, no_capacity, no_capacity)
+        self._chosen = found
         self._permit = self.context.book.limits.take(found.incarnations, now)
         self._on_trial = self.context.book.backoffs.take(found.incarnations[0])
         host = found.host
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
 
+    def _still_open(self) -> Sequence[Candidate]:
+        """Return the targets of evacuated data centres that may still take what has no other."""
+        found = self.context.evacuated_candidates(self._service, self._incoming.facts.model)
+        if not found:
+            return ()
+        now = boottime_seconds()
+        return [c for c in found if self.context.evacuations.may_send(c.data_centres, now)]
+
+    def _describe_none(self) -> str:
+        """Describe why there is no target at all."""
+        evacuated = self.context.evacuated_candidates(self._service, self._incoming.facts.model)
+        if not evacuated:
+            return "no target serves"
+        names = {self.context.evacuations.among(c.data_centres) for c in evacuated}
+        return f"no target serves outside evacuated data centres: {', '.join(sorted(names))}"
+
     def _describe_no_capacity(self, candidates: Sequence[Candidate]) -> str:
         """Describe why no target accepts the request, with the counts behind it."""
         now = time.monotonic()
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -62,17 +62,24 @@
     :param target: key of the target in load counts: a group, or the instance of a plain target
     :param host: the host that receives the request: the head of a group, or the plain target
     :param members: the incarnations of the other members of its group
+    :param more_data_centres: data centres of its members other than that of ``host``
     """
 
     target: str
     host: TargetHost
     members: tuple[str, ...] = ()
+    more_data_centres: tuple[str, ...] = ()
 
     @property
     def incarnations(self) -> tuple[str, ...]:
         """Return all incarnations that a request passes through, the one that receives it first."""
         return (str(self.host.instance), *self.members)
 
+    @property
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the data centres that a request passes through."""
+        return (self.host.data_centre, *self.more_data_centres)
+
 
 class LoadTracker:
     """Tracks requests in flight by target, here and at peers, and suspect targets.
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from ..clients.keyed import KeyedCopy
+from ..groups.evacuations import Evacuations
 from ..groups.inventory import Inventory
 from ..groups.plans import DomainPlan
 from ..groups.serving_groups import ServingGroup, serving_groups
@@ -38,16 +39,25 @@
     """Targets by service and model.
 
     Few of many domains change between two polls of the store, and only those are recomputed.
+    Targets of evacuated data centres are kept apart: what still runs there counts as demand, and
+    they serve again as soon as their data centre is taken back.
     """
 
     def __init__(
-        self, inventory: Inventory, plans: KeyedCopy[DomainPlan], rng: random.Random
+        self,
+        inventory: Inventory,
+        plans: KeyedCopy[DomainPlan],
+        rng: random.Random,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations
         self._inventory = inventory
         self._plans = plans
         self._rng = rng
         self._candidates_by_key: dict[str, _DomainCandidates] = {}
-        self._inputs: tuple[int, int, Catalog | None] | None = None
+        self._inputs: tuple[int, int, int, Catalog | None] | None = None
+        self._open_by_model: Mapping[str, Sequence[Candidate]] = {}
+        self._open_by_service: Mapping[str, Sequence[Candidate]] = {}
         self._by_model: Mapping[str, Sequence[Candidate]] = {}
         self._by_service: Mapping[str, Sequence[Candidate]] = {}
         self._demand_by_model: dict[str, float] = {}
@@ -57,18 +67,33 @@
 
     def refresh(self, catalog: Catalog | None) -> bool:
         """Recompute the targets if their inputs changed; return whether they did."""
-        inputs = (self._inventory.changes, self._plans.changes, catalog)
+        evacuated = 0 if self._evacuations is None else self._evacuations.changes
+        inputs = (self._inventory.changes, self._plans.changes, evacuated, catalog)
         if (
             self._inputs is not None
-            and inputs[:2] == self._inputs[:2]
-            and catalog is self._inputs[2]
+            and inputs[:3] == self._inputs[:3]
+            and catalog is self._inputs[3]
         ):
             return False
         self._inputs = inputs
         self._refresh_groups()
         self._refresh_plain_services(catalog)
+        self._open_by_model = self._without_evacuated(self._by_model)
+        self._open_by_service = self._without_evacuated(self._by_service)
         return True
 
+    def _without_evacuated(
+        self, targets: Mapping[str, Sequence[Candidate]]
+    ) -> Mapping[str, Sequence[Candidate]]:
+        """Return the targets that have no member in an evacuated data centre."""
+        evacuations = self._evacuations
+        if evacuations is None or not evacuations.in_force:
+            return targets
+        return {
+            name: [c for c in candidates if not evacuations.among(c.data_centres)]
+            for name, candidates in targets.items()
+        }
+
     def _refresh_groups(self) -> None:
         plan_by_key = self._plans.by_key
         self._candidates_by_key = {
@@ -87,12 +112,18 @@
             return cached
         groups_by_model = serving_groups([plan], self._inventory)
         by_model = {
-            model: [Candidate(g.group.name, g.head, _other_members(g)) for g in groups]
+            model: [self._make_candidate(g) for g in groups]
             for model, groups in groups_by_model.items()
         }
         self._candidates_by_key[key] = computed = _DomainCandidates(plan, host_change, by_model)
         return computed
 
+    def _make_candidate(self, group: ServingGroup) -> Candidate:
+        head = group.head
+        hosts = (self._inventory.by_instance.get(m) for m in group.group.members)
+        elsewhere = {h.data_centre for h in hosts if h is not None} - {head.data_centre}
+        return Candidate(group.group.name, head, _other_members(group), tuple(sorted(elsewhere)))
+
     def _refresh_plain_services(self, catalog: Catalog | None) -> None:
         plain: dict[str, list[Candidate]] = {}
         for host in self._inventory.in_domain("").values():
@@ -125,11 +156,24 @@
         return expected
 
     def candidates(self, service: str, model: str) -> Sequence[Candidate]:
-        """Return the targets of a service; for an engine service, those that serve the model."""
-        plain = self._by_service.get(service)
+        """Return the targets of a service; for an engine service, those that serve the model.
+
+        Targets of evacuated data centres are left out.
+        """
+        plain = self._open_by_service.get(service)
         if plain is not None:
             return plain
-        return [c for c in self._by_model.get(model, ()) if c.host.service == service]
+        return [c for c in self._open_by_model.get(model, ()) if c.host.service == service]
+
+    def evacuated_candidates(self, service: str, model: str) -> Sequence[Candidate]:
+        """Return the targets that :meth:`candidates` leaves out."""
+        evacuations = self._evacuations
+        if evacuations is None or not evacuations.in_force:
+            return ()
+        targets = self._by_service.get(service, self._by_model.get(model, ()))
+        return [
+            c for c in targets if c.host.service == service and evacuations.among(c.data_centres)
+        ]
 
     def max_waiting(self, model: str, goal: float) -> float | None:
         """Return how many requests may queue at a group of a model, as a fraction of its slots.
@@ -160,7 +204,7 @@
 
     def groups_by_model(self) -> dict[str, int]:
         """Return the number of serving groups by model."""
-        return {model: len(groups) for model, groups in self._by_model.items()}
+        return {model: len(groups) for model, groups in self._open_by_model.items()}
 
     def groups(self) -> Iterable[tuple[str, ...]]:
         """Return the incarnations of each serving group's members, the head first."""
