--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -86,6 +86,7 @@
         retry_slack=100.0,
         load_window=5.0,
         load_factor=1.1,
+        evacuation_seconds=5.0,
     )
 
 
@@ -140,23 +141,31 @@
         for instance, entry in self._target_entries.items():
             self.write_entry(instance, entry)
 
-    def add_host(self, instance: str, domain: str) -> StandInHost:
+    def evacuate(self, data_centre: str, value: bytes = b"{}") -> None:
+        """Request that nothing more is sent to a data centre, as the operator does."""
+        self.store.put(f"op/evacuate/{data_centre}", value)
+
+    def take_back(self, data_centre: str) -> None:
+        """Take an evacuation back."""
+        self.store.delete(f"op/evacuate/{data_centre}")
+
+    def add_host(self, instance: str, domain: str, data_centre: str = "hall") -> StandInHost:
         """Add an engine host without a group."""
-        host = StandInHost(self.engines, instance, domain, "hall")
+        host = StandInHost(self.engines, instance, domain, data_centre)
         host.address = self.listen(make_host_application(host))
         host.server = self._servers[-1]
         self.engines.host_by_instance[instance] = host
         host.publish()
         return host
 
-    def add_target(self, instance: str) -> StandInTarget:
+    def add_target(self, instance: str, data_centre: str = "hall") -> StandInTarget:
         """Add a plain target."""
         target = StandInTarget(instance)
         address = self.listen(make_target_application(target))
         entry = {
             "service": "desk",
             "address": address,
-            "zone": "hall",
+            "zone": data_centre,
             "version": "v1",
             "born": self.engines.next_start_ms(),
             "cold_remaining_ms": 0,
--- a/dev/oleanderhill_dev/users/store.py
+++ b/dev/oleanderhill_dev/users/store.py
@@ -36,6 +36,7 @@
 
     :ivar status: status with which every call fails, 0 for none
     :ivar silent: calls get no reply
+    :ivar slow: seconds of delay before each reply
     :ivar unanswered_writes: number of next writes that are committed without a reply
     :ivar late_writes: number of next writes that are committed after ``late_by`` seconds,
         without a reply
@@ -44,6 +45,7 @@
     def __init__(self) -> None:
         self.status = 0
         self.silent = False
+        self.slow = 0.0
         self.unanswered_writes = 0
         self.late_writes = 0
         self.late_by = 1.0
@@ -185,6 +187,7 @@
         self.store.expire()
         if self.store.faults.silent:
             await asyncio.sleep(SILENCE_SECONDS)
+        await asyncio.sleep(self.store.faults.slow)
         if self.store.faults.status:
             self.answer(self.store.faults.status, {})
 
