--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -34,7 +34,7 @@
 from oleanderhill.serving.forwarding import Notice
 
 from ..proving import Mutant, testing
-from . import notice_mutants, restored_mutants
+from . import evacuation_mutants, notice_mutants, restored_mutants
 
 
 def mutants() -> list[Mutant]:
@@ -151,6 +151,7 @@
         *_at_size(),
         *_of_endings(),
         *_of_limits(),
+        *evacuation_mutants.mutants(),
         *notice_mutants.mutants(),
         *restored_mutants.mutants(),
     ]
--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -102,6 +102,7 @@
         self.targets: list[StandInTarget] = []
         self._target_entries: dict[str, bytes] = {}
         self._configuration = b""
+        self.evacuated: dict[str, bytes] = {}
         self.entries: list[EntryHost] = []
         self._servers: list[Any] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -133,20 +134,27 @@
         self.store.put("op/config", self._configuration)
 
     def rewrite_external_entries(self) -> None:
-        """Rewrite the configuration and the entries of the plain targets, after a store restore.
+        """Rewrite the operator's keys and the entries of the plain targets, after a store restore.
 
         Engine hosts rewrite their entries at each heartbeat.
         """
         self.store.put("op/config", self._configuration)
+        for key in [k for k in self.store.items if k.startswith("op/evacuate/")]:
+            if key.removeprefix("op/evacuate/") not in self.evacuated:
+                self.store.delete(key)
+        for data_centre, value in self.evacuated.items():
+            self.evacuate(data_centre, value)
         for instance, entry in self._target_entries.items():
             self.write_entry(instance, entry)
 
     def evacuate(self, data_centre: str, value: bytes = b"{}") -> None:
         """Request that nothing more is sent to a data centre, as the operator does."""
+        self.evacuated[data_centre] = value
         self.store.put(f"op/evacuate/{data_centre}", value)
 
     def take_back(self, data_centre: str) -> None:
         """Take an evacuation back."""
+        self.evacuated.pop(data_centre, None)
         self.store.delete(f"op/evacuate/{data_centre}")
 
     def add_host(self, instance: str, domain: str, data_centre: str = "hall") -> StandInHost:
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -47,6 +47,9 @@
 KEY_REMOVAL_SECONDS = 5.0
 """Seconds after its removal until a key must be rejected everywhere, as set in the bounds."""
 
+EVACUATION_SECONDS = 5.0
+"""Seconds after an evacuation from which its targets must get nothing, as set in the bounds."""
+
 MIN_ANSWERED_FRACTION = 0.5
 """Fraction of the last requests that must be answered; without faults all of them are."""
 
@@ -126,7 +129,11 @@
             "internal_port_range": [7102, 7110],
             "platform": {"address": self.link.address},
             "bootstrap": self._first,
-            "bounds": {"grace_s": 4.0, "revoke_ms": KEY_REMOVAL_SECONDS * 1000},
+            "bounds": {
+                "grace_s": 4.0,
+                "revoke_ms": KEY_REMOVAL_SECONDS * 1000,
+                "evacuate_ms": EVACUATION_SECONDS * 1000,
+            },
         }
         file = self._folder / f"{self.name}.json"
         file.write_text(json.dumps(settings))
@@ -188,6 +195,8 @@
     :param send_notices: an engine host and a plain target ask for back-off, and another host
         announces in its reply headers that it leaves
     :param restored: the store is restored from its own backups
+    :param evacuated: a second data centre is evacuated and taken back beside the faults, and stays
+        evacuated at the end, when an entry host starts again
     """
 
     def __init__(
@@ -198,7 +207,9 @@
         rate_limited: bool = False,
         send_notices: bool = False,
         restored: bool = False,
+        evacuated: bool = False,
     ) -> None:
+        self._evacuated, self._evacuated_at = evacuated, float("inf")
         self._seed, self._culprits, self._rate_limited = seed, culprits, rate_limited
         self._send_notices, self._restored = send_notices, restored
         self._limits: list[tuple[TargetNotices, float]] = []
@@ -224,6 +235,10 @@
     async def run(self) -> None:
         """Run the soak and set :attr:`violations`."""
         await self.site.start(HOSTS, 0)
+        if self._evacuated:
+            for number in range(HOSTS // 2):
+                self.site.add_host(f"b-{number}", "d1", "barn")
+            self.site.add_target("t-barn", "barn")
         self.site.configure(2, {"hall": self._keys})
         self._version = 2
         for number in range(ENTRIES):
@@ -251,6 +266,8 @@
                 # hosts have already read.
                 self._restoring.restore_oldest()
                 await self._remove_key()
+            if self._evacuated:
+                await self._kill()
             self._faults_ended_at = time.monotonic()
             await asyncio.sleep(QUIET_SECONDS)
             self._stopping = True
@@ -291,6 +308,7 @@
         found += self._excess_crashes()
         found += self._limits_exceeded()
         found += self._notices_ignored()
+        found += self._evacuation_ignored()
         since = self.call_records[-1].sent - RECOVERY_WINDOW_SECONDS
         last = [a for a in self.call_records if a.sent > since and a.key not in self.removed_at]
         answered = sum(a.status == 200 for a in last)
@@ -351,6 +369,17 @@
             found.append(f"a target that had announced that it leaves got {len(late)} requests")
         return found
 
+    def _evacuation_ignored(self) -> list[str]:
+        """Return whether targets of the evacuated data centre got requests too late."""
+        hosts = self.site.engines.host_by_instance.values()
+        all_notices = [h.notices for h in hosts if h.data_centre == "barn"]
+        all_notices += [t.notices for t in self.site.targets if t.instance == "t-barn"]
+        stopped_at = max(
+            self._evacuated_at + EVACUATION_SECONDS, self._faults_ended_at + SETTLE_SECONDS
+        )
+        late = sum(at > stopped_at for n in all_notices for at in n.arrivals)
+        return [f"an evacuated data centre got {late} requests too late"] if late else []
+
     def _stream_faults(self, a: CallRecord) -> list[str]:
         if list(a.numbers) != list(range(len(a.numbers))):
             return [f"{a.request_id} got the event numbers {a.numbers}"]
@@ -422,6 +451,8 @@
             background.append(self._change_limits())
         if self._send_notices:
             background.append(self._change_notices())
+        if self._evacuated:
+            background.append(self._change_evacuation())
         if self._restored:
             background += [self._restoring.back_up(), self._restoring.restore()]
         return background
@@ -446,6 +477,19 @@
             self._backoffs = [(n, s) for n, s in self._backoffs if n is not notices]
             self._backoffs.append((notices, backoff))
 
+    async def _change_evacuation(self) -> None:
+        """Evacuate the second data centre and take it back, and evacuate it for good in the end."""
+        rng = random.Random(f"{self._seed} evacuation")
+        try:
+            while True:
+                await asyncio.sleep(rng.uniform(0.3, 3.0))
+                self.site.evacuate("barn")
+                await asyncio.sleep(rng.uniform(0.3, 6.0))
+                self.site.take_back("barn")
+        finally:
+            self.site.evacuate("barn")
+            self._evacuated_at = time.monotonic()
+
     async def _change_limits(self) -> None:
         """Set, change and withdraw rate limits; the last ones remain until the end of the soak."""
         rng = random.Random(f"{self._seed} limits")
@@ -610,6 +654,7 @@
         f"answered={statuses[200]} "
         f"limits={[n.limit for n, _ in soak._limits]} "
         f"backoffs={[n.backoff for n, _ in soak._backoffs]} "
+        f"evacuated={soak._evacuated} "
         f"generation={soak.site.store.generation} "
         f"ended={[len(t) for t in soak.site.engines.crash_times.values()]} "
         f"broken={len(violations)}",
@@ -626,10 +671,11 @@
     rate_limited: bool = False,
     send_notices: bool = False,
     restored: bool = False,
+    evacuated: bool = False,
 ) -> Soak:
     """Run one seed in a temporary folder, which is kept if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, folder, culprits, rate_limited, send_notices, restored)
+    soak = Soak(seed, folder, culprits, rate_limited, send_notices, restored, evacuated)
     asyncio.run(run_soak(soak, seed))
     if soak.violations:
         print(f"soak: seed={seed} logs in {folder}", flush=True)
@@ -644,9 +690,10 @@
     failed = 0
     for seed in range(first, first + count):
         # Four consecutive seeds have rate limits, rate limits with notices, store restores, and
-        # store restores with notices.
+        # store restores with notices. The next four have evacuations as well.
         restored = seed % 4 > 1
-        soak = run_seed(seed, seed % CULPRIT_CYCLE, not restored, seed % 2 == 1, restored)
+        options = (not restored, seed % 2 == 1, restored, seed % 8 > 3)
+        soak = run_seed(seed, seed % CULPRIT_CYCLE, *options)
         failed += bool(soak.violations)
     print(f"soak: seeds={count} failed={failed}")
     return 1 if failed else 0
--- a/src/oleanderhill/clients/relay.py
+++ b/src/oleanderhill/clients/relay.py
@@ -35,7 +35,7 @@
 )
 from ..kernel import Kernel, Task
 from .compression import compress_message, decompress_message
-from .httpcall import Call, HttpCaller
+from .httpcall import Call, HttpCaller, Reply
 from .mirror import POLL_INTERVAL, Mirror
 from .storage import NEVER, Change, Revision
 from .store_reads import ReadResult
@@ -122,9 +122,8 @@
             return Failure(NoStoreCopyError(self.name))
         if reply.status != 200:
             return Failure(StoreUnavailableError(f"{self.name}: status {reply.status}"))
-        covered = reply.headers.get(PREFIXES_HEADER, "").split()
-        missing = next((p for p in self._prefixes if p not in covered), None)
-        if missing is not None:
+        missing = self._missing_prefix(reply)
+        if missing:
             return Failure(IncompletePeerCopyError(self.name, missing))
         try:
             encoded = _DECODER.decode(reply.body)
@@ -149,6 +148,11 @@
             )
         )
 
+    def _missing_prefix(self, reply: Reply) -> str:
+        """Return a key prefix that the peer's copy should cover and doesn't, empty for none."""
+        covered = reply.headers.get(PREFIXES_HEADER, "").split()
+        return next((p for p in self._prefixes if p not in covered), "")
+
 
 class _RequestDelegate(HTTPMessageDelegate):
     def __init__(self, server: RelayServer, connection: HTTPConnection) -> None:
--- a/src/oleanderhill/groups/evacuations.py
+++ b/src/oleanderhill/groups/evacuations.py
@@ -42,6 +42,12 @@
 MAX_LOGGED_NAMES = 20
 """Evacuations logged per reading; the operator may write any number."""
 
+MAX_NAMES = 3
+"""Evacuated data centres named in the reason of a refusal."""
+
+UNKNOWN_CHECK_SECONDS = 5.0
+"""Seconds between two checks whether targets of an unknown evacuated data centre have appeared."""
+
 
 class Evacuation(NamedTuple):
     """An evacuation in force.
@@ -96,6 +102,7 @@
         self._restored_at = float("-inf")
         self._to_log: dict[str, str] = {}
         self._unknown: set[str] = set()
+        self._check_unknown_at = float("-inf")
         self.changes = 0
         self.held_back = 0
 
@@ -120,6 +127,16 @@
             return True
         return all(now < e.stop_at for d in data_centres if (e := self._in_force.get(d)))
 
+    def handing_over(self, now: float) -> bool:
+        """Return whether some evacuated data centre may still take requests."""
+        return any(now < e.stop_at for e in self._in_force.values())
+
+    def names(self) -> str:
+        """Return the evacuated data centres for a log line, at most a few."""
+        names = sorted(n[:MAX_LOGGED_NAME_CHARS] for n in self._in_force)
+        more = [f"{len(names) - MAX_NAMES} more"] if len(names) > MAX_NAMES else []
+        return ", ".join([*names[:MAX_NAMES], *more])
+
     def reason_to_skip(self, data_centres: Collection[str], now: float) -> str:
         """Return why no request may be sent to a target now, empty if it may; count the former."""
         if self.may_send(data_centres, now):
@@ -165,8 +182,9 @@
         :param targets: returns the number of listed targets by data centre
         """
         self._apply_due(now)
-        if not self._to_log and not self._unknown:
+        if not self._to_log and (not self._unknown or now < self._check_unknown_at):
             return
+        self._check_unknown_at = now + UNKNOWN_CHECK_SECONDS
         targets_by_data_centre = targets()
         for name in [n for n in self._unknown if targets_by_data_centre.get(n)]:
             self._unknown.discard(name)
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -6,7 +6,7 @@
 import secrets
 import time
 from collections import Counter
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from typing import NamedTuple, Protocol
 
@@ -20,11 +20,11 @@
 from ..records import Records
 from ..settings.catalog import Catalog
 from .actions import Action, Order, OrderOutcome, Replan
+from .closed_hosts import ClosedHosts
 from .composing import ModelNeed, initial_mix
 from .engine_hosts import EngineHosts, HostsByDomain
-from .evacuations import Evacuations
 from .forming import DomainKeeper
-from .inventory import Instance, Inventory, TargetHost
+from .inventory import Instance, Inventory
 from .ownership import Presence, owns, should_take, taken_over
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, in_new_generation, plan_key
@@ -85,8 +85,8 @@
     :param is_suspect: returns whether this or another entry host observed a group to stall
     :param demand: returns a model's demand in groups (see :class:`.composing.ModelNeed`)
     :param filled: returns how many of a model's groups its current requests fill
-    :param evacuations: data centres where nothing is formed or loaded, and whose groups are neither
-        given up nor counted as supply
+    :param closed: hosts on which nothing is formed or loaded, and whose groups are neither given up
+        nor counted as supply
     """
 
     name = "owner"
@@ -108,7 +108,7 @@
         is_suspect: Callable[[str], bool],
         demand: Callable[[str], float],
         filled: Callable[[str], float],
-        evacuations: Evacuations,
+        closed: ClosedHosts,
         records: Records,
     ) -> None:
         super().__init__(kernel)
@@ -125,7 +125,7 @@
         self._is_suspect = is_suspect
         self._demand = demand
         self._filled = filled
-        self._evacuations = evacuations
+        self._closed = closed
         self._records = records
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
@@ -230,7 +230,7 @@
         initial = self._initial_mix(now, plan.domain, hosts_by_domain, needs)
         members = {i for g in plan.groups for i in g.members}
         restarted = {i for i in members if self._inventory.ended(i)}
-        closed = self._evacuated(hosts)
+        closed = self._closed.of_domain(plan.domain)
         for action in keeper.decide(now, plan, hosts, needs, initial, restarted, closed):
             self._execute(action, plan, revision, keeper)
 
@@ -245,7 +245,7 @@
         """
         if not self._first_loads_free():
             return None
-        count_by_domain = {d: len(f) - len(self._evacuated(f)) for d, f in hosts.items()}
+        count_by_domain = {d: len(f) - len(self._closed.of_domain(d)) for d, f in hosts.items()}
         listed = sum(count_by_domain.values())
         if listed > self._max_listed:
             self._max_listed, self._list_grew_at = listed, now
@@ -295,7 +295,7 @@
     def _model_needs(self, domain: str, catalog: Catalog, services: set[str]) -> list[ModelNeed]:
         """Return the models of the services that have hosts in a domain, with their demand."""
         others = [p for p in self._plans.by_key.values() if p.domain != domain]
-        planned = Counter(g.model for p in others for g in p.groups if self._is_supply(g))
+        planned = Counter(g.model for g in self._closed.supply(others))
         shapes = [s for n in sorted(services) if (s := catalog.service_by_name.get(n)) is not None]
         return [
             ModelNeed(
@@ -312,19 +312,6 @@
             for model in service.engine.model_by_name.values()
         ]
 
-    def _evacuated(self, hosts: Mapping[Instance, TargetHost]) -> Collection[Instance]:
-        """Return the hosts that are in an evacuated data centre."""
-        if not self._evacuations.in_force:
-            return ()
-        return {i for i, h in hosts.items() if self._evacuations.includes(h.data_centre)}
-
-    def _is_supply(self, group: PlannedGroup) -> bool:
-        """Return whether a group has no member in an evacuated data centre."""
-        if not self._evacuations.in_force:
-            return True
-        hosts = (self._inventory.by_instance.get(i) for i in group.members)
-        return not self._evacuations.among({h.data_centre for h in hosts if h is not None})
-
     def _execute(
         self, action: Action, plan: DomainPlan, revision: Revision, keeper: DomainKeeper
     ) -> None:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -25,6 +25,7 @@
 from ..clock import boottime_seconds, processor_seconds
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
+from ..groups.closed_hosts import ClosedHosts
 from ..groups.evacuations import Evacuations
 from ..groups.inventory import Inventory, Removal
 from ..groups.owner import LoadLimits, OwnerTask
@@ -200,7 +201,7 @@
             lambda group: self._book.is_suspect(group, time.monotonic()),
             self._view.demand,
             self._view.occupied_groups,
-            self._evacuations,
+            ClosedHosts(self._inventory, self._evacuations),
             records,
         )
         self._codec = HeaderCodec(self._log_unknown_header)
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -235,19 +235,18 @@
 
     def _still_open(self) -> Sequence[Candidate]:
         """Return the targets of evacuated data centres that may still take what has no other."""
-        found = self.context.evacuated_candidates(self._service, self._incoming.facts.model)
-        if not found:
+        evacuations, now = self.context.evacuations, boottime_seconds()
+        if not evacuations.handing_over(now):
             return ()
-        now = boottime_seconds()
-        return [c for c in found if self.context.evacuations.may_send(c.data_centres, now)]
+        found = self.context.evacuated_candidates(self._service, self._incoming.facts.model)
+        return [c for c in found if evacuations.may_send(c.data_centres, now)]
 
     def _describe_none(self) -> str:
         """Describe why there is no target at all."""
-        evacuated = self.context.evacuated_candidates(self._service, self._incoming.facts.model)
-        if not evacuated:
+        if not self.context.evacuated_candidates(self._service, self._incoming.facts.model):
             return "no target serves"
-        names = {self.context.evacuations.among(c.data_centres) for c in evacuated}
-        return f"no target serves outside evacuated data centres: {', '.join(sorted(names))}"
+        names = self.context.evacuations.names()
+        return f"no target serves outside the evacuated data centres: {names}"
 
     def _describe_no_capacity(self, candidates: Sequence[Candidate]) -> str:
         """Describe why no target accepts the request, with the counts behind it."""
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -27,6 +27,9 @@
 counts from changing the mix of models."""
 
 
+_Targets = Mapping[str, Sequence[Candidate]]
+
+
 class _DomainCandidates(NamedTuple):
     """The candidates of a domain by model, with the inputs that they were computed from."""
 
@@ -58,6 +61,8 @@
         self._inputs: tuple[int, int, int, Catalog | None] | None = None
         self._open_by_model: Mapping[str, Sequence[Candidate]] = {}
         self._open_by_service: Mapping[str, Sequence[Candidate]] = {}
+        self._evacuated_by_model: Mapping[str, Sequence[Candidate]] = {}
+        self._evacuated_by_service: Mapping[str, Sequence[Candidate]] = {}
         self._by_model: Mapping[str, Sequence[Candidate]] = {}
         self._by_service: Mapping[str, Sequence[Candidate]] = {}
         self._demand_by_model: dict[str, float] = {}
@@ -78,21 +83,22 @@
         self._inputs = inputs
         self._refresh_groups()
         self._refresh_plain_services(catalog)
-        self._open_by_model = self._without_evacuated(self._by_model)
-        self._open_by_service = self._without_evacuated(self._by_service)
+        self._open_by_model, self._evacuated_by_model = self._split(self._by_model)
+        self._open_by_service, self._evacuated_by_service = self._split(self._by_service)
         return True
 
-    def _without_evacuated(
-        self, targets: Mapping[str, Sequence[Candidate]]
-    ) -> Mapping[str, Sequence[Candidate]]:
-        """Return the targets that have no member in an evacuated data centre."""
+    def _split(self, targets: _Targets) -> tuple[_Targets, _Targets]:
+        """Separate the targets that have a member in an evacuated data centre from the others."""
         evacuations = self._evacuations
         if evacuations is None or not evacuations.in_force:
-            return targets
-        return {
-            name: [c for c in candidates if not evacuations.among(c.data_centres)]
+            return targets, {}
+        evacuated = {
+            name: [c for c in candidates if evacuations.among(c.data_centres)]
             for name, candidates in targets.items()
         }
+        apart = {c.target for candidates in evacuated.values() for c in candidates}
+        others = {n: [c for c in found if c.target not in apart] for n, found in targets.items()}
+        return others, evacuated
 
     def _refresh_groups(self) -> None:
         plan_by_key = self._plans.by_key
@@ -167,13 +173,10 @@
 
     def evacuated_candidates(self, service: str, model: str) -> Sequence[Candidate]:
         """Return the targets that :meth:`candidates` leaves out."""
-        evacuations = self._evacuations
-        if evacuations is None or not evacuations.in_force:
-            return ()
-        targets = self._by_service.get(service, self._by_model.get(model, ()))
-        return [
-            c for c in targets if c.host.service == service and evacuations.among(c.data_centres)
-        ]
+        plain = self._evacuated_by_service.get(service)
+        if plain is not None:
+            return plain
+        return [c for c in self._evacuated_by_model.get(model, ()) if c.host.service == service]
 
     def max_waiting(self, model: str, goal: float) -> float | None:
         """Return how many requests may queue at a group of a model, as a fraction of its slots.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,10 @@
         self.assertEqual(soak.violations, [])
         self.assertGreater(soak.site.store.generation, 1)
 
+    def test_promises_hold_while_a_data_centre_is_evacuated_and_taken_back(self):
+        soak = run_seed(1_404, 0, False, False, True, True)
+        self.assertEqual(soak.violations, [])
+
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_reload_signal_during_startup_does_not_end_the_process(self):
