--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,6 +1,8 @@
 """Evacuations of a data centre by the operator."""
 
 import asyncio
+import json
+import tempfile
 import time
 import unittest
 from types import SimpleNamespace
@@ -36,6 +38,8 @@
 )
 from oleanderhill.groups.readers import ReadingSources, main_reader, reader_of
 from oleanderhill.kernel import Kernel
+from oleanderhill.operators.explaining import explain_log
+from oleanderhill.platform.settings import read_settings
 from oleanderhill.records import Records
 
 from .test_groups import LARGE as LARGE_NEED
@@ -562,7 +566,31 @@
         self.assertEqual(site.entries[0]._store.calls_by_kind["list"], listed + 1)
 
 
-class SettingsTest(unittest.TestCase):
+class SurroundingsTest(unittest.TestCase):
+    def test_bound_is_read_where_the_platform_states_it(self):
+        given_ = {
+            "node_name": "e",
+            "ip": "10.0.0.1",
+            "zone": "hall",
+            "listen": {"front": "a:1", "ready": "a:2"},
+            "platform": {"address": "a:3"},
+            "internal_port_range": [7102, 7110],
+        }
+        for bounds, expected in (({}, None), ({"evacuate_ms": 5000}, 5.0)):
+            with tempfile.NamedTemporaryFile("w") as file:
+                json.dump({**given_, "bounds": bounds}, file)
+                file.flush()
+                self.assertEqual(read_settings(file.name).evacuation_seconds, expected)
+
+    def test_explanation_of_a_request_shows_the_evacuation_that_held_it_back(self):
+        fields = {"host": "e", "timestamp": 1.0, "data_centre": "barn"}
+        held = {"message_type": "oleanderhill:request", "what": "held back", "request_id": "r"}
+        began = {"message_type": "oleanderhill:evacuation", "what": "in force"}
+        lines = [json.dumps({**fields, **more}) for more in (held, began)]
+        for subject in ("r", "barn"):
+            found = {line.fields["what"] for line in explain_log(subject, lines)}
+            self.assertEqual(found, {"held back", "in force"})
+
     def test_candidates_of_mixed_groups_name_all_their_data_centres(self):
         candidate = SimpleNamespace(data_centres=("hall", "barn"))
         state = Evacuations(Notes(), PREFIX)
