--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -21,6 +21,7 @@
 from oleanderhill.clock import boottime_seconds
 from oleanderhill.exceptions import IncompletePeerCopyError
 from oleanderhill.groups.actions import Leave, Replan
+from oleanderhill.groups.composing import Composition, next_model
 from oleanderhill.groups.evacuations import (
     HANDOVER_MARGIN,
     IGNORE_SECONDS,
@@ -29,13 +30,14 @@
     UNKNOWN_CHECK_SECONDS,
     Evacuations,
 )
-from oleanderhill.groups.inventory import MemberState
+from oleanderhill.groups.inventory import Instance, MemberState
 from oleanderhill.groups.ownership import (
     Presence,
     decode_presence,
     encode_presence,
     presence_key,
 )
+from oleanderhill.groups.plans import DomainPlan
 from oleanderhill.groups.readers import ReadingSources, main_reader, reader_of
 from oleanderhill.kernel import Kernel
 from oleanderhill.operators.explaining import explain_log
@@ -241,6 +243,16 @@
         self.assertEqual(world.plan.groups, planned)
         self.assertTrue(world.serving())
 
+    def test_spares_are_used_once_groups_elsewhere_are_no_supply(self):
+        plan = DomainPlan("d", "e", "l", 1).with_group(
+            "small", (Instance("0", 0), Instance("1", 0))
+        )
+        need = SMALL_NEED._replace(filled=1.0, others=1)
+        staged, spares_only = {"small": 2}, Composition(2, {})
+        self.assertIsNone(next_model(plan, staged, 2, spares_only, [need]))
+        short = need._replace(others=0)
+        self.assertEqual(next_model(plan, staged, 2, spares_only, [short]), short)
+
     def test_broken_group_of_an_evacuated_data_centre_is_given_up(self):
         world = World(*(host(f"{n}", ("large",)) for n in range(3)))
         world.run()
