Log removed evacuations that are no longer remembered

An operator who removed more than 200 evacuations in one reading made the log line of the first ones look for a removal that had already been forgotten: a KeyError ended the reading of the store. The line now has no revision in this case. The test removes more than are remembered at once; it fails with the KeyError before.

--- a/src/oleanderhill/groups/evacuations.py
+++ b/src/oleanderhill/groups/evacuations.py
@@ -274,12 +274,13 @@
         held = self._in_force.get(name)
         if held is not None and not targets:
             self._unknown.add(name)
+        removal = self._removed.get(name)
         self._records.note(
             "evacuation",
             what,
             data_centre=name[:MAX_LOGGED_NAME_CHARS],
             reason=None if targets or held is None else "no target of this data centre is listed",
-            revision=held.revision if held else self._removed[name].removed,
+            revision=held.revision if held else removal and removal.removed,
             read_age_s=round(now - self._read_at(), 2),
             stops_in_s=round(max(0.0, held.stop_at - now), 2) if held else None,
             targets=targets,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -26,6 +26,7 @@
     HANDOVER_MARGIN,
     IGNORE_SECONDS,
     MAX_LOGGED_NAMES,
+    MAX_REMEMBERED_REMOVALS,
     RETAIN_SECONDS,
     UNKNOWN_CHECK_SECONDS,
     Evacuations,
@@ -203,6 +204,15 @@
         self.assertLessEqual(len(self.notes.lines), MAX_LOGGED_NAMES + 2)
         self.assertLess(len(str(self.notes.lines)), 300 * (MAX_LOGGED_NAMES + 2))
 
+    def test_more_removals_at_once_than_are_remembered(self):
+        names = [f"n{n}" for n in range(MAX_REMEMBERED_REMOVALS + MAX_LOGGED_NAMES)]
+        self.state.replace([item(n, rev(3)) for n in names], 0.0)
+        self.finish(0.0)
+        self.state.replace([], 1.0)
+        self.finish(1.0)
+        self.assertEqual(self.names(), set())
+        self.assertEqual(self.notes.whats()[-1], "more changes")
+
 
 def state_allows(state, data_centre, now):
     return state.may_send([data_centre], now)
