--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -20,6 +20,7 @@
 from ..records import Records
 from ..settings.catalog import Catalog
 from .actions import Action, Order, OrderOutcome, Replan
+from .closed_hosts import ClosedHosts
 from .composing import ModelNeed, initial_mix
 from .engine_hosts import EngineHosts, HostsByDomain
 from .forming import DomainKeeper
@@ -84,6 +85,8 @@
     :param is_suspect: returns whether this or another entry host observed a group to stall
     :param demand: returns a model's demand in groups (see :class:`.composing.ModelNeed`)
     :param filled: returns how many of a model's groups its current requests fill
+    :param closed: hosts on which nothing is formed or loaded, and whose groups are neither given up
+        nor counted as supply
     """
 
     name = "owner"
@@ -105,6 +108,7 @@
         is_suspect: Callable[[str], bool],
         demand: Callable[[str], float],
         filled: Callable[[str], float],
+        closed: ClosedHosts,
         records: Records,
     ) -> None:
         super().__init__(kernel)
@@ -121,6 +125,7 @@
         self._is_suspect = is_suspect
         self._demand = demand
         self._filled = filled
+        self._closed = closed
         self._records = records
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
@@ -225,7 +230,8 @@
         initial = self._initial_mix(now, plan.domain, hosts_by_domain, needs)
         members = {i for g in plan.groups for i in g.members}
         restarted = {i for i in members if self._inventory.ended(i)}
-        for action in keeper.decide(now, plan, hosts, needs, initial, restarted):
+        closed = self._closed.of_domain(plan.domain)
+        for action in keeper.decide(now, plan, hosts, needs, initial, restarted, closed):
             self._execute(action, plan, revision, keeper)
 
     def _initial_mix(
@@ -239,7 +245,7 @@
         """
         if not self._first_loads_free():
             return None
-        count_by_domain = {d: len(found) for d, found in hosts.items()}
+        count_by_domain = {d: len(f) - len(self._closed.of_domain(d)) for d, f in hosts.items()}
         listed = sum(count_by_domain.values())
         if listed > self._max_listed:
             self._max_listed, self._list_grew_at = listed, now
@@ -289,7 +295,7 @@
     def _model_needs(self, domain: str, catalog: Catalog, services: set[str]) -> list[ModelNeed]:
         """Return the models of the services that have hosts in a domain, with their demand."""
         others = [p for p in self._plans.by_key.values() if p.domain != domain]
-        planned = Counter(g.model for p in others for g in p.groups)
+        planned = Counter(g.model for g in self._closed.supply(others))
         shapes = [s for n in sorted(services) if (s := catalog.service_by_name.get(n)) is not None]
         return [
             ModelNeed(
