--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -101,6 +101,7 @@
         self._unanswered_probes: dict[Instance, int] = {}
         self._answered_at = float("-inf")
         self._avoid_until: dict[Instance, float] = {}
+        self._closed: Collection[Instance] = ()
 
     def ended(self, order: Order, end: OrderOutcome, now: float) -> None:
         """Record the outcome of an order."""
@@ -138,6 +139,7 @@
         needs: Sequence[ModelNeed],
         initial: Mapping[str, int] | None,
         restarted: Collection[Instance] = (),
+        closed: Collection[Instance] = (),
         fleet: Fleet | None = None,
     ) -> list[Action]:
         """Return the actions to take now.
@@ -148,19 +150,27 @@
             list is incomplete; ``None`` once loads are rate-limited
         :param restarted: members whose hosts have since restarted and have therefore left their
             groups
+        :param closed: hosts of an evacuated data centre. They aren't assigned to groups and load
+            nothing. Their groups stay planned, and those that still form go on once it is taken
+            back
         :param fleet: state of all domains, by which groups may be given up; ``None`` if not known
         """
+        self._closed = closed
         loads_free = initial is not None
         self._prune(plan, host_by_instance)
         self._spares.observe(now, host_by_instance, needs)
         actions: list[Action] = []
         dissolved: list[str] = []
         for group in plan.groups:
+            paused = any(i in closed for i in group.members)
+            if paused:
+                self._planned_since[group.name] = now
             self._planned_since.setdefault(group.name, now)
             fault = self._fault(now, group, host_by_instance, needs)
             if fault is None:
                 self._fault_since.pop(group.name, None)
-                actions.extend(self._continue_forming(now, group, host_by_instance, loads_free))
+                if not paused:
+                    actions.extend(self._continue_forming(now, group, host_by_instance, loads_free))
                 continue
             self._fault_since.setdefault(group.name, now)
             if self._in_leaving_grace(now, group, fault):
@@ -173,7 +183,9 @@
         actions.extend(self._remove_unplanned_members(now, plan, host_by_instance, needs))
         desired = desired_composition(plan.domain, len(host_by_instance), needs)
         if fleet is not None and initial is None:
-            view = DomainView(plan, self._fault_free(plan), host_by_instance, desired, fleet)
+            # Without the closed hosts, no group that has one of them is given up.
+            open_hosts = {i: h for i, h in host_by_instance.items() if i not in closed}
+            view = DomainView(plan, self._fault_free(plan), open_hosts, desired, fleet)
             given_up = self._giving_up.decide(now, view, self._completed, needs)
             if given_up is not None and not dissolved:
                 return [*actions, given_up]
@@ -394,6 +406,7 @@
             for h in hosts.values()
             if h.instance not in held
             and not h.leaving
+            and h.instance not in self._closed
             and self._has_left(now, h)
             and h.instance not in self._spares.warming
             and now >= self._avoid_until.get(h.instance, 0.0)
@@ -424,13 +437,20 @@
     ) -> list[FreeHost]:
         """Return the hosts in no fault-free group, including those that will be free shortly."""
         free = [self._spares.as_free(h, now) for h in self._free(now, plan, hosts)]
-        dry = [self._spares.as_free(hosts[i], now) for i in self._running_dry.members]
+        dry = [
+            self._spares.as_free(hosts[i], now)
+            for i in self._running_dry.members
+            if i not in self._closed
+        ]
         faulty = [g for g in plan.groups if g.name in self._fault_since]
         soon = [
             FreeHost(i, g.model, False)
             for g in faulty
             for i in g.members
-            if i in hosts and not hosts[i].leaving and now >= self._avoid_until.get(i, 0.0)
+            if i in hosts
+            and i not in self._closed
+            and not hosts[i].leaving
+            and now >= self._avoid_until.get(i, 0.0)
         ]
         return [*free, *soon, *(h._replace(available=False) for h in dry)]
 
--- a/src/oleanderhill/groups/needs.py
+++ b/src/oleanderhill/groups/needs.py
@@ -16,7 +16,7 @@
 from .composing import ModelNeed
 from .demand import DemandHistory
 from .inventory import Instance, TargetHost
-from .plans import DomainPlan
+from .plans import DomainPlan, PlannedGroup
 
 DRAIN_SECONDS = 3.0
 """Seconds from when a group is given up until its hosts are free: the delay until it is closed and
@@ -36,6 +36,7 @@
     :param hosts: number of its listed hosts that are not leaving
     :param free: number of those that are in no planned group
     :param count_by_model: number of planned groups by model
+    :param available: whether its hosts and groups count: not if all its hosts are closed
     """
 
     plan: DomainPlan
@@ -43,6 +44,7 @@
     free: int
     data_centre: str
     count_by_model: Mapping[str, int]
+    available: bool = True
 
     def groups(self, model: str) -> int:
         """Return the number of planned groups of a model."""
@@ -50,6 +52,7 @@
 
 
 _NO_HOSTS: Mapping[Instance, TargetHost] = MappingProxyType({})
+_NONE_CLOSED: frozenset[Instance] = frozenset()
 
 Fleet = Mapping[str, DomainState]
 """The available domains, by name."""
@@ -67,52 +70,81 @@
     history: DemandHistory
 
 
-def domain_state(plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> DomainState:
-    """Return the state of a domain with the listed hosts."""
+def domain_state(
+    plan: DomainPlan,
+    hosts: Mapping[Instance, TargetHost],
+    closed: Collection[Instance] = frozenset(),
+) -> DomainState:
+    """Return the state of a domain with the listed hosts.
+
+    :param closed: hosts in an evacuated data centre. They and their groups don't count
+    """
     held = {i for g in plan.groups for i in g.members}
-    staying = [i for i, h in hosts.items() if not h.leaving]
+    staying = [i for i, h in hosts.items() if not h.leaving and i not in closed]
     free = sum(1 for i in staying if i not in held)
-    counts = Counter(g.model for g in plan.groups)
-    return DomainState(plan, len(staying), free, data_centre_of(hosts.values()), counts)
+    counts = Counter(g.model for g in _open_groups(plan, closed))
+    data_centre = data_centre_of(hosts.values())
+    available = not hosts or any(i not in closed for i in hosts)
+    return DomainState(plan, len(staying), free, data_centre, counts, available)
+
+
+def _open_groups(plan: DomainPlan, closed: Collection[Instance]) -> list[PlannedGroup]:
+    return [g for g in plan.groups if not any(i in closed for i in g.members)]
+
+
+class _Inputs(NamedTuple):
+    """What the state of a domain was computed from."""
+
+    plan: DomainPlan
+    hosts: Mapping[Instance, TargetHost]
+    closed: Collection[Instance]
 
 
 class FleetCopy:
     """The state of all domains, recomputed only for domains whose plan or hosts changed."""
 
     def __init__(self) -> None:
-        self._inputs: dict[str, tuple[DomainPlan, Mapping[Instance, TargetHost]]] = {}
+        self._inputs: dict[str, _Inputs] = {}
         self._states: dict[str, DomainState] = {}
 
     def available(
         self,
         plans: Iterable[DomainPlan],
         hosts_by_domain: Mapping[str, Mapping[Instance, TargetHost]],
-        left_out: Collection[str] = (),
+        closed_of: Callable[[str], Collection[Instance]] | None = None,
     ) -> Fleet:
         """Return the state of the domains that count, valid until the next call.
 
-        :param left_out: domains whose groups and hosts don't count
+        :param closed_of: returns the hosts of a domain that are in an evacuated data centre;
+            ``None`` if there are none anywhere
         """
         seen = 0
         planned = {p.domain: p for p in plans}
         for domain, plan in planned.items():
             seen += 1
-            self._update(domain, plan, hosts_by_domain.get(domain, _NO_HOSTS))
+            closed = closed_of(domain) if closed_of else _NONE_CLOSED
+            self._update(domain, _Inputs(plan, hosts_by_domain.get(domain, _NO_HOSTS), closed))
         for domain in hosts_by_domain.keys() - planned.keys():
             seen += 1
-            self._update(domain, DomainPlan(domain), hosts_by_domain[domain])
+            closed = closed_of(domain) if closed_of else _NONE_CLOSED
+            self._update(domain, _Inputs(DomainPlan(domain), hosts_by_domain[domain], closed))
         if seen < len(self._states):
             for domain in self._states.keys() - planned.keys() - hosts_by_domain.keys():
                 del self._states[domain], self._inputs[domain]
-        if not left_out:
+        if closed_of is None:
             return self._states
-        return {d: state for d, state in self._states.items() if d not in left_out}
+        return {domain: state for domain, state in self._states.items() if state.available}
 
-    def _update(self, domain: str, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> None:
+    def _update(self, domain: str, inputs: _Inputs) -> None:
         known = self._inputs.get(domain)
-        if known is None or known[0] is not plan or known[1] is not hosts:
-            self._inputs[domain] = (plan, hosts)
-            self._states[domain] = domain_state(plan, hosts)
+        if (
+            known is None
+            or known.plan is not inputs.plan
+            or known.hosts is not inputs.hosts
+            or known.closed is not inputs.closed
+        ):
+            self._inputs[domain] = inputs
+            self._states[domain] = domain_state(*inputs)
 
 
 def data_centre_of(hosts: Iterable[TargetHost]) -> str:
@@ -134,7 +166,7 @@
     planned_near: dict[str, int] = {}
     planned_far: dict[str, int] = {}
     written = elsewhere = 0
-    for name, (plan, _, _, where, counts) in fleet.items():
+    for name, (plan, _, _, where, counts, _) in fleet.items():
         if name == domain:
             continue
         # A domain without a plan holds no groups and does not count as another one.
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -19,6 +19,7 @@
 from ..records import Records
 from ..settings.catalog import Catalog
 from .actions import Action, Order, OrderOutcome, Replan
+from .closed_hosts import ClosedHosts
 from .composing import ModelNeed, initial_mix
 from .engine_hosts import EngineHosts, HostsByDomain
 from .forming import DomainKeeper
@@ -82,6 +83,8 @@
 
     :param first_loads_free: returns whether loads are still exempt from the rate limit
     :param is_suspect: returns whether this or another entry host observed a group to stall
+    :param closed: hosts on which nothing is formed or loaded, and whose groups are neither given up
+        nor counted as supply
     :ivar groups_given_up: number of serving groups that this host gave up for other models
     """
 
@@ -103,6 +106,7 @@
         first_loads_free: Callable[[], bool],
         is_suspect: Callable[[str], bool],
         demand: DemandReader,
+        closed: ClosedHosts,
         records: Records,
     ) -> None:
         super().__init__(kernel)
@@ -118,6 +122,7 @@
         self._first_loads_free = first_loads_free
         self._is_suspect = is_suspect
         self._demand = demand
+        self._closed = closed
         self._records = records
         self._keeper_by_domain: dict[str, DomainKeeper] = {}
         self._writing: set[str] = set()
@@ -211,8 +216,7 @@
         catalog: Catalog,
     ) -> None:
         if self._fleet is None:
-            plans = self._plans.by_key.values()
-            self._fleet = self._fleet_copy.available(plans, hosts_by_domain)
+            self._fleet = self._available(hosts_by_domain)
         fleet = self._fleet
         hosts = hosts_by_domain[plan.domain]
         needs = self._model_needs(now, plan.domain, fleet, catalog, hosts)
@@ -230,9 +234,15 @@
         initial = self._initial_mix(now, plan.domain, hosts_by_domain, needs, fleet)
         members = {i for g in plan.groups for i in g.members}
         restarted = {i for i in members if self._inventory.ended(i)}
-        for action in keeper.decide(now, plan, hosts, needs, initial, restarted, fleet):
+        closed = self._closed.of_domain(plan.domain)
+        for action in keeper.decide(now, plan, hosts, needs, initial, restarted, closed, fleet):
             self._execute(action, plan, revision, keeper)
 
+    def _available(self, hosts_by_domain: HostsByDomain) -> Fleet:
+        """Return the state of the domains that count."""
+        closed_of = self._closed.of_domain if self._closed.any else None
+        return self._fleet_copy.available(self._plans.by_key.values(), hosts_by_domain, closed_of)
+
     def _initial_mix(
         self,
         now: float,
@@ -249,7 +259,7 @@
         """
         if not self._first_loads_free():
             return None
-        count_by_domain = {d: len(found) for d, found in hosts.items()}
+        count_by_domain = {d: len(f) - len(self._closed.of_domain(d)) for d, f in hosts.items()}
         data_centre_by_domain = {d: s.data_centre for d, s in fleet.items()}
         listed = sum(count_by_domain.values())
         if listed > self._max_listed:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -25,6 +25,8 @@
 from ..clock import boottime_seconds, processor_seconds
 from ..exceptions import OleanderhillError
 from ..exposition import Exposition
+from ..groups.closed_hosts import ClosedHosts
+from ..groups.evacuations import Evacuations
 from ..groups.inventory import Inventory, Removal
 from ..groups.needs import DemandReader
 from ..groups.owner import LoadLimits, OwnerTask
@@ -36,6 +38,7 @@
 from ..outcomes import Problem
 from ..records import Records, flush_periodically, log_to_descriptor
 from ..routing.backoffs import Backoffs
+from ..routing.failing_targets import ANSWERS, FAILURES, Counts, FailingTargets
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
 from ..serving.context import ForwardingContext
@@ -55,7 +58,7 @@
 from ..settings.catalog import Catalog, pick_backend
 from ..vitals import VitalsTask
 from .configuration import ConfigurationCopy
-from .decoding import CONFIGURATION_KEY, HOSTS_PREFIX
+from .decoding import CONFIGURATION_KEY, EVACUATIONS_PREFIX, HOSTS_PREFIX, OPERATOR_PREFIX
 from .headers import HeaderCodec
 from .host_list import HostList
 from .orders import EngineOrders
@@ -123,10 +126,16 @@
         )
         self._plans = KeyedCopy(decode_plan, records, supersedes, PLAN_RETENTION_SECONDS)
         self._presences = KeyedCopy(decode_presence, records, retain_missing_s=LEASE_SECONDS)
-        self._view = ServingView(self._inventory, self._plans, rng)
+        self._evacuations = Evacuations(
+            records, EVACUATIONS_PREFIX, s.evacuation_seconds, lambda: self._mirror.read_at
+        )
+        self._view = ServingView(self._inventory, self._plans, rng, self._evacuations)
         self._counters = SharedCounters(s.host, s.data_centre)
         limits = TargetLimits(s.host)
-        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
+        failing = FailingTargets(self._counters.peers, self._log_failing)
+        self._counters.register(FAILURES, failing.own_failures)
+        self._counters.register(ANSWERS, failing.own_answers)
+        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs(), failing)
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -138,7 +147,9 @@
             records,
         )
         followers = self._subscriptions()
-        prefixes = [f.prefix for f in followers]
+        copied = [f.prefix for f in followers]
+        # One listing covers everything that the operator writes, as each is billed.
+        prefixes = [OPERATOR_PREFIX, *(p for p in copied if not p.startswith(OPERATOR_PREFIX))]
         sources = ReadingSources(
             own_presence,
             self._store,
@@ -148,6 +159,7 @@
             self._configuration.revisions,
             self._freshness.record_verified,
             records,
+            copied if s.evacuation_seconds is not None else (),
         )
         self._mirror = Mirror(
             self.kernel,
@@ -193,6 +205,7 @@
             self._loads_exempt,
             lambda group: self._book.is_suspect(group, time.monotonic()),
             DemandReader(self._view.demand, self._view.occupied_groups, self._view.demand_history),
+            ClosedHosts(self._inventory, self._evacuations),
             records,
         )
         self._codec = HeaderCodec(self._log_unknown_header)
@@ -207,6 +220,8 @@
             self.exposition.request,
             self._quarantine,
             self._notices,
+            self._evacuations,
+            self._view.evacuated_candidates,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -291,6 +306,7 @@
                 self._configuration.change,
                 retained=self._configuration.retained,
             ),
+            subscribe(EVACUATIONS_PREFIX, self._evacuations),
             subscribe(HOSTS_PREFIX, self._hosts),
             subscribe(PLAN_PREFIX, self._plans),
             subscribe(PRESENCE_PREFIX, self._presences),
@@ -304,6 +320,17 @@
         self._quarantine.incarnation_ended(str(removal.instance), "removed from the host list")
         self._notices.incarnation_ended(str(removal.instance))
 
+    def _log_failing(self, target: str, counts: Counts, avoided: bool) -> None:
+        """Log that a target is avoided because it answers with failures, or is tried again."""
+        self._records.note(
+            "target",
+            "failing" if avoided else "tried again",
+            target=target,
+            failures=counts.failures,
+            answers=counts.answers,
+            hosts=self._counters.hosts,
+        )
+
     def _apply_notice(self, incarnation: str, notice: Notice, sent_at: float) -> None:
         """Apply the notice in a reply to an order or probe, and count it in the host's limit."""
         self._book.limits.count_without_permit(incarnation, time.monotonic())
@@ -334,6 +361,7 @@
 
     def _on_store_read(self, now: float) -> None:
         self._hosts.finish_read(now)
+        self._evacuations.finish_read(now, self._inventory.hosts_by_data_centre)
         self._plans.expire(now)
         self._presences.expire(now)
         self._update_host_count()
@@ -464,6 +492,12 @@
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
+        register(
+            "targets_failing",
+            "Targets that are avoided because they answer with failures",
+            lambda: len(self._book.failing.avoided(time.monotonic())),
+        )
+        self._evacuations.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
         register("groups_given_up", "For other models", lambda: self._owner.groups_given_up)
