Limit what cold targets get from all entry hosts together

A target that has just started or turns cold bears a configured rate and crashes well above it; until now the host list's remaining time was decoded and dropped, so callers met a crash after a return. A cold limit is a rate limit by incarnation with an end. It shares one pacing code with the limits that targets state (PacedLimit, Permit), so both bind one permit. The split comes from the bound per window: sharers that are a window apart send one request each, so as many may share as the bound allows. Weighed: sharing as for stated limits (rate + k) allows half the sharers. Hosts rank all names listed in the last seconds and wait until all of their lists contain themselves, so hosts whose lists differ for up to three seconds stay within the bound.

--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -197,6 +197,14 @@
         """Write an unchecked entry to the host list; any client may write there."""
         self.store.put(f"servers/{instance}", entry)
 
+    def set_cold(self, instance: str, milliseconds: float) -> None:
+        """Let a plain target state that it stays cold for a time."""
+        entry = json.loads(self._target_entries[instance])
+        entry["cold_remaining_ms"] = milliseconds
+        entry["sequence"] += 1
+        self._target_entries[instance] = json.dumps(entry).encode()
+        self.write_entry(instance, self._target_entries[instance])
+
     def _replace_host(self, crashed: StandInHost) -> None:
         """Replace a crashed host by a new one without a group and under another name."""
         self._replacements += 1
--- a/src/oleanderhill/platform/decoding.py
+++ b/src/oleanderhill/platform/decoding.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import re
-from typing import Annotated, Literal, NamedTuple, TypeVar
+from typing import Annotated, Any, Literal, NamedTuple, TypeVar
 
 import msgspec
 
@@ -12,6 +13,7 @@
     Account,
     Backend,
     Catalog,
+    ColdProfile,
     EngineProfile,
     EngineTiming,
     ModelProfile,
@@ -97,6 +99,9 @@
     name: str
     max_connections: int = 0
     runtime: _Engine | None = None
+    # Of any type, so that a value that can't be read doesn't make the whole configuration unusable.
+    cold_start_s: Any = None
+    cold_per_s: Any = None
 
 
 class _Tenant(msgspec.Struct):
@@ -152,10 +157,13 @@
     """A decoded entry of the host list.
 
     :param sequence: increases each time the host rewrites its entry
+    :param cold_seconds: seconds for which the host stays cold, 0 if it is warm, NaN if the number
+        makes no sense
     """
 
     host: TargetHost
     sequence: int
+    cold_seconds: float = 0.0
 
 
 class _Report(msgspec.Struct):
@@ -223,7 +231,8 @@
         found.models[0].name if found.models else "",
         membership,
     )
-    return HostEntry(host, found.sequence)
+    cold_ms = found.cold_remaining_ms
+    return HostEntry(host, found.sequence, cold_ms / 1000 if cold_ms >= 0 else math.nan)
 
 
 def decode_report(data: bytes) -> int | None:
@@ -273,8 +282,9 @@
 
 
 def _to_service(found: _Service) -> Service:
+    cold = _to_cold_profile(found)
     if found.runtime is None:
-        return Service(found.name, found.max_connections)
+        return Service(found.name, found.max_connections, cold=cold)
     engine = found.runtime
     models = {
         m.name: ModelProfile(m.name, m.size, m.traffic_share, m.pace, m.load_s, m.warm_s)
@@ -283,7 +293,21 @@
     shape = EngineProfile(
         engine.max_batch, engine.loads_per_s, engine.loads_at_once, models, _engine_times(engine)
     )
-    return Service(found.name, found.max_connections, shape)
+    return Service(found.name, found.max_connections, shape, cold)
+
+
+def _to_cold_profile(found: _Service) -> ColdProfile | None:
+    rate, start = _non_negative(found.cold_per_s), _non_negative(found.cold_start_s)
+    return None if rate == 0 else ColdProfile(rate, start)
+
+
+def _non_negative(value: object) -> float:
+    """Return a number as a float, 0 if it is missing, NaN if it is not a finite positive number."""
+    if value is None:
+        return 0.0
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return math.nan
+    return float(value) if 0 <= value < _MAX_JSON_INTEGER else math.nan
 
 
 def _engine_times(engine: _Engine) -> EngineTiming | None:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -35,8 +35,11 @@
 from ..outcomes import Problem
 from ..records import Records, flush_periodically, log_to_descriptor
 from ..routing.backoffs import Backoffs
+from ..routing.cold_limits import ColdLimits
+from ..routing.limit_scope import WindowBound
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
+from ..serving.cold_targets import ColdTargets
 from ..serving.context import ForwardingContext
 from ..serving.driver import Exchange
 from ..serving.forwarding import Notice
@@ -117,14 +120,28 @@
         self._freshness = Freshness(s.key_removal_seconds)
         self._configuration = ConfigurationCopy(self._freshness, records)
         self._inventory = Inventory()
+        cold_bound = WindowBound(excess=s.cold_excess, slack=s.cold_slack)
+        cold_limits = ColdLimits(s.host, cold_bound)
+        self._cold = ColdTargets(
+            self.kernel,
+            cold_limits,
+            self._inventory,
+            lambda: self._catalog,
+            lambda: self._request_seen or not s.first_start,
+            records,
+        )
         self._hosts = HostList(
-            self._inventory, records, self._drop_incarnation, ENTRY_REWRITE_SECONDS
+            self._inventory,
+            records,
+            self._drop_incarnation,
+            ENTRY_REWRITE_SECONDS,
+            self._cold.listed,
         )
         self._plans = KeyedCopy(decode_plan, records, supersedes, PLAN_RETENTION_SECONDS)
         self._presences = KeyedCopy(decode_presence, records, retain_missing_s=LEASE_SECONDS)
         self._view = ServingView(self._inventory, self._plans, rng)
         self._counters = SharedCounters(s.host, s.data_centre)
-        limits = TargetLimits(s.host)
+        limits = TargetLimits(s.host, cold_limits)
         self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
@@ -176,7 +193,7 @@
         )
         leaving = LeavingTargets(self._inventory, self._refresh_targets, records)
         self._notices = TargetNotices(
-            self._inventory, self._book.backoffs, self._limits, leaving, records
+            self._inventory, self._book.backoffs, self._limits, leaving, self._cold, records
         )
         self._owner = owner = OwnerTask(
             self.kernel,
@@ -238,6 +255,7 @@
             self._mirror,
             self._quarantine,
             self._limits,
+            self._cold,
             gossip,
             owner,
             vitals,
@@ -338,6 +356,7 @@
         self._presences.expire(now)
         self._update_host_count()
         self._request_seen = self._request_seen or self._book.has_load()
+        self._cold.refresh_rates()
         self._refresh_targets()
         at = time.monotonic()
         self._view.update_demand(
--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -9,7 +9,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ..serving.forwarding import Notice, ReplyInfo, RequestInfo, StatedLimit
+from ..serving.forwarding import Notice, ReplyInfo, RequestInfo, StatedCold, StatedLimit
 
 REQUEST_ID = "Attempt-Id"
 DEADLINE = "Deadline-Ms"
@@ -24,6 +24,7 @@
 RETRY_AFTER = "Retry-After"
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+COLD = "Cold-Ms"
 
 WRONG_INSTANCE_STATUS = 421
 """Status with which an instance rejects a request that names another instance."""
@@ -54,7 +55,7 @@
 _KNOWN_REPLY_HEADERS = (
     _HOP_BY_HOP_HEADERS
     | _IGNORED_REPLY_HEADERS
-    | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER, LIMIT, LEAVING}
+    | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER, LIMIT, LEAVING, COLD}
 )
 
 _DECIMAL = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
@@ -167,7 +168,7 @@
     """Decode the hints about itself that a target adds to any reply."""
     backoff = _backoff(headers) if status in _BACKOFF_STATUSES else None
     leaving = headers.get(LEAVING, "").strip() not in ("", "0")
-    return Notice(stated_limit(headers), backoff, leaving)
+    return Notice(stated_limit(headers), backoff, leaving, _stated_cold(headers))
 
 
 def stated_limit(headers: HTTPHeaders) -> StatedLimit | None:
@@ -179,6 +180,19 @@
     return min(map(_parse_limit, named), key=lambda n: n.rate or 0.0, default=None)
 
 
+def _stated_cold(headers: HTTPHeaders) -> StatedCold | None:
+    """Return for how long a target states that it stays cold, the longest of several values."""
+    named = [part.strip() for value in headers.get_list(COLD) for part in value.split(",")]
+    return max(map(_parse_cold, named), key=lambda c: c.order, default=None)
+
+
+def _parse_cold(text: str) -> StatedCold:
+    shown = text[:_MAX_NUMBER_CHARS]
+    if shown != text or text.startswith("-") or not _DECIMAL.fullmatch(text):
+        return StatedCold(None, shown)
+    return StatedCold(float(text) / 1000, shown)
+
+
 def _backoff(headers: HTTPHeaders) -> float | None:
     """Return the seconds for which a target asks this host to back off, or ``None``.
 
--- a/src/oleanderhill/platform/host_list.py
+++ b/src/oleanderhill/platform/host_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -17,6 +18,11 @@
 """Ended incarnations that are remembered, because a restored store may still list them. A backup is
 only seconds old."""
 
+COLD_CHANGE_SECONDS = 0.7
+"""Seconds by which an entry must move the end of a cold time to be a change for readers of this
+host's copy. The remaining seconds decrease with each entry, and entries arrive up to a read
+interval apart."""
+
 MAX_HOSTS_PER_LOG_LINE = 30
 """Changed hosts per log line. A pipe writes up to 4,096 bytes atomically, and a host takes up to
 110 bytes with names as long as the platform's."""
@@ -50,6 +56,8 @@
 
     :param on_ended: called with each ended incarnation, to drop its state
     :param rewrite_seconds: seconds after the restore within which hosts rewrite their entries
+    :param on_cold: called with each accepted entry: its host, the seconds for which it stays cold,
+        and whether its incarnation is new
     """
 
     def __init__(
@@ -58,11 +66,14 @@
         records: Records,
         on_ended: Callable[[Removal], None],
         rewrite_seconds: float,
+        on_cold: Callable[[TargetHost, float, bool], None] = lambda host, seconds, is_new: None,
     ) -> None:
         self._inventory = inventory
         self._records = records
         self._on_ended = on_ended
         self._rewrite_seconds = rewrite_seconds
+        self._on_cold = on_cold
+        self._cold_until_by_instance: dict[Instance, float] = {}
         self._changed: list[HostChange] = []
         self._sequence_by_instance: dict[Instance, int] = {}
         self._ended: dict[Instance, None] = {}
@@ -81,8 +92,13 @@
         self._changed += [
             _host_change(h) for h in hosts if current.get(h.instance) not in (None, h)
         ]
+        before = set(current)
         for removal in self._inventory.replace(hosts, now):
             self._handle_removal(removal)
+        for entry in entries:
+            is_backup = entry.host.instance.name in self._backup_by_name
+            if entry.host.instance in current and not is_backup:
+                self._apply_cold(entry, entry.host.instance not in before, now)
 
     def change(self, key: str, value: bytes | None, revision: Revision, now: float) -> bool:
         """Apply one change; return whether it is relevant to readers of this host's copy."""
@@ -109,11 +125,23 @@
         self._sequence_by_instance[host.instance] = entry.sequence
         if result.ended is not None:
             self._handle_removal(result.ended)
+        turned = self._apply_cold(entry, result.before is None, now)
         if host == result.before:
-            return was_backup
+            return was_backup or turned
         self._changed.append(_host_change(host))
         return True
 
+    def _apply_cold(self, entry: HostEntry, is_new: bool, now: float) -> bool:
+        """Apply for how long a host stays cold; return whether that is a change for readers."""
+        instance, seconds = entry.host.instance, entry.cold_seconds
+        self._on_cold(entry.host, seconds, is_new)
+        before = max(now, self._cold_until_by_instance.get(instance, now))
+        if not seconds or math.isnan(seconds):
+            self._cold_until_by_instance.pop(instance, None)
+            return before - now > COLD_CHANGE_SECONDS
+        self._cold_until_by_instance[instance] = now + seconds
+        return before <= now or abs(now + seconds - before) > COLD_CHANGE_SECONDS
+
     def finish_read(self, now: float) -> None:
         """Apply the expired grace periods, and log the changes since the last call.
 
@@ -173,6 +201,7 @@
 
     def _remember_ended(self, instance: Instance) -> None:
         self._sequence_by_instance.pop(instance, None)
+        self._cold_until_by_instance.pop(instance, None)
         self._ended.pop(instance, None)
         self._ended[instance] = None
         if len(self._ended) > MAX_ENDED_INSTANCES:
--- a/src/oleanderhill/platform/settings.py
+++ b/src/oleanderhill/platform/settings.py
@@ -26,6 +26,8 @@
     budget_slack: float = 100.0
     ceiling_window_s: float = 5.0
     ceiling_factor: float = 1.1
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -64,6 +66,8 @@
     :param first_start: whether this is the first start of the whole deployment
     :param grace_seconds: time between the stop signal and the forced end of the process
     :param key_removal_seconds: time after which a removed API key must be rejected everywhere
+    :param cold_excess: factor on the rate of a cold target in the bound on its requests in a second
+    :param cold_slack: requests in that bound in addition
     :param strength: capacity for comparison with other hosts: CPU share times link rate in Mbit/s
     """
 
@@ -83,6 +87,8 @@
     load_window: float
     load_factor: float
     strength: float = 0.0
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
 
 def read_settings(path: str | None = None) -> EntrySettings:
@@ -115,4 +121,7 @@
         bounds.ceiling_window_s,
         bounds.ceiling_factor,
         machine.cpu_share * machine.cpu_cores * machine.link_mbps,
+        # Without a usable bound, cold targets get no more than their rate.
+        max(1.0, bounds.cold_excess),
+        max(0.0, bounds.cold_slack),
     )
--- a/src/oleanderhill/routing/limit_scope.py
+++ b/src/oleanderhill/routing/limit_scope.py
@@ -1,39 +1,79 @@
-"""Rate limits of targets: who shares one, over which window it is checked, and when it ends."""
+"""Kinds of rate limits of targets, and how the entry hosts share one within a bound per window."""
 
 from __future__ import annotations
 
+import math
+from enum import StrEnum
 from typing import NamedTuple
 
+RESERVE_FRACTION = 0.15
+"""Fraction of a bound that is left unused, for entry hosts that send by an outdated list of
+sharers: each adds the requests of one sharer."""
 
-class LimitScope(NamedTuple):
-    """How the entry hosts share a kind of rate limit.
+GAP_MARGIN = 0.02
+"""Fraction by which the gap between two requests exceeds its share of the window, so that timer
+resolution never puts one more request into a window."""
 
-    Each sharer spaces its requests by a full interval, so in any window all sharers together exceed
-    the limit by at most one request each.
 
-    :param window: seconds over which the limit is checked
-    :param base_sharers: entry hosts that share a limit near zero
-    :param sharers_per_rate: additional sharers for each request a second
-    :param new_sharer_delay: seconds that a new sharer waits, as the host that it replaces may have
-        just sent
-    :param min_rate: lowest rate at which a target is sent requests, in requests a second
+class LimitScope(StrEnum):
+    """The kind of a rate limit."""
+
+    STATED = "stated"
+    """The target stated it in a reply; it lasts until another reply changes it."""
+
+    COLD = "cold"
+    """The target is cold; the configuration gives the rate, and it ends by itself."""
+
+
+class LimitKey(NamedTuple):
+    """Identifies a limit: an incarnation may have one of each scope."""
+
+    scope: LimitScope
+    incarnation: str
+
+
+class WindowBound(NamedTuple):
+    """The bound on the requests that all entry hosts together send to a target within a window.
+
+    :param window: in seconds
+    :param excess: factor on the rate
+    :param slack: requests in addition
     """
 
-    name: str
-    window: float
-    base_sharers: int
-    sharers_per_rate: float
-    new_sharer_delay: float
-    min_rate: float
+    window: float = 1.0
+    excess: float = 1.0
+    slack: float = 0.0
+
+    def requests(self, rate: float) -> int:
+        """Return the highest number of requests in a window at a rate."""
+        return math.floor(rate * self.window * self.excess + self.slack)
 
 
-class TimedLimit(NamedTuple):
-    """A rate limit of one incarnation of a target, for all entry hosts together.
+class Split(NamedTuple):
+    """How a limit is split among entry hosts.
 
-    :param rate: requests a second
-    :param ends_at: monotonic time of its end, ``None`` until another statement ends it
+    :param sharers: number of entry hosts that send
+    :param interval: seconds between two requests of a sharer, on average at least
+    :param min_gap: seconds between two requests of a sharer, in any case
     """
 
-    scope: LimitScope
-    rate: float
-    ends_at: float | None = None
+    sharers: int
+    interval: float
+    min_gap: float
+
+
+def split_within(bound: WindowBound, rate: float, hosts: int) -> Split:
+    """Return the split of a rate among as many entry hosts as a bound allows.
+
+    Sharers that are at least ``window / n`` apart in their own requests send at most ``n`` each in
+    any window. With ``k`` of them, no split of the callers over the hosts exceeds ``k x n``.
+
+    :param hosts: number of entry hosts that are present
+    """
+    most = bound.requests(rate)
+    allowed = most - math.floor(most * RESERVE_FRACTION)
+    sharers = min(hosts, allowed)
+    if sharers <= 0 or rate <= 0:
+        return Split(0, math.inf, math.inf)
+    min_gap = bound.window / (allowed // sharers) * (1 + GAP_MARGIN)
+    return Split(sharers, max(sharers / rate, min_gap), min_gap)
--- /dev/null
+++ b/src/oleanderhill/routing/sharing_hosts.py
@@ -0,0 +1,78 @@
+"""The entry hosts that share limits, over the seconds in which their lists of each other differ.
+
+Entry hosts learn of a host that joined or left at different times. If each of them selected the
+sharers of a limit from its newest list alone, the host that gained a share and the one that lost it
+would both send for a while. A host therefore ranks all names that it has listed recently, and takes
+a share only if all its recent lists contain itself. Everybody who sends is then among the first in
+every list that anybody held meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+
+class _View(NamedTuple):
+    since: float
+    hosts: frozenset[str]
+
+
+class Sharing(NamedTuple):
+    """The hosts among which the sharers of a limit are selected.
+
+    :param version: changes whenever another field does
+    :param hosts: all names that were listed recently
+    :param settled_at: time from which this host may use its shares, infinity while it is not listed
+    """
+
+    version: int
+    hosts: frozenset[str]
+    settled_at: float
+
+
+class SharingHosts:
+    """The lists of entry hosts that this host has held in the last seconds.
+
+    :param me: name of this entry host
+    :param delay: seconds for which a list is remembered: the time in which all hosts learn of a
+        change, and one window of the limits
+    """
+
+    def __init__(self, me: str, delay: float) -> None:
+        self._me = me
+        self._delay = delay
+        self._views: list[_View] = []
+        self._sharing = Sharing(0, frozenset(), float("inf"))
+        self._next_expiry = float("inf")
+
+    def update(self, hosts: Collection[str], now: float) -> None:
+        """Record the list of present entry hosts."""
+        names = frozenset(hosts)
+        if self._views and self._views[-1].hosts == names:
+            return
+        self._views.append(_View(now, names))
+        self._recompute(now)
+
+    def at(self, now: float) -> Sharing:
+        """Return the hosts that share limits at a time."""
+        if now >= self._next_expiry:
+            self._recompute(now)
+        return self._sharing
+
+    def _recompute(self, now: float) -> None:
+        while len(self._views) > 1 and now - self._views[1].since >= self._delay:
+            del self._views[0]
+        self._next_expiry = (
+            self._views[1].since + self._delay if len(self._views) > 1 else float("inf")
+        )
+        hosts = frozenset().union(*(v.hosts for v in self._views))
+        self._sharing = Sharing(self._sharing.version + 1, hosts, self._settled_at())
+
+    def _settled_at(self) -> float:
+        listed_since = float("inf")
+        for view in reversed(self._views):
+            if self._me not in view.hosts:
+                break
+            listed_since = view.since
+        return listed_since + self._delay
--- a/src/oleanderhill/routing/target_limits.py
+++ b/src/oleanderhill/routing/target_limits.py
@@ -21,6 +21,9 @@
 import msgspec
 
 from ..ownership import rendezvous
+from .cold_limits import ColdLimits
+from .limit_scope import LimitKey, LimitScope
+from .paced_limits import PacedLimit, Permit
 
 MIN_RATE = 0.25
 """Lowest rate, in requests a second, at which a limited target is sent requests, even if it states
@@ -96,44 +99,40 @@
     version: int
 
 
-class Charge(NamedTuple):
-    """What one request consumes of one limit.
-
-    :param version: version of the statement that was in force
-    :param previous_send_at: earliest time of this host's next request before the charge, restored
-        if the request is not sent
-    """
-
-    version: int
-    previous_send_at: float
-
-
-class Permit(NamedTuple):
-    """Permission to send one request to a group of incarnations, the first of which receives it."""
-
-    incarnations: Sequence[str]
-    charge_by_incarnation: Mapping[str, Charge]
-
-
-class _Limit:
+class _Limit(PacedLimit):
     """The latest statement of one target and this host's share of its limit."""
 
     def __init__(self, statement: Statement, now: float) -> None:
+        super().__init__(now)
         self.statement = statement
         self.changed_at = now
         self.stated_at = now
-        self.next_send_at = now
-        self.sharers: tuple[str, ...] = ()
+
+    @property
+    def version(self) -> int:
+        return self.statement.version
+
+    @property
+    def rate(self) -> float:
+        return max(MIN_RATE, self.statement.rate or 0.0)
+
+    @property
+    def interval(self) -> float:
+        return max(1, len(self.sharers)) / self.rate
 
 
 class TargetLimits:
     """The limits that targets stated, and when this host may send to these targets.
 
+    Limits of cold targets bind the same requests, so permits cover both.
+
     :param me: name of this entry host
+    :param cold: the limits of cold targets
     """
 
-    def __init__(self, me: str = "") -> None:
+    def __init__(self, me: str = "", cold: ColdLimits | None = None) -> None:
         self._me = me
+        self.cold = ColdLimits(me) if cold is None else cold
         self._limit_by_incarnation: dict[str, _Limit] = {}
         self._hosts: Collection[str] = (me,)
         self._has_peers = True
@@ -143,8 +142,8 @@
 
     @property
     def known(self) -> bool:
-        """Return whether a statement of any target is stored."""
-        return bool(self._limit_by_incarnation)
+        """Return whether a statement of any target is stored, or any target is limited as cold."""
+        return bool(self._limit_by_incarnation) or self.cold.known
 
     @property
     def rate_by_incarnation(self) -> Mapping[str, float]:
@@ -160,7 +159,7 @@
         """Return the requests a second that this host may send to limited targets."""
         incarnations = self.rate_by_incarnation
         return sum(
-            1 / _send_interval(limit)
+            1 / limit.interval
             for limit in map(self._limit_by_incarnation.__getitem__, incarnations)
             if self._is_sharer(limit)
         )
@@ -250,6 +249,7 @@
         if hosts is self._hosts:
             return
         self._hosts = hosts
+        self.cold.update_hosts(hosts, now)
         # A host that has just joined gets all statements immediately.
         self._full_update_at = float("-inf")
         for incarnation, limit in self._limit_by_incarnation.items():
@@ -262,51 +262,59 @@
 
     def may_send(self, incarnations: Sequence[str], now: float) -> bool:
         """Return whether a request may go now to a group, whose first incarnation receives it."""
-        limits = self._binding_limits(incarnations).values()
-        return all(self._is_sharer(limit) and now >= limit.next_send_at for limit in limits)
+        for key, limit in self._binding_limits(incarnations, now).items():
+            if self._is_sharer(limit) and limit.is_due(now):
+                continue
+            if key.scope == LimitScope.COLD:
+                self.cold.held_back += 1
+            return False
+        return True
 
     def take(self, incarnations: Sequence[str], now: float) -> Permit | None:
         """Reserve one request to a group; return ``None`` if none may be sent now."""
         if not self.may_send(incarnations, now):
             self.held_back += 1
             return None
-        charges = {}
-        for incarnation, limit in self._binding_limits(incarnations).items():
-            charges[incarnation] = Charge(limit.statement.version, limit.next_send_at)
-            limit.next_send_at = now + _send_interval(limit)
-            self.sent += 1
-        return Permit(incarnations, charges)
+        limits = self._binding_limits(incarnations, now)
+        self.sent += len(limits)
+        return Permit(incarnations, {key: limit.charge(now) for key, limit in limits.items()})
 
     def confirm(self, permit: Permit, now: float) -> bool:
         """Return whether the first byte may be sent now.
 
-        If a statement has changed since the target was chosen, the permit is given back, and the
+        If a limit has changed since the target was chosen, the permit is given back, and the
         request is checked and charged against the limits now in force.
         """
-        version_by_incarnation = {
-            k: limit.statement.version
-            for k, limit in self._binding_limits(permit.incarnations).items()
-        }
-        if version_by_incarnation == {
-            k: t.version for k, t in permit.charge_by_incarnation.items()
-        }:
-            return True
-        self.give_back(permit)
-        return self.take(permit.incarnations, now) is not None
+        limits = self._binding_limits(permit.incarnations, now)
+        charged = {key: charge.version for key, charge in permit.charge_by_key.items()}
+        if charged != {key: limit.version for key, limit in limits.items()}:
+            self.give_back(permit)
+            taken = self.take(permit.incarnations, now)
+            if taken is None:
+                return False
+            permit = taken
+        if not all(limit.is_spaced(now) for limit in limits.values()):
+            self.give_back(permit)
+            return False
+        for limit in limits.values():
+            limit.record_sent(now)
+        return True
 
     def give_back(self, permit: Permit) -> None:
         """Return a permit that was not used."""
-        for incarnation, charge in permit.charge_by_incarnation.items():
-            limit = self._limit_by_incarnation.get(incarnation)
-            if limit is not None and charge.version == limit.statement.version:
-                limit.next_send_at = charge.previous_send_at
+        for key, charge in permit.charge_by_key.items():
+            limit = self._find(key)
+            if limit is not None and limit.refund(charge):
                 self.sent -= 1
 
     def count_without_permit(self, incarnation: str, now: float) -> None:
-        """Count a call that needs no permit, such as an order, against the target's limit."""
-        limit = self._limit_by_incarnation.get(incarnation)
-        if limit is not None and limit.statement.rate is not None:
-            limit.next_send_at = max(limit.next_send_at, now) + _send_interval(limit)
+        """Count a call that needs no permit, such as an order, against the target's limits."""
+        stated = self._limit_by_incarnation.get(incarnation)
+        if stated is not None and stated.statement.rate is not None:
+            stated.charge_late(now)
+        cold = self.cold.find_at(incarnation, now)
+        if cold is not None and self._is_sharer(cold):
+            cold.charge_late(now)
 
     def is_limited(self, incarnations: Sequence[str]) -> bool:
         """Return whether any limit applies to a group of incarnations."""
@@ -314,7 +322,7 @@
 
     def rate(self, incarnations: Sequence[str]) -> float | None:
         """Return the requests a second that a group accepts, ``None`` for no limit."""
-        return min(map(_effective_rate, self._binding_limits(incarnations).values()), default=None)
+        return min((x.rate for x in self._binding_limits(incarnations).values()), default=None)
 
     def members_to_probe(self, incarnations: Sequence[str]) -> list[str]:
         """Return the members of a group that this host has to probe for the end of their limit.
@@ -325,31 +333,44 @@
         others = incarnations[1:]
         bound = self._binding_limits(incarnations).items()
         return [
-            incarnation
-            for incarnation, limit in bound
-            if incarnation in others and limit.sharers[:1] == (self._me,)
+            key.incarnation
+            for key, limit in bound
+            if key.incarnation in others and limit.sharers[:1] == (self._me,)
         ]
 
-    def _binding_limits(self, incarnations: Sequence[str]) -> Mapping[str, _Limit]:
-        """Return the limits that apply to a group, by incarnation.
+    def _binding_limits(
+        self, incarnations: Sequence[str], now: float | None = None
+    ) -> Mapping[LimitKey, PacedLimit]:
+        """Return the limits that apply to a group.
 
         A limit stated by the first member always applies. A limit of another member, which
         receives no requests from entry hosts, applies if it was stated in an answer to an order or
         a probe: every request of the group passes through that member, and later probes report the
-        end of its limit.
+        end of its limit. Whether the other members are cold does not matter, for the same reason.
+
+        :param now: for which the sharers are needed, ``None`` if they are not
         """
-        if not self._limit_by_incarnation:
+        if not self.known:
             return {}
-        found = {}
+        found: dict[LimitKey, PacedLimit] = {}
         for rank, incarnation in enumerate(incarnations):
             limit = self._limit_by_incarnation.get(incarnation)
             if limit is None or limit.statement.rate is None:
                 continue
             if rank == 0 or limit.statement.asked == CallKind.CONTROL:
-                found[incarnation] = limit
+                found[LimitKey(LimitScope.STATED, incarnation)] = limit
+        head = incarnations[0]
+        cold = self.cold.find(head) if now is None else self.cold.find_at(head, now)
+        if cold is not None:
+            found[LimitKey(LimitScope.COLD, head)] = cold
         return found
 
-    def _is_sharer(self, limit: _Limit) -> bool:
+    def _find(self, key: LimitKey) -> PacedLimit | None:
+        if key.scope == LimitScope.COLD:
+            return self.cold.find(key.incarnation)
+        return self._limit_by_incarnation.get(key.incarnation)
+
+    def _is_sharer(self, limit: PacedLimit) -> bool:
         return self._has_peers and self._me in limit.sharers
 
     def _sharers(self, incarnation: str, rate: float | None) -> tuple[str, ...]:
@@ -361,7 +382,7 @@
 
     def _replace_statement(self, incarnation: str, statement: Statement, now: float) -> RateChange:
         limit = self._limit_by_incarnation.pop(incarnation, None) or _Limit(Statement(0, None), now)
-        old_rate, interval = limit.statement.rate, _send_interval(limit)
+        old_rate, interval = limit.statement.rate, limit.interval
         limit.statement, limit.changed_at, limit.stated_at = statement, now, now
         limit.sharers = self._sharers(incarnation, statement.rate)
         self._limit_by_incarnation[incarnation] = limit
@@ -369,12 +390,12 @@
         if statement.rate is not None and self._me in limit.sharers:
             wait = max(0.0, limit.next_send_at - now)
             if old_rate is not None:
-                wait *= _send_interval(limit) / interval
+                wait *= limit.interval / interval
             if old_rate is None or statement.rate < old_rate * RESTAGGER_BELOW:
                 # The sharers start one after the other: requests that were sent before the
                 # statement arrived count against the new limit too.
                 position = limit.sharers.index(self._me) + 1
-                wait = max(wait, position / _effective_rate(limit))
+                wait = max(wait, position / limit.rate)
             limit.next_send_at = now + wait
         return RateChange(incarnation, old_rate, statement.rate, statement.version)
 
@@ -388,15 +409,6 @@
         del self._limit_by_incarnation[next(ended, next(iter(self._limit_by_incarnation)))]
 
 
-def _effective_rate(limit: _Limit) -> float:
-    return max(MIN_RATE, limit.statement.rate or 0.0)
-
-
-def _send_interval(limit: _Limit) -> float:
-    """Return the seconds between two requests of one sharer of a limit."""
-    return max(1, len(limit.sharers)) / _effective_rate(limit)
-
-
 def _is_looser(rate: float | None, known: float | None) -> bool:
     """Return whether a rate allows more than the known one."""
     return known is not None and (rate is None or rate > known)
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -33,8 +33,9 @@
     Sending,
 )
 from ..requests.identity import identity
+from ..routing.paced_limits import Permit
 from ..routing.router import Choice, NoChoice
-from ..routing.target_limits import CallKind, Permit
+from ..routing.target_limits import CallKind
 from ..settings.catalog import Repeatable
 from ..types import Member
 from .admission import Accepted
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -36,6 +36,22 @@
     text: str
 
 
+class StatedCold(NamedTuple):
+    """For how long a target states that it stays cold.
+
+    :param seconds: 0 if it is warm, ``None`` if the header can't be parsed
+    :param text: header value as received
+    """
+
+    seconds: float | None
+    text: str
+
+    @property
+    def order(self) -> float:
+        """Return the position among several statements; one that can't be parsed comes last."""
+        return float("inf") if self.seconds is None else self.seconds
+
+
 class Notice(NamedTuple):
     """Hints about its own state that a target puts into the headers of any reply.
 
@@ -43,11 +59,13 @@
     :param backoff: seconds for which the target asks this host to send no requests, ``None`` for
         none
     :param leaving: whether the target is shutting down and will accept no further requests
+    :param cold: for how long the target stays cold, ``None`` if it does not state it
     """
 
     limit: StatedLimit | None = None
     backoff: float | None = None
     leaving: bool = False
+    cold: StatedCold | None = None
 
 
 class ReplyInfo(NamedTuple):
--- a/src/oleanderhill/serving/notices.py
+++ b/src/oleanderhill/serving/notices.py
@@ -1,7 +1,8 @@
 """Dispatches the notices in a target's answers to the trackers that store them.
 
 A rate limit applies to all entry hosts together, a back-off only to the entry host that received
-the answer. A leaving target gets no requests from any entry host until its incarnation ends.
+the answer. A leaving target gets no requests from any entry host until its incarnation ends. A cold
+target gets few requests from all entry hosts together while it stays cold.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from ..groups.inventory import Instance, Inventory
 from ..records import Records
 from ..routing.backoffs import Backoffs
+from .cold_targets import ColdTargets
 from .forwarding import Notice
 from .leaving import LeavingTargets
 from .target_limits import StatementSource, TargetLimitTask
@@ -26,12 +28,14 @@
         backoffs: Backoffs,
         limits: TargetLimitTask,
         leaving: LeavingTargets,
+        cold: ColdTargets,
         records: Records,
     ) -> None:
         self._inventory = inventory
         self._backoffs = backoffs
         self._limits = limits
         self._leaving = leaving
+        self._cold = cold
         self._records = records
 
     def apply(
@@ -43,6 +47,8 @@
         """
         if notice.leaving:
             self._leaving.announced(incarnation, source.asked.value, source.request_id)
+        if notice.cold is not None:
+            self._cold.answered(incarnation, notice.cold, source)
         if notice.backoff:
             self._start_backoff(incarnation, notice.backoff, source)
         if conclusive or notice.limit is not None:
@@ -53,6 +59,7 @@
         self._backoffs.forget(incarnation)
         self._leaving.incarnation_ended(incarnation)
         self._limits.incarnation_ended(incarnation)
+        self._cold.incarnation_ended(incarnation)
 
     def may_contact(self, instance: Instance) -> bool:
         """Return whether an order or a probe may be sent to a host now."""
@@ -69,6 +76,7 @@
     def show(self, exposition: Exposition) -> None:
         """Register the metrics."""
         self._limits.show(exposition)
+        self._cold.show(exposition)
         show, backoffs = exposition.gauge, self._backoffs
         show(
             "targets_leaving",
--- a/src/oleanderhill/settings/catalog.py
+++ b/src/oleanderhill/settings/catalog.py
@@ -117,12 +117,28 @@
     times: EngineTiming | None = None
 
 
+class ColdProfile(NamedTuple):
+    """What targets of a service bear while they are cold.
+
+    :param rate: requests a second from all entry hosts together, NaN if unreadable
+    :param start_seconds: seconds for which a target is cold after its start, NaN if unreadable
+    """
+
+    rate: float
+    start_seconds: float
+
+
 class Service(NamedTuple):
-    """A service and the settings its targets share; ``engine`` is ``None`` for a plain service."""
+    """A service and the settings its targets share.
+
+    :param engine: ``None`` for a plain service
+    :param cold: ``None`` if cold targets need no limit
+    """
 
     name: str
     max_connections: int
     engine: EngineProfile | None = None
+    cold: ColdProfile | None = None
 
 
 class Account(NamedTuple):
