--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -41,6 +41,8 @@
 MOST = 30
 """The bound on the requests in one second: 17 x 1.5 + 5, rounded down."""
 
+CONNECT_SECONDS = 0.1
+
 LEARN_SECONDS = 3.0
 """Seconds within which all entry hosts learn that one of them joined or left."""
 
@@ -107,9 +109,9 @@
 class Fleet:
     """Entry hosts that send to one cold target, and learn late of each other."""
 
-    def __init__(self, size, rng, connect_seconds=0.1):
+    def __init__(self, size, rng, least_learn_seconds=0.0):
         self.rng = rng
-        self.connect_seconds = connect_seconds
+        self.least_learn_seconds = least_learn_seconds
         self.names = [f"entry-{n}" for n in range(size)]
         self.listed = set(self.names)
         self.limits_by_name = {n: make_limits(n, self.names) for n in self.names}
@@ -123,7 +125,8 @@
         """Tell each host of the present list after a delay of its own."""
         listed = tuple(sorted(self.listed))
         for name in self.names:
-            self.pending.append((now + self.rng.uniform(0.0, LEARN_SECONDS), name, listed, now))
+            delay = self.rng.uniform(self.least_learn_seconds, LEARN_SECONDS)
+            self.pending.append((now + delay, name, listed, now))
         self.pending.sort()
 
     def stop(self, name, now):
@@ -156,7 +159,7 @@
             limits = self.limits_by_name[name]
             permit = limits.take(("t",), now) if name in self.up else None
             if permit is not None:
-                at = now + self.rng.uniform(0.0, self.connect_seconds)
+                at = now + self.rng.uniform(0.0, CONNECT_SECONDS)
                 self.connecting.append((at, name, limits, permit))
 
 
@@ -170,8 +173,11 @@
         st.sampled_from((0.02, 0.3, 3.0)),
         st.sampled_from(("all", "few", "one")),
         st.booleans(),
+        st.booleans(),
     )
-    def test_never_more_than_the_bound_under_any_split(self, size, seed, gap, callers, changes):
+    def test_never_more_than_the_bound_under_any_split(
+        self, size, seed, gap, callers, changes, lulls
+    ):
         rng = random.Random(seed)
         fleet = Fleet(size, rng)
         for name in fleet.names:  # the entry reaches the hosts at different ages
@@ -184,14 +190,36 @@
             now += 0.02
             if changes and now >= next_change:
                 next_change = now + rng.choice((0.1, 0.4, 2.0, 6.0))
-                name = rng.choice(fleet.names)
-                if name in fleet.up:
-                    fleet.stop(name, now)
-                else:
-                    fleet.start(name, now, MAX_COLD_SECONDS)
-            fleet.advance(now, [n for n in favoured if rng.random() < 0.02 / gap])
+                for name in rng.sample(fleet.names, rng.choice((1, 1, 1 + size // 3))):
+                    if name in fleet.up:
+                        fleet.stop(name, now)
+                    else:
+                        fleet.start(name, now, MAX_COLD_SECONDS)
+            # After a lull the shares of all hosts are unused, and all of them may send at once.
+            calling = () if lulls and now % 2.0 < 1.8 else sorted(favoured)
+            fleet.advance(now, [n for n in calling if rng.random() < 0.02 / gap])
         self.assertLessEqual(max_within_window(1.0, fleet.sent, 0.0), MOST)
 
+    def test_half_of_a_fleet_that_joins_at_once_does_not_send_beside_those_whose_shares_it_gets(
+        self,
+    ):
+        for seed in range(5):
+            fleet = Fleet(60, random.Random(seed), LEARN_SECONDS - 0.2)
+            joining = fleet.names[30:]
+            fleet.up -= set(joining)
+            fleet.listed -= set(joining)
+            for name in fleet.names[:30]:
+                fleet.limits_by_name[name] = make_limits(name, fleet.names[:30])
+                turn_cold(fleet.limits_by_name[name], -5.0)
+            for tick in range(600):
+                now = tick / 100
+                if tick == 100:
+                    for name in joining:
+                        fleet.start(name, now, MAX_COLD_SECONDS)
+                calling = fleet.names if now % 1.6 < 0.2 else ()
+                fleet.advance(now, calling)
+            self.assertLessEqual(max_within_window(1.0, fleet.sent, 0.0), MOST)
+
     def test_host_that_cannot_learn_that_it_is_unlisted_adds_one_request_of_the_reserve(self):
         fleet = Fleet(60, random.Random(1))
         for name in fleet.names:
