Let hosts of the soak turn cold, and rank sharers of cold targets without hashing every host

The soak's engine hosts state that they turn cold while entry hosts are killed and cut off; once the faults have ended, none may get more in a second than the bound.

--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -123,6 +123,7 @@
         self.alive = True
         self.faults = OrderFaults()
         self.notices = TargetNotices()
+        self.cold_until = 0.0
         self.server: HTTPServer | None = None
         self.orders: list[dict[str, Any]] = []
 
@@ -135,7 +136,7 @@
                 "zone": self.data_centre,
                 "version": "v1",
                 "born": self.born,
-                "cold_remaining_ms": 0,
+                "cold_remaining_ms": max(0.0, self.cold_until - time.monotonic()) * 1000,
                 "max_batch": 13,
                 "state": "draining" if self.leaving else "ready",
                 "sequence": len(self.orders),
@@ -176,6 +177,7 @@
         self.seen_epoch = self.seen_fence = 0
         self.orders = []
         self.notices = TargetNotices()
+        self.cold_until = 0.0
         # The host remains in ever_ready: a request that begins before the entry hosts learn of the
         # restart runs in a group that lost a member, not in one that was never complete.
         self.publish()
--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -30,8 +30,13 @@
 HEARTBEAT_SECONDS = 0.2
 
 
-def configuration(version: int, keys: dict[str, list[str]], pay_prefix: str = "/pay/") -> bytes:
-    """Return a configuration with a streaming, an idempotent and a non-idempotent route."""
+def configuration(
+    version: int, keys: dict[str, list[str]], pay_prefix: str = "/pay/", cold_per_s: float = 0.0
+) -> bytes:
+    """Return a configuration with a streaming, an idempotent and a non-idempotent route.
+
+    :param cold_per_s: requests a second that a cold engine host bears, 0 for no limit
+    """
 
     def route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
         return {
@@ -60,7 +65,7 @@
     ]
     engine = {"max_batch": 13, "loads_per_s": 100.0, "loads_at_once": 9, "models": models}
     services = [
-        {"name": "pool", "max_connections": 100, "runtime": engine},
+        {"name": "pool", "max_connections": 100, "runtime": engine, "cold_per_s": cold_per_s},
         {"name": "desk", "max_connections": 100},
     ]
     tenants = [{"name": n, "api_keys": k, "priority": 1} for n, k in keys.items()]
@@ -101,6 +106,7 @@
         self.targets: list[StandInTarget] = []
         self._target_entries: dict[str, bytes] = {}
         self._configuration = b""
+        self.cold_per_s = 0.0
         self.entries: list[EntryHost] = []
         self._servers: list[Any] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -128,7 +134,7 @@
 
     def configure(self, version: int, keys: dict[str, list[str]], **more: str) -> None:
         """Write a configuration to the store, as the operator does."""
-        self._configuration = configuration(version, keys, **more)
+        self._configuration = configuration(version, keys, cold_per_s=self.cold_per_s, **more)
         self.store.put("op/config", self._configuration)
 
     def rewrite_external_entries(self) -> None:
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -61,6 +61,15 @@
 
 LIMITS_PER_SECOND = (0.0, 0.5, 1.2, 4.0)
 
+COLD_PER_SECOND = 4.0
+"""Requests a second that a cold engine host bears from all entry hosts."""
+
+COLD_EXCESS, COLD_SLACK = 1.5, 5.0
+"""Bounds on the requests to a cold host in a second: the rate times the one plus the other."""
+
+COLD_SECONDS = 60.0
+"""Seconds for which a host turns cold: beyond the end of the soak."""
+
 BACKOFF_SECONDS = (0.5, 1.5, 3.0)
 """Back-offs that targets ask for, in seconds."""
 
@@ -73,6 +82,9 @@
 CULPRIT_CYCLE = 3
 """Consecutive seeds of ``main`` have zero, one and two crash-causing requests in turn."""
 
+COLD_CYCLE = 5
+"""Every fifth seed of ``main`` has hosts that turn cold."""
+
 SETTLE_SECONDS = 3.0
 """Seconds until entry hosts are up to date again after they were killed, paused or partitioned."""
 
@@ -126,7 +138,12 @@
             "internal_port_range": [7102, 7110],
             "platform": {"address": self.link.address},
             "bootstrap": self._first,
-            "bounds": {"grace_s": 4.0, "revoke_ms": KEY_REMOVAL_SECONDS * 1000},
+            "bounds": {
+                "grace_s": 4.0,
+                "revoke_ms": KEY_REMOVAL_SECONDS * 1000,
+                "cold_excess": COLD_EXCESS,
+                "cold_slack": COLD_SLACK,
+            },
         }
         file = self._folder / f"{self.name}.json"
         file.write_text(json.dumps(settings))
@@ -188,6 +205,7 @@
     :param send_notices: an engine host and a plain target ask for back-off, and another host
         announces in its reply headers that it leaves
     :param restored: the store is restored from its own backups
+    :param cold: engine hosts turn cold and warm again
     """
 
     def __init__(
@@ -198,6 +216,7 @@
         rate_limited: bool = False,
         send_notices: bool = False,
         restored: bool = False,
+        cold: bool = False,
     ) -> None:
         self._seed, self._culprits, self._rate_limited = seed, culprits, rate_limited
         self._send_notices, self._restored = send_notices, restored
@@ -207,6 +226,8 @@
         self._rng = random.Random(seed)
         self._folder = folder
         self.site = StandInSite()
+        self.site.cold_per_s = COLD_PER_SECOND if cold else 0.0
+        self.turned_cold: list[StandInHost] = []
         rng = random.Random(f"{seed} copies")
         self._restoring = RestoredStore(self.site.store, rng, self.site.rewrite_external_entries)
         self.processes: list[EntryProcess] = []
@@ -290,6 +311,7 @@
                 found.append(f"{a.request_id} ran with a key that had been removed too long before")
         found += self._excess_crashes()
         found += self._limits_exceeded()
+        found += self._cold_hosts_overrun()
         found += self._notices_ignored()
         since = self.call_records[-1].sent - RECOVERY_WINDOW_SECONDS
         last = [a for a in self.call_records if a.sent > since and a.key not in self.removed_at]
@@ -332,6 +354,14 @@
                 )
         return found
 
+    def _cold_hosts_overrun(self) -> list[str]:
+        """Return the cold hosts that got too many requests in a second after the settle time."""
+        bound = COLD_PER_SECOND * COLD_EXCESS + COLD_SLACK
+        settled_at = self._faults_ended_at + SETTLE_SECONDS
+        cold = [h for h in self.turned_cold if h.cold_until]
+        most = {h.instance: max_within_window(1.0, h.notices.arrivals, settled_at) for h in cold}
+        return [f"cold {i} got {n} requests in a second" for i, n in most.items() if n > bound]
+
     def _notices_ignored(self) -> list[str]:
         """Return the targets that got requests despite their notices, after the settle time."""
         found = []
@@ -420,6 +450,8 @@
         background: list[Coroutine[None, None, None]] = []
         if self._rate_limited:
             background.append(self._change_limits())
+        if self.site.cold_per_s:
+            background.append(self._change_cold_hosts())
         if self._send_notices:
             background.append(self._change_notices())
         if self._restored:
@@ -446,6 +478,15 @@
             self._backoffs = [(n, s) for n, s in self._backoffs if n is not notices]
             self._backoffs.append((notices, backoff))
 
+    async def _change_cold_hosts(self) -> None:
+        """Let heads of groups turn cold and warm; the last ones stay cold until the end."""
+        rng = random.Random(f"{self._seed} cold")
+        while True:
+            await asyncio.sleep(rng.uniform(0.3, 2.0))
+            for host in rng.sample(heads := self._open_heads(), min(2, len(heads))):
+                host.cold_until = 0.0 if rng.random() < 0.2 else time.monotonic() + COLD_SECONDS
+                self.turned_cold.append(host)
+
     async def _change_limits(self) -> None:
         """Set, change and withdraw rate limits; the last ones remain until the end of the soak."""
         rng = random.Random(f"{self._seed} limits")
@@ -610,6 +651,7 @@
         f"answered={statuses[200]} "
         f"limits={[n.limit for n, _ in soak._limits]} "
         f"backoffs={[n.backoff for n, _ in soak._backoffs]} "
+        f"cold={sum(bool(h.cold_until) for h in soak.site.engines.host_by_instance.values())} "
         f"generation={soak.site.store.generation} "
         f"ended={[len(t) for t in soak.site.engines.crash_times.values()]} "
         f"broken={len(violations)}",
@@ -626,10 +668,11 @@
     rate_limited: bool = False,
     send_notices: bool = False,
     restored: bool = False,
+    cold: bool = False,
 ) -> Soak:
     """Run one seed in a temporary folder, which is kept if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, folder, culprits, rate_limited, send_notices, restored)
+    soak = Soak(seed, folder, culprits, rate_limited, send_notices, restored, cold)
     asyncio.run(run_soak(soak, seed))
     if soak.violations:
         print(f"soak: seed={seed} logs in {folder}", flush=True)
@@ -646,7 +689,8 @@
         # Four consecutive seeds have rate limits, rate limits with notices, store restores, and
         # store restores with notices.
         restored = seed % 4 > 1
-        soak = run_seed(seed, seed % CULPRIT_CYCLE, not restored, seed % 2 == 1, restored)
+        cold = seed % COLD_CYCLE == 0
+        soak = run_seed(seed, seed % CULPRIT_CYCLE, not restored, seed % 2 == 1, restored, cold)
         failed += bool(soak.violations)
     print(f"soak: seeds={count} failed={failed}")
     return 1 if failed else 0
--- a/src/oleanderhill/routing/cold_limits.py
+++ b/src/oleanderhill/routing/cold_limits.py
@@ -15,7 +15,6 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ..ownership import rendezvous
 from .limit_scope import WindowBound, split_within
 from .paced_limits import PacedLimit
 from .sharing_hosts import SharingHosts
@@ -213,7 +212,7 @@
         sharing = self._hosts.at(now)
         limit.inputs = (sharing.version, rate)
         split = split_within(self._bound, rate, len(sharing.hosts))
-        sharers = rendezvous(f"cold/{incarnation}", sharing.hosts, split.sharers)
+        sharers = sharing.ranking.first(f"cold/{incarnation}", split.sharers)
         limit.replace_share(sharers, split.interval, split.min_gap)
         if self._me not in sharers:
             return
--- a/src/oleanderhill/routing/sharing_hosts.py
+++ b/src/oleanderhill/routing/sharing_hosts.py
@@ -9,9 +9,49 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Collection
 from typing import NamedTuple
 
+import xxhash
+
+_HASH_BITS = 64
+
+
+class HostRanking:
+    """Ranks hosts for a key by the distance (XOR) of their hashes from that of the key.
+
+    Like rendezvous hashing, a host that joins or leaves changes no order among the others. The
+    first hosts are found without a hash of each host for each key, which a large fleet with many
+    keys could not afford.
+    """
+
+    def __init__(self, hosts: Collection[str]) -> None:
+        ranked = sorted((xxhash.xxh64_intdigest(name.encode()), name) for name in hosts)
+        self._hashes = [digest for digest, _ in ranked]
+        self._names = [name for _, name in ranked]
+
+    def first(self, key: str, count: int) -> tuple[str, ...]:
+        """Return the ``count`` hosts that rank first for a key, best first."""
+        point = xxhash.xxh64_intdigest(key.encode())
+        first, last = self._range_with(point, min(count, len(self._names)))
+        distances = sorted((self._hashes[n] ^ point, self._names[n]) for n in range(first, last))
+        return tuple(name for _, name in distances[:count])
+
+    def _range_with(self, point: int, count: int) -> tuple[int, int]:
+        """Return the range of the hosts that share the longest hash prefix with a point.
+
+        Any host outside is farther from the point than all of them.
+        """
+        spread = len(self._hashes) // max(1, count)
+        for bits in range(_HASH_BITS - spread.bit_length(), _HASH_BITS + 1):
+            low = point >> bits << bits
+            first = bisect_left(self._hashes, low)
+            last = bisect_left(self._hashes, low + (1 << bits), first)
+            if last - first >= count:
+                break
+        return first, last
+
 
 class _View(NamedTuple):
     since: float
@@ -28,6 +68,7 @@
 
     version: int
     hosts: frozenset[str]
+    ranking: HostRanking
     settled_at: float
 
 
@@ -43,7 +84,7 @@
         self._me = me
         self._delay = delay
         self._views: list[_View] = []
-        self._sharing = Sharing(0, frozenset(), float("inf"))
+        self._sharing = Sharing(0, frozenset(), HostRanking(()), float("inf"))
         self._next_expiry = float("inf")
 
     def update(self, hosts: Collection[str], now: float) -> None:
@@ -66,8 +107,10 @@
         self._next_expiry = (
             self._views[1].since + self._delay if len(self._views) > 1 else float("inf")
         )
+        before = self._sharing
         hosts = frozenset().union(*(v.hosts for v in self._views))
-        self._sharing = Sharing(self._sharing.version + 1, hosts, self._settled_at())
+        ranking = before.ranking if hosts == before.hosts else HostRanking(hosts)
+        self._sharing = Sharing(before.version + 1, hosts, ranking, self._settled_at())
 
     def _settled_at(self) -> float:
         listed_since = float("inf")
--- a/src/oleanderhill/routing/target_limits.py
+++ b/src/oleanderhill/routing/target_limits.py
@@ -262,13 +262,12 @@
 
     def may_send(self, incarnations: Sequence[str], now: float) -> bool:
         """Return whether a request may go now to a group, whose first incarnation receives it."""
-        for key, limit in self._binding_limits(incarnations, now).items():
-            if self._is_sharer(limit) and limit.is_due(now):
-                continue
-            if key.scope == LimitScope.COLD:
-                self.cold.held_back += 1
+        cold = self.cold.find_at(incarnations[0], now) if self.cold.known else None
+        if cold is not None and not (cold.is_due(now) and self._is_sharer(cold)):
+            self.cold.held_back += 1
             return False
-        return True
+        stated = self._stated_limits(incarnations).values()
+        return all(limit.is_due(now) and self._is_sharer(limit) for limit in stated)
 
     def take(self, incarnations: Sequence[str], now: float) -> Permit | None:
         """Reserve one request to a group; return ``None`` if none may be sent now."""
@@ -343,14 +342,26 @@
     ) -> Mapping[LimitKey, PacedLimit]:
         """Return the limits that apply to a group.
 
+        Only the first member counts as cold, as it alone receives the requests.
+
+        :param now: for which the sharers are needed, ``None`` if they are not
+        """
+        found = self._stated_limits(incarnations)
+        if not self.cold.known:
+            return found
+        head = incarnations[0]
+        cold = self.cold.find(head) if now is None else self.cold.find_at(head, now)
+        return found if cold is None else {**found, LimitKey(LimitScope.COLD, head): cold}
+
+    def _stated_limits(self, incarnations: Sequence[str]) -> Mapping[LimitKey, PacedLimit]:
+        """Return the stated limits that apply to a group.
+
         A limit stated by the first member always applies. A limit of another member, which
         receives no requests from entry hosts, applies if it was stated in an answer to an order or
         a probe: every request of the group passes through that member, and later probes report the
-        end of its limit. Whether the other members are cold does not matter, for the same reason.
-
-        :param now: for which the sharers are needed, ``None`` if they are not
+        end of its limit.
         """
-        if not self.known:
+        if not self._limit_by_incarnation:
             return {}
         found: dict[LimitKey, PacedLimit] = {}
         for rank, incarnation in enumerate(incarnations):
@@ -359,10 +370,6 @@
                 continue
             if rank == 0 or limit.statement.asked == CallKind.CONTROL:
                 found[LimitKey(LimitScope.STATED, incarnation)] = limit
-        head = incarnations[0]
-        cold = self.cold.find(head) if now is None else self.cold.find_at(head, now)
-        if cold is not None:
-            found[LimitKey(LimitScope.COLD, head)] = cold
         return found
 
     def _find(self, key: LimitKey) -> PacedLimit | None:
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -5,7 +5,9 @@
 import random
 import time
 import unittest
+from collections import Counter
 
+import xxhash
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from oleanderhill_dev.users.site import configuration, until
@@ -27,7 +29,7 @@
     ColdSource,
 )
 from oleanderhill.routing.limit_scope import WindowBound, split_within
-from oleanderhill.routing.sharing_hosts import SharingHosts
+from oleanderhill.routing.sharing_hosts import HostRanking, SharingHosts
 from oleanderhill.routing.target_limits import CallKind, TargetLimits
 from oleanderhill.serving.cold_targets import ColdTargets
 from oleanderhill.serving.forwarding import StatedCold
@@ -88,6 +90,23 @@
             self.assertGreaterEqual(split.sharers / split.interval, 0.75 * RATE, hosts)
 
 
+class HostRankingTest(unittest.TestCase):
+    @given(st.sets(st.integers(0, 500)), st.integers(0, 40), st.text(max_size=5))
+    def test_first_hosts_are_the_nearest_of_all(self, numbers, count, key):
+        names = [f"entry-{n}" for n in numbers]
+        point = xxhash.xxh64_intdigest(key.encode())
+        nearest = sorted(names, key=lambda n: xxhash.xxh64_intdigest(n.encode()) ^ point)
+        self.assertEqual(HostRanking(names).first(key, count), tuple(nearest[:count]))
+
+    def test_shares_are_spread_over_all_hosts(self):
+        for hosts in (60, 2_200):
+            ranking = HostRanking([f"entry-{n}" for n in range(hosts)])
+            keys = range(hosts * 10)
+            counts = Counter(n for key in keys for n in ranking.first(str(key), 26))
+            self.assertEqual(len(counts), hosts)
+            self.assertLess(max(counts.values()), 3 * 260)
+
+
 class SharingHostsTest(unittest.TestCase):
     def test_host_that_has_just_been_listed_waits(self):
         sharing = SharingHosts("a", 4.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,6 +47,11 @@
         self.assertEqual(soak.violations, [])
         self.assertGreater(soak.site.store.generation, 1)
 
+    def test_promises_hold_while_hosts_turn_cold(self):
+        soak = run_seed(1_405, cold=True)
+        self.assertEqual(soak.violations, [])
+        self.assertTrue(any(h.notices.arrivals for h in soak.turned_cold))
+
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_reload_signal_during_startup_does_not_end_the_process(self):
