--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -34,7 +34,7 @@
 from oleanderhill.serving.forwarding import Notice
 
 from ..proving import Mutant, testing
-from . import notice_mutants, restored_mutants
+from . import cold_mutants, notice_mutants, restored_mutants
 
 
 def mutants() -> list[Mutant]:
@@ -152,6 +152,7 @@
         *_of_endings(),
         *_of_limits(),
         *notice_mutants.mutants(),
+        *cold_mutants.mutants(),
         *restored_mutants.mutants(),
     ]
 
--- a/src/oleanderhill/operators/explaining.py
+++ b/src/oleanderhill/operators/explaining.py
@@ -100,6 +100,9 @@
         value = line.fields.get(name)
         if isinstance(value, str):
             subjects.add(value)
+            if name == "instance":
+                # Paths of requests name hosts without the start of their incarnation.
+                subjects.add(value.partition("@")[0])
     # One line lists several changed hosts, each as a list that starts with instance and group.
     for host in line.fields.get("hosts") or ():
         if isinstance(host, list):
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -52,6 +52,14 @@
         ]
         self.assertEqual([f.part for f in explain_log("r1", texts)], ["dependency", "request"])
 
+    def test_refused_request_is_explained_by_the_target_that_turned_cold(self):
+        texts = [
+            log_line(98.0, "cold", "began", instance="i-1@1788000000123", seconds=3.0),
+            log_line(98.5, "cold", "began", instance="i-2@1788000000124", seconds=3.0),
+            log_line(99.0, "request", "no-capacity", request_id="r1", path=["d.1:i-1"]),
+        ]
+        self.assertEqual([f.part for f in explain_log("r1", texts)], ["cold", "request"])
+
     def test_unknown_id_and_malformed_lines(self):
         self.assertEqual(explain_log("r1", ["x", "{", '{"a": 1}']), [])
         self.assertIsNone(parse_line('{"message_type": "oleanderhill:x"}'))
