Work out shares of cold targets only where a rate is configured and a target is cold

Fleets without cold targets ranked their hosts with each new list, and entries of services without a rate counted as changes that peers must read. Both are left out now. A permit stays valid when a new list leaves the share as it was; before, the request went elsewhere.

--- a/src/oleanderhill/platform/host_list.py
+++ b/src/oleanderhill/platform/host_list.py
@@ -57,7 +57,7 @@
     :param on_ended: called with each ended incarnation, to drop its state
     :param rewrite_seconds: seconds after the restore within which hosts rewrite their entries
     :param on_cold: called with each accepted entry: its host, the seconds for which it stays cold,
-        and whether its incarnation is new
+        and whether its incarnation is new; returns whether it is limited while it is cold
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         records: Records,
         on_ended: Callable[[Removal], None],
         rewrite_seconds: float,
-        on_cold: Callable[[TargetHost, float, bool], None] = lambda host, seconds, is_new: None,
+        on_cold: Callable[[TargetHost, float, bool], bool] = lambda host, seconds, is_new: False,
     ) -> None:
         self._inventory = inventory
         self._records = records
@@ -134,13 +134,14 @@
     def _apply_cold(self, entry: HostEntry, is_new: bool, now: float) -> bool:
         """Apply for how long a host stays cold; return whether that is a change for readers."""
         instance, seconds = entry.host.instance, entry.cold_seconds
-        self._on_cold(entry.host, seconds, is_new)
+        is_limited = self._on_cold(entry.host, seconds, is_new)
         before = max(now, self._cold_until_by_instance.get(instance, now))
         if not seconds or math.isnan(seconds):
             self._cold_until_by_instance.pop(instance, None)
-            return before - now > COLD_CHANGE_SECONDS
+            return is_limited and before - now > COLD_CHANGE_SECONDS
         self._cold_until_by_instance[instance] = now + seconds
-        return before <= now or abs(now + seconds - before) > COLD_CHANGE_SECONDS
+        is_moved = before <= now or abs(now + seconds - before) > COLD_CHANGE_SECONDS
+        return is_limited and is_moved
 
     def finish_read(self, now: float) -> None:
         """Apply the expired grace periods, and log the changes since the last call.
--- a/src/oleanderhill/routing/cold_limits.py
+++ b/src/oleanderhill/routing/cold_limits.py
@@ -93,9 +93,10 @@
         return now >= self.settled_at and super().is_due(now)
 
     def replace_share(self, sharers: tuple[str, ...], interval: float, min_gap: float) -> None:
-        """Set the sharers and their spacing; permits have to be checked again."""
+        """Set the sharers and their spacing; if these change, permits have to be checked again."""
+        if (sharers, interval, min_gap) != (self.sharers, self._interval, self.min_gap):
+            self._version += 1
         self.sharers, self._interval, self.min_gap = sharers, interval, min_gap
-        self._version += 1
 
 
 class ColdLimits:
--- a/src/oleanderhill/routing/sharing_hosts.py
+++ b/src/oleanderhill/routing/sharing_hosts.py
@@ -63,6 +63,7 @@
 
     :param version: changes whenever another field does
     :param hosts: all names that were listed recently
+    :param ranking: of these hosts
     :param settled_at: time from which this host may use its shares, infinity while it is not listed
     """
 
@@ -85,7 +86,8 @@
         self._delay = delay
         self._views: list[_View] = []
         self._sharing = Sharing(0, frozenset(), HostRanking(()), float("inf"))
-        self._next_expiry = float("inf")
+        # Computed when it is needed, so that fleets without cold targets don't rank their hosts.
+        self._valid_until = float("-inf")
 
     def update(self, hosts: Collection[str], now: float) -> None:
         """Record the list of present entry hosts."""
@@ -93,18 +95,22 @@
         if self._views and self._views[-1].hosts == names:
             return
         self._views.append(_View(now, names))
-        self._recompute(now)
+        self._drop_old_views(now)
+        self._valid_until = float("-inf")
 
     def at(self, now: float) -> Sharing:
         """Return the hosts that share limits at a time."""
-        if now >= self._next_expiry:
-            self._recompute(now)
+        if now >= self._valid_until:
+            self._drop_old_views(now)
+            self._recompute()
         return self._sharing
 
-    def _recompute(self, now: float) -> None:
+    def _drop_old_views(self, now: float) -> None:
         while len(self._views) > 1 and now - self._views[1].since >= self._delay:
             del self._views[0]
-        self._next_expiry = (
+
+    def _recompute(self) -> None:
+        self._valid_until = (
             self._views[1].since + self._delay if len(self._views) > 1 else float("inf")
         )
         before = self._sharing
--- a/src/oleanderhill/serving/cold_targets.py
+++ b/src/oleanderhill/serving/cold_targets.py
@@ -88,20 +88,21 @@
             start = MAX_COLD_SECONDS if previous is None else previous.start_seconds
         return ColdProfile(rate, start)
 
-    def listed(self, host: TargetHost, seconds: float, is_new: bool) -> None:
-        """Apply an entry of the host list.
+    def listed(self, host: TargetHost, seconds: float, is_new: bool) -> bool:
+        """Apply an entry of the host list; return whether its service has a rate.
 
         :param seconds: for which the host stays cold, NaN if the entry makes no sense
         :param is_new: whether the incarnation was not listed before
         """
         self.refresh_rates()
         incarnation = str(host.instance)
-        if math.isnan(seconds):
+        if not math.isnan(seconds):
+            self._state(incarnation, host.service, seconds, ColdSource.ENTRY)
+        else:
             self._report("unusable entry", incarnation)
             if is_new and self._in_traffic():
                 self._start_unknown(incarnation, host.service)
-            return
-        self._state(incarnation, host.service, seconds, ColdSource.ENTRY)
+        return self._limits.is_limited_service(host.service)
 
     def answered(self, incarnation: str, cold: StatedCold, source: StatementSource) -> None:
         """Apply what an answer states."""
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -504,6 +504,13 @@
         self.assertTrue(self.list_entry(0, 8.0))
         self.assertEqual(self.inventory.changes, before)
 
+    def test_without_a_rate_no_entry_is_a_change_for_its_cold_time(self):
+        self.catalog = decode_configuration(cold_configuration(cold_per_s=0))
+        self.list_entry(0)
+        self.assertFalse(self.list_entry(3_000, 2.0))
+        self.assertFalse(self.list_entry(0, 3.0))
+        self.assertEqual(self.noted(), [])
+
     def test_entry_begins_and_ends_it(self):
         self.list_entry(3_000)
         self.assertTrue(self.is_cold)
