Know a cold target's rate before its first check, and never reuse a share's version

A host whose targets were all cold and not yet looked at (all tried or backed off) divided by zero when it told a refused caller when to return; owners saw all slots of such targets as lost. And a permit or its return from an ended cold time passed for one of the next, ahead of the host's turn. The rate is now set at each look-up, and versions are drawn for all limits together. Both tests fail without the change.

--- a/src/oleanderhill/routing/cold_limits.py
+++ b/src/oleanderhill/routing/cold_limits.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Collection, Mapping
 from enum import StrEnum
+from itertools import count
 from typing import NamedTuple
 
 from .limit_scope import WindowBound, split_within
@@ -74,6 +75,7 @@
         self.started = False
         self.settled_at = now
         self.inputs: tuple[int, float] = (-1, 0.0)
+        self.current_rate = 0.0
         self._version = 0
         self._interval = float("inf")
 
@@ -83,7 +85,7 @@
 
     @property
     def rate(self) -> float:
-        return self.inputs[1]
+        return self.current_rate
 
     @property
     def interval(self) -> float:
@@ -92,10 +94,15 @@
     def is_due(self, now: float) -> bool:
         return now >= self.settled_at and super().is_due(now)
 
-    def replace_share(self, sharers: tuple[str, ...], interval: float, min_gap: float) -> None:
-        """Set the sharers and their spacing; if these change, permits have to be checked again."""
+    def replace_share(
+        self, sharers: tuple[str, ...], interval: float, min_gap: float, version: int
+    ) -> None:
+        """Set the sharers and their spacing; if these change, permits have to be checked again.
+
+        :param version: one that no limit has had, also not an ended one of the same target
+        """
         if (sharers, interval, min_gap) != (self.sharers, self._interval, self.min_gap):
-            self._version += 1
+            self._version = version
         self.sharers, self._interval, self.min_gap = sharers, interval, min_gap
 
 
@@ -113,6 +120,7 @@
         self._hosts = SharingHosts(me, SHARING_DELAY)
         self._rate_by_service: Mapping[str, float] = {}
         self._limit_by_incarnation: dict[str, _ColdLimit] = {}
+        self._versions = count(1)
         self.held_back = 0
 
     @property
@@ -192,9 +200,16 @@
     # Sharing
 
     def find(self, incarnation: str) -> PacedLimit | None:
-        """Return the limit of a target as of the last check, ``None`` if it has none."""
+        """Return the limit of a target, ``None`` if it has none.
+
+        Its rate is the present one, its sharers are those of the last check.
+        """
         limit = self._limit_by_incarnation.get(incarnation)
-        return limit if limit is not None and self.is_limited_service(limit.service) else None
+        rate = None if limit is None else self._rate_by_service.get(limit.service)
+        if limit is None or rate is None:
+            return None
+        limit.current_rate = rate
+        return limit
 
     def find_at(self, incarnation: str, now: float) -> PacedLimit | None:
         """Return the limit of a target with the sharers at a time, ``None`` if it has none."""
@@ -211,10 +226,10 @@
 
     def _split(self, incarnation: str, limit: _ColdLimit, rate: float, now: float) -> None:
         sharing = self._hosts.at(now)
-        limit.inputs = (sharing.version, rate)
+        limit.inputs, limit.current_rate = (sharing.version, rate), rate
         split = split_within(self._bound, rate, len(sharing.hosts))
         sharers = sharing.ranking.first(f"cold/{incarnation}", split.sharers)
-        limit.replace_share(sharers, split.interval, split.min_gap)
+        limit.replace_share(sharers, split.interval, split.min_gap, next(self._versions))
         if self._me not in sharers:
             return
         limit.settled_at = sharing.settled_at
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -382,6 +382,15 @@
         self.assertEqual(turn_cold(self.limits, 5.0, 2.0).what, "began")
         self.assertFalse(self.limits.may_send(("t",), 5.0))
 
+    def test_permit_of_an_ended_cold_time_does_not_count_for_the_next_one(self):
+        turn_cold(self.limits, 0.0, 2.0)
+        permits = [self.limits.take(("t",), 1.0), self.limits.take(("t",), 1.9)]
+        turn_cold(self.limits, 5.0, 2.0)
+        self.assertFalse(self.limits.may_send(("t",), 5.0))
+        self.assertFalse(self.limits.confirm(permits[0], 5.0))
+        self.limits.give_back(permits[1])
+        self.assertFalse(self.limits.may_send(("t",), 5.0))
+
     def test_absurd_seconds_are_capped(self):
         for seconds in (1e300, math.inf):
             change = turn_cold(self.limits, 0.0, seconds)
@@ -425,6 +434,11 @@
         self.assertIsNone(self.book.choose(self.candidates, (), 0.0))
         self.assertAlmostEqual(self.book.limited_for(self.candidates, "", 0.0), 1 / (2 * RATE))
 
+    def test_rate_is_known_before_a_target_was_ever_considered(self):
+        for name in ("t", "u"):
+            self.limits.cold.state(name, "pool", 3.0, ColdSource.ENTRY, 0.0, 0.0)
+        self.assertAlmostEqual(self.book.limited_for(self.candidates, "", 0.0), 1 / (2 * RATE))
+
 
 def cold_configuration(**changed):
     """Return the stand-in's configuration, with a cold rate for one service."""
