Keep an absurd bound on cold targets from overflowing

A factor near the largest float made each choice of a cold target fail with an OverflowError. The bound is cut to what a float counts exactly. Guarded by a test on the split.

--- a/src/oleanderhill/routing/limit_scope.py
+++ b/src/oleanderhill/routing/limit_scope.py
@@ -15,6 +15,10 @@
 resolution never puts one more request into a window."""
 
 
+MAX_REQUESTS = 2**53
+"""Highest bound on requests in a window: absurd settings must not overflow."""
+
+
 class LimitScope(StrEnum):
     """The kind of a rate limit."""
 
@@ -46,7 +50,7 @@
 
     def requests(self, rate: float) -> int:
         """Return the highest number of requests in a window at a rate."""
-        return math.floor(rate * self.window * self.excess + self.slack)
+        return math.floor(min(rate * self.window * self.excess + self.slack, MAX_REQUESTS))
 
 
 class Split(NamedTuple):
