Don't count warm targets as cold from entries that are old or read again

A host that hands on its copy kept the entry in which a target had turned cold, as the later warm one was no change to it. A host that started and read from it counted each target that was ever cold as cold for the whole stated time again, and with four seconds of waiting sent it nothing meanwhile; a complete list that was read again did the same at running hosts. The first warm entry after a cold one is now handed on, and a complete list applies cold times only of entries with a higher sequence. The check that said a warm entry on time is no change demanded the fault; it now demands that exactly one is handed on. The price is one more changed entry to readers for each cold time.

--- a/dev/oleanderhill_dev/users/cold_mutants.py
+++ b/dev/oleanderhill_dev/users/cold_mutants.py
@@ -53,10 +53,7 @@
         Mutant(
             "peers that read from this host learn that a target turned cold",
             [(host_list, "COLD_CHANGE_SECONDS", 1e9), (host_list.HostList, "_apply_cold", _quiet)],
-            testing(
-                f"{sources}.test_only_entries_that_turn_a_target_cold_or_warm_too_early_are"
-                "_changes"
-            ),
+            testing(f"{sources}.test_only_entries_that_turn_a_target_cold_or_warm_are" "_changes"),
         ),
     ]
 
--- a/src/oleanderhill/platform/host_list.py
+++ b/src/oleanderhill/platform/host_list.py
@@ -87,6 +87,7 @@
     def replace(self, items: Sequence[Item], now: float) -> None:
         """Apply a complete list."""
         entries = [e for item in items if (e := self._decode(item.key, item.value)) is not None]
+        sequences = dict(self._sequence_by_instance)
         hosts = [self._select_newer(e, now) for e in entries if not self._has_ended(e.host, now)]
         current = self._inventory.by_instance
         self._changed += [
@@ -96,9 +97,11 @@
         for removal in self._inventory.replace(hosts, now):
             self._handle_removal(removal)
         for entry in entries:
-            is_backup = entry.host.instance.name in self._backup_by_name
-            if entry.host.instance in current and not is_backup:
-                self._apply_cold(entry, entry.host.instance not in before, now)
+            instance = entry.host.instance
+            # An entry that is read again states a time that has partly passed.
+            is_newer = entry.sequence > sequences.get(instance, -1)
+            if instance in current and is_newer and instance.name not in self._backup_by_name:
+                self._apply_cold(entry, instance not in before, now)
 
     def change(self, key: str, value: bytes | None, revision: Revision, now: float) -> bool:
         """Apply one change; return whether it is relevant to readers of this host's copy."""
@@ -137,8 +140,9 @@
         is_limited = self._on_cold(entry.host, seconds, is_new)
         before = max(now, self._cold_until_by_instance.get(instance, now))
         if not seconds or math.isnan(seconds):
-            self._cold_until_by_instance.pop(instance, None)
-            return is_limited and before - now > COLD_CHANGE_SECONDS
+            # Otherwise hosts that start later and read from here would count it as cold again.
+            was_cold = self._cold_until_by_instance.pop(instance, None) is not None
+            return is_limited and was_cold
         self._cold_until_by_instance[instance] = now + seconds
         is_moved = before <= now or abs(now + seconds - before) > COLD_CHANGE_SECONDS
         return is_limited and is_moved
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -84,6 +84,11 @@
         self.assertLessEqual(split.sharers, n)
         self.assertGreaterEqual(split.interval, split.min_gap)
 
+    def test_absurd_bound_does_not_overflow(self):
+        split = split_within(WindowBound(1.0, 1e308, 1e308), 1e9, 3)
+        self.assertEqual(split.sharers, 3)
+        self.assertLess(split.interval, 1e-6)
+
     def test_fleets_of_many_sizes_are_allowed_most_of_the_rate(self):
         for hosts in (1, 2, 3, 5, 9, 16, 26, 60, 2_200):
             split = split_within(BOUND, RATE, hosts)
@@ -505,14 +510,15 @@
     def is_cold(self):
         return self.limits.find("t@5") is not None
 
-    def test_only_entries_that_turn_a_target_cold_or_warm_too_early_are_changes(self):
+    def test_only_entries_that_turn_a_target_cold_or_warm_are_changes(self):
         self.assertTrue(self.list_entry(0))
         before = self.inventory.changes
         self.assertFalse(self.list_entry(0, 1.0))
         self.assertTrue(self.list_entry(3_000, 2.0))  # peers that read from here need it
         self.assertFalse(self.list_entry(1_800, 3.2))
         self.assertFalse(self.list_entry(600, 4.4))
-        self.assertFalse(self.list_entry(0, 5.6))
+        self.assertTrue(self.list_entry(0, 5.6))  # what a host that starts later reads from here
+        self.assertFalse(self.list_entry(0, 5.8))
         self.assertTrue(self.list_entry(3_000, 6.0))
         self.assertTrue(self.list_entry(3_000, 7.2))
         self.assertTrue(self.list_entry(0, 8.0))
@@ -536,6 +542,15 @@
         self.hosts.replace([Item("servers/t", entry(3_000), NEVER)], 0.0)
         self.assertTrue(self.is_cold)
 
+    def test_entry_that_is_read_again_does_not_extend_it(self):
+        self.list_entry(3_000, sequence=7)
+        ends_at = self.limits.find("t@5").ends_at
+        for sequence in (7, 6):
+            self.hosts.replace([Item("servers/t", entry(3_000, sequence), NEVER)], 2.0)
+        self.assertEqual(self.limits.find("t@5").ends_at, ends_at)
+        self.hosts.replace([Item("servers/t", entry(0, sequence=8), NEVER)], 2.0)
+        self.assertFalse(self.is_cold)
+
     def test_entries_of_a_store_restored_from_a_backup_end_nothing(self):
         self.list_entry(3_000, sequence=7)
         self.hosts.restored(1.0)
