Let orders to a cold target space its next request, not use up many turns

Orders and probes were charged one after the other, so an owner that formed a group of a cold head sent it no request for as many intervals as it had given orders: 20 orders, 30 seconds of 60 in a fleet of 60. An order now only begins one interval. The test fails without the change.

--- a/src/oleanderhill/routing/target_limits.py
+++ b/src/oleanderhill/routing/target_limits.py
@@ -313,7 +313,8 @@
             stated.charge_late(now)
         cold = self.cold.find_at(incarnation, now)
         if cold is not None and self._is_sharer(cold):
-            cold.charge_late(now)
+            # Only spaced: orders of a whole start would use up the turns of all the cold time.
+            cold.record_sent(now)
 
     def is_limited(self, incarnations: Sequence[str]) -> bool:
         """Return whether any limit applies to a group of incarnations."""
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -339,6 +339,14 @@
         permits = [p for at in range(100) if (p := self.limits.take(("t",), at / 100))]
         self.assertEqual(sum(self.limits.confirm(p, 1.0) for p in permits), 1)
 
+    def test_orders_delay_the_next_request_and_no_further_ones(self):
+        turn_cold(self.limits, 0.0)
+        interval = self.limits.cold.find_at("t", 0.0).interval
+        for _ in range(20):
+            self.limits.count_without_permit("t", 1.0)
+        self.assertFalse(self.limits.may_send(("t",), 1.0 + interval / 2))
+        self.assertTrue(self.limits.may_send(("t",), 1.0 + interval * 1.01))
+
     def test_permit_that_is_not_used_is_given_back(self):
         turn_cold(self.limits, 0.0)
         permit = self.limits.take(("t",), 1.0)
