An entry host that was isolated waits before it sends to cold targets again

It took no share while it heard nobody, and all its shares at once when it heard somebody again, beside the hosts that had taken them meanwhile. One host fits the reserve of the bound; a data centre that returns does not. Its list counts as empty while it is isolated, so it settles like a host that has just been listed. The test fails without this.

--- a/src/oleanderhill/routing/target_limits.py
+++ b/src/oleanderhill/routing/target_limits.py
@@ -245,11 +245,13 @@
         :param has_peers: whether this host receives updates of any of them; if not, it takes no
             share, as it cannot know which hosts send in its place
         """
+        if has_peers != self._has_peers or hosts is not self._hosts:
+            # A host that was isolated settles again: others may have taken its shares meanwhile.
+            self.cold.update_hosts(hosts if has_peers else (), now)
         self._has_peers = has_peers
         if hosts is self._hosts:
             return
         self._hosts = hosts
-        self.cold.update_hosts(hosts, now)
         # A host that has just joined gets all statements immediately.
         self._full_update_at = float("-inf")
         for incarnation, limit in self._limit_by_incarnation.items():
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -268,6 +268,17 @@
             turn_cold(limits, 0.0)
             self.assertFalse(any(limits.may_send(("t",), at) for at in (0.0, 5.0, 50.0)))
 
+    def test_host_that_was_isolated_waits_until_nobody_counts_on_its_successor(self):
+        hosts = [f"e{n}" for n in range(3)]
+        limits = make_limits("e0", hosts)
+        turn_cold(limits, 0.0)
+        self.assertTrue(any(send(limits, n * 0.5) for n in range(8)))
+        limits.update_hosts(hosts, False, 4.0)
+        limits.update_hosts(hosts, True, 6.0)
+        turn_cold(limits, 6.0)
+        sent_at = [at for n in range(20) if send(limits, at := 6.0 + n * 0.5)]
+        self.assertGreaterEqual(sent_at[0], 6.0 + SHARING_DELAY)
+
     def test_restarted_host_waits_until_nobody_counts_on_its_successor(self):
         limits = make_limits("entry-0", ["entry-0", "entry-1"], now=0.0)
         turn_cold(limits, 0.0)
