Learn times and speeds of targets from answers, and place, queue and leave by them

What callers saw: queue limits came from the configured engine times alone. Where engines take a time that no parameter names, several requests queued at each full group and all of them were late. A slow or just started target was chosen as often as the others until it stalled.

What is new: counts of times in logarithmic buckets, and sums of logarithms by target, added up over all entry hosts by SharedCounters and decaying within seconds. They correct the configured times within bounds, limit the queue by what waiting requests really took, rank slow targets behind others with a smaller queue, let new targets begin slowly, and set stall timeouts by what is usual now.

Weighed: learning only an excess over the configured terms (a queue limit of a fraction still lets one request wait, so the times of waiting requests are learned by their place in the queue); the median of all targets as the level of comparison (it moves later than a target's mean when all become slow; means over the same window move together).

Test: a queue model of eight groups in bursts of 1.5 and 2 times what they bear, at three paces, with and without the unnamed time, compared with the best constant queue limit; slow groups, slow plain targets, a restarted group, all slow at once, hostile counters.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -43,6 +43,7 @@
 from ..serving.front import CallerSink, Front, ServeCallbacks
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
+from ..serving.learned_timing import LearnedTiming
 from ..serving.leaving import LeavingTargets
 from ..serving.notices import TargetNotices
 from ..serving.placement import Candidate, LoadTracker
@@ -122,10 +123,11 @@
         )
         self._plans = KeyedCopy(decode_plan, records, supersedes, PLAN_RETENTION_SECONDS)
         self._presences = KeyedCopy(decode_presence, records, retain_missing_s=LEASE_SECONDS)
-        self._view = ServingView(self._inventory, self._plans, rng)
         self._counters = SharedCounters(s.host, s.data_centre)
+        self._timing = LearnedTiming(self._counters)
+        self._view = ServingView(self._inventory, self._plans, rng, self._timing)
         limits = TargetLimits(s.host)
-        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
+        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs(), self._timing)
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -202,11 +204,12 @@
             self._book,
             records,
             self._view.candidates,
-            self._view.max_waiting,
+            lambda model, goal: self._view.max_waiting(model, goal, time.monotonic()),
             self._retry_delay,
             self.exposition.request,
             self._quarantine,
             self._notices,
+            self._timing,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -345,11 +348,13 @@
             lambda model: self._book.rejections(model, at),
             self._book.slots_lost_to_limits,
         )
+        self._timing.log_changes(self._records)
 
     def _refresh_targets(self) -> None:
         """Recompute the targets if hosts or plans have changed."""
         if self._view.refresh(self._catalog):
             self._quarantine.count_targets(self._view.targets())
+            self._timing.set_targets(self._view.serving_targets(), time.monotonic())
             self._owner.refresh_soon()
 
     def _update_host_count(self) -> None:
@@ -463,6 +468,7 @@
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
+        self._timing.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -11,6 +11,7 @@
 from .notices import TargetNotices
 from .placement import Candidate, LoadTracker
 from .quarantine import QuarantineTask
+from .timing import Timing
 
 
 class ForwardingContext(NamedTuple):
@@ -22,6 +23,7 @@
     :param retry_delay: returns the seconds after which a rejected caller may retry, by service and
         model
     :param report: records route, outcome and duration in seconds of a finished request
+    :param timing: learns from answers, and returns the usual times
     """
 
     codec: Codec
@@ -34,3 +36,4 @@
     report: Callable[[str, str, float], None]
     quarantine: QuarantineTask
     notices: TargetNotices
+    timing: Timing
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 from returns.pipeline import is_successful
@@ -45,6 +46,7 @@
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
 from .placement import Candidate
+from .request_times import RequestTimes
 from .retries import SharedRetryBudget
 from .stall_timeout import stall_timeout_for
 from .target_limits import StatementSource
@@ -97,6 +99,8 @@
         )
         self._buffered_reply: Reply | None = None
         self._sent_at = 0.0
+        subject = incoming.facts.model if route.generates else service
+        self._times = RequestTimes(context.timing, subject, route.generates)
         self._connection_lost = False
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
@@ -130,6 +134,7 @@
         now = time.monotonic()
         if self._first_event_at is None:
             self._first_event_at = now
+            self._times.first_event(now)
             # The caller gets the first target's headers, also if another target resumes the stream.
             headers = self.context.codec.caller_reply_headers(run.reply_headers)
             self._sink.begin(run.status, headers)
@@ -156,7 +161,7 @@
         if permit is not None and not self.context.book.limits.confirm(permit, now):
             self._hold_reason = "the target's limit was used up"
             return False
-        self._sent_at = now
+        self._sent_at = self._times.sent_at = now
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
         return True
 
@@ -203,6 +208,8 @@
         self._permit = self.context.book.limits.take(found.incarnations, now)
         self._on_trial = self.context.book.backoffs.take(found.incarnations[0])
         host = found.host
+        in_flight = self.context.book.load(found.target, now)
+        self._times.chosen(found.target, host.slots, in_flight)
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
 
@@ -300,7 +307,8 @@
         while True:
             now = time.monotonic()
             deadline = self.machine.request.deadline
-            stall_timeout = stall_timeout_for(self._accepted.route, run.events > 0)
+            quantile = partial(self._times.time_quantile, now=now)
+            stall_timeout = stall_timeout_for(self._accepted.route, run.events > 0, quantile)
             next_check = min(deadline, max(run.last_progress_at + stall_timeout, now + 0.02))
             wait = max(0.0, next_check - now)
             awaited: set[asyncio.Future[Any]] = {task, quarantined}
@@ -334,6 +342,8 @@
         )
 
     def _handle_abandoned(self, abandon_reason: str, attempt: int, choice: Choice) -> list[Effect]:
+        if abandon_reason != QUARANTINED:
+            self._times.abandoned(time.monotonic())
         if abandon_reason == "deadline":
             return self._advance(DeadlineHit())
         if abandon_reason == QUARANTINED:
@@ -369,7 +379,10 @@
         if not reading.signed:
             return self._advance(Lost(attempt, f"status {reply.status} without a signature"))
         self.context.quarantine.answered(self._identity, self._incoming.facts.request_id)
+        if run.streaming and self.machine.attempts_sent == 1:
+            self._times.completed(time.monotonic())
         if not run.streaming:
+            self._times.answered(reply.status, time.monotonic())
             reply = reply._replace(body=b"".join(run.chunks))
             if self._sink.started:
                 return self._advance(Lost(attempt, f"status {reply.status} in place of the rest"))
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -11,6 +11,7 @@
 from ..groups.inventory import TargetHost
 from ..routing.backoffs import Backoffs
 from ..routing.target_limits import TargetLimits
+from .timing import ConfiguredTiming, Timing
 
 PEER_COUNTS_MAX_AGE = 0.6
 """Seconds for which a peer's counts are used, so that several of its reports may be lost."""
@@ -52,6 +53,10 @@
 others' counts. It bounds the thundering herd on a group that has just started to serve and is the
 least loaded one for all hosts at the same time."""
 
+IDLE_LOAD = 0.5
+"""Time to first event at an idle target, in units of load: about as much as half a batch adds. It
+makes a slow target rank behind others while it has no requests."""
+
 REQUEST_SECONDS = 1.0
 """Approximate duration of a request at an engine. It converts requests in flight to a rate."""
 
@@ -80,6 +85,7 @@
     :param data_centre: data centre of this entry host
     :param limits: rate limits that targets stated for all entry hosts together
     :param backoffs: back-offs that targets requested from this host
+    :param timing: what is known of the speed of targets
     """
 
     def __init__(
@@ -88,7 +94,11 @@
         rng: random.Random,
         limits: TargetLimits | None = None,
         backoffs: Backoffs | None = None,
+        timing: Timing | None = None,
     ) -> None:
+        self._timing: Timing = ConfiguredTiming() if timing is None else timing
+        self._slowness_by_target: Mapping[str, float] = {}
+        self._start_limits: Mapping[str, float] = {}
         self.limits = TargetLimits() if limits is None else limits
         self.backoffs = Backoffs() if backoffs is None else backoffs
         self._data_centre = data_centre
@@ -240,11 +250,12 @@
         """Return the target for a request, ``None`` if no untried target has capacity.
 
         The target with the lowest load relative to its slots is chosen; remote targets and targets
-        without an open connection get a penalty. At a suspect target a request most likely waits
-        until its caller times out. Suspects are therefore chosen only if no other target has
-        capacity and at least :data:`MAX_SUSPECT_FRACTION` of the targets are suspect. The same
-        applies to a target that requested a back-off from a peer. One that requested it from this
-        host gets no requests.
+        without an open connection get a penalty. A target that is slower than its fellows counts as
+        more loaded and takes fewer requests, as does one that has just started. At a suspect target
+        a request most likely waits until its caller times out. Suspects are therefore chosen only
+        if no other target has capacity and at least :data:`MAX_SUSPECT_FRACTION` of the targets are
+        suspect. The same applies to a target that requested a back-off from a peer. One that
+        requested it from this host gets no requests.
 
         :param max_load: load below which a target has capacity, as a multiple of its slots
         :param connected: returns whether a connection to an address is open
@@ -254,6 +265,8 @@
             among them would crash that target under the same requests, and could not be
             distinguished from them
         """
+        self._slowness_by_target = self._timing.slowness_by_target(now)
+        self._start_limits = self._timing.start_limits(now)
         untried = [c for c in candidates if c.target not in tried]
         available = [c for c in untried if self.backoffs.may_place(c.incarnations[0], now)]
         self.backoffs.held_back += len(untried) - len(available)
@@ -334,7 +347,13 @@
         return self.limits.known and self.limits.is_limited(candidate.incarnations)
 
     def _has_capacity(self, candidate: Candidate, now: float, max_load: float) -> bool:
-        return self.load(candidate.target, now) < candidate.host.slots * max_load
+        target = candidate.target
+        limit = candidate.host.slots * max_load
+        slowness = self._slowness_by_target.get(target, 1.0)
+        if slowness > 1:
+            # One request at least: nothing else shows that the target has recovered.
+            limit = min(limit, max(1.0, limit / slowness))
+        return self.load(target, now) < min(limit, self._start_limits.get(target, limit))
 
     def _rank(self, candidate: Candidate, now: float, connected: Callable[[str], bool]) -> float:
         host = candidate.host
@@ -345,4 +364,7 @@
             return load
         remote = REMOTE_PENALTY if host.data_centre != self._data_centre else 0.0
         new = 0.0 if connected(host.address) else NEW_CONNECTION_PENALTY
+        slowness = self._slowness_by_target.get(candidate.target, 1.0)
+        if slowness != 1:
+            load = (IDLE_LOAD + load) * slowness - IDLE_LOAD
         return load + remote + new
--- a/src/oleanderhill/serving/prediction.py
+++ b/src/oleanderhill/serving/prediction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from ..settings.catalog import EngineProfile, EngineTiming, ModelProfile
@@ -21,10 +22,17 @@
 
     :param first_event: seconds from the start of a request at the group to its first event
     :param slot_interval: seconds between two slots that become free
+    :param batch_seconds: part of ``first_event`` that the other requests of a full batch cause
+    :param is_corrected: whether the two times are observed ones
+    :param waiting_times: observed times to first event of the requests that were the first, the
+        second, ... to wait for a slot; ``None`` where too few were observed
     """
 
     first_event: float
     slot_interval: float
+    batch_seconds: float = 0.0
+    is_corrected: bool = False
+    waiting_times: tuple[float | None, ...] = ()
 
 
 def predict(shape: EngineProfile, model: ModelProfile) -> Prediction | None:
@@ -43,7 +51,8 @@
     first = (1.5 * step * times.steps + read) * model.pace
     # During the time of one request, the prompt of each request of the batch is read once.
     total = (times.mean_answer_tokens * step + shape.batch * read) * model.pace
-    return Prediction(first, total / max(1, shape.batch))
+    batch_seconds = 1.5 * (step - _step_seconds(times, 1)) * times.steps * model.pace
+    return Prediction(first, total / max(1, shape.batch), batch_seconds)
 
 
 def max_waiting(prediction: Prediction, goal: float, slots: int) -> float:
@@ -52,7 +61,14 @@
     :param goal: seconds within which the first event is on time
     """
     spare = goal - ROUND_TRIP - prediction.first_event
-    return min(MAX_QUEUE_FRACTION * slots, max(0.0, spare / prediction.slot_interval))
+    waiting = min(MAX_QUEUE_FRACTION * slots, max(0.0, spare / prediction.slot_interval))
+    if prediction.is_corrected:
+        # Observed times contain all delays, so that a request that waits a little longer is late.
+        waiting = math.floor(waiting)
+    for others, seconds in enumerate(prediction.waiting_times):
+        if seconds is not None and seconds > goal - ROUND_TRIP:
+            return min(waiting, others)
+    return waiting
 
 
 def _step_seconds(times: EngineTiming, batch: int) -> float:
--- a/src/oleanderhill/serving/stall_timeout.py
+++ b/src/oleanderhill/serving/stall_timeout.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..settings.catalog import Repeatable, Route
 
 RESUME_SECONDS = 0.11
@@ -21,14 +23,52 @@
 """Fraction of the timeout after which a repeatable request to a plain target moves to another one.
 It leaves enough time for a second target to answer."""
 
+STREAM_QUANTILE = 0.9
+"""Quantile of the current times to first event below which no request counts as stalled: where all
+targets are slow, another one is not faster."""
+
+MAX_STREAM_FACTOR = 2.5
+"""Factor by which that quantile extends the stall timeout at most."""
+
+PLAIN_QUANTILE = 0.75
+"""Quantile of the current times of a plain service, in proportion to which a request that may be
+repeated moves to another target. Up to a quarter of the requests at slow targets leave it low."""
+
+PLAIN_QUANTILE_FACTOR = 4.0
+"""Multiple of that quantile after which the request moves. Few requests of a healthy target take
+this long, while a target that is twelve times slower takes longer for nearly all."""
+
+PLAIN_GOAL_FRACTION = 0.4
+"""Fraction of the goal for which the request stays in any case. A second target has the rest."""
 
-def stall_timeout_for(route: Route, begun: bool) -> float:
+
+def _unknown_quantile(fraction: float) -> None:
+    return None
+
+
+def stall_timeout_for(
+    route: Route,
+    begun: bool,
+    time_quantile: Callable[[float], float | None] = _unknown_quantile,
+) -> float:
     """Return the seconds without progress after which a target counts as stalled.
 
     :param begun: whether the first event has arrived
+    :param time_quantile: returns a quantile of the current times to first event, or to the answer
+        of a plain target, ``None`` if unknown
     """
     if route.repeatable != Repeatable.STREAM:
-        return route.timeout * PLAIN_TIMEOUT_FRACTION
+        return _plain_timeout(route, time_quantile(PLAIN_QUANTILE))
     if begun:
         return max(MIN_STALL_TIMEOUT, route.event_gap_goal - RESUME_SECONDS)
-    return max(MIN_STALL_TIMEOUT, route.latency_goal * FIRST_EVENT_FRACTION)
+    timeout = max(MIN_STALL_TIMEOUT, route.latency_goal * FIRST_EVENT_FRACTION)
+    usual = time_quantile(STREAM_QUANTILE)
+    return timeout if usual is None else min(max(timeout, usual), timeout * MAX_STREAM_FACTOR)
+
+
+def _plain_timeout(route: Route, usual: float | None) -> float:
+    timeout = route.timeout * PLAIN_TIMEOUT_FRACTION
+    if usual is None or not route.is_retryable:
+        return timeout
+    least = max(MIN_STALL_TIMEOUT, route.latency_goal * PLAIN_GOAL_FRACTION)
+    return min(timeout, max(least, usual * PLAIN_QUANTILE_FACTOR))
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -14,6 +14,8 @@
 from .placement import Candidate
 from .prediction import Prediction, max_waiting, predict
 from .retry_delay import retry_delay
+from .slow_start import ServingTarget
+from .timing import ConfiguredTiming, Timing
 
 DEMAND_SMOOTHING = 0.15
 """Weight of the newest sample of requests in flight in the moving average. With one sample per
@@ -38,11 +40,18 @@
     """Targets by service and model.
 
     Few of many domains change between two polls of the store, and only those are recomputed.
+
+    :param timing: gets the configured timing, and returns the one that applies
     """
 
     def __init__(
-        self, inventory: Inventory, plans: KeyedCopy[DomainPlan], rng: random.Random
+        self,
+        inventory: Inventory,
+        plans: KeyedCopy[DomainPlan],
+        rng: random.Random,
+        timing: Timing | None = None,
     ) -> None:
+        self._timing: Timing = ConfiguredTiming() if timing is None else timing
         self._inventory = inventory
         self._plans = plans
         self._rng = rng
@@ -52,7 +61,6 @@
         self._by_service: Mapping[str, Sequence[Candidate]] = {}
         self._demand_by_model: dict[str, float] = {}
         self._expected_by_model: Mapping[str, float] = {}
-        self._prediction_by_model: Mapping[str, Prediction] = {}
         self._slots = 1
 
     def refresh(self, catalog: Catalog | None) -> bool:
@@ -105,7 +113,7 @@
                 if service.engine is not None:
                     plain.pop(service.name, None)
             self._expected_by_model = self._expected_groups(catalog)
-            self._prediction_by_model = _predict_all(catalog)
+            self._timing.configure(_predict_all(catalog))
         self._by_service = plain
 
     def _expected_groups(self, catalog: Catalog) -> Mapping[str, float]:
@@ -131,17 +139,26 @@
             return plain
         return [c for c in self._by_model.get(model, ()) if c.host.service == service]
 
-    def max_waiting(self, model: str, goal: float) -> float | None:
+    def max_waiting(self, model: str, goal: float, now: float) -> float | None:
         """Return how many requests may queue at a group of a model, as a fraction of its slots.
 
         :param goal: seconds within which the last of them should receive its first event
-        :return: ``None`` if the configuration has no timing parameters for the engine
+        :return: ``None`` if the configuration has no timing parameters for the engine, and too few
+            requests were observed
         """
-        prediction = self._prediction_by_model.get(model)
+        prediction = self._timing.prediction(model, now)
         if prediction is None:
             return None
         return max_waiting(prediction, goal, self._slots) / max(1, self._slots)
 
+    def serving_targets(self) -> dict[str, ServingTarget]:
+        """Return all targets of all services and models."""
+        return {
+            c.target: ServingTarget(subject, c.host.slots)
+            for subject, candidates in (*self._by_service.items(), *self._by_model.items())
+            for c in candidates
+        }
+
     def retry_delay(
         self,
         service: str,
