Count times in coarser buckets, keep few keys, and limit queues by how many requests wait

What stood: sums with hundreds of rows, each repeated five times a second to all neighbours of a hub; a recomputation of 10 ms each 0.2 s at a load of 80 requests a second on a host.

Waiting requests are limited by their median time while few wait, and by a high quantile once a quarter of the requests wait: then each that waits delays the next. A plain request that waits for a slot does not leave early, and one long answer makes no target suspect.

--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -34,7 +34,7 @@
 from oleanderhill.serving.forwarding import Notice
 
 from ..proving import Mutant, testing
-from . import notice_mutants, restored_mutants
+from . import notice_mutants, restored_mutants, timing_mutants
 
 
 def mutants() -> list[Mutant]:
@@ -153,6 +153,7 @@
         *_of_limits(),
         *notice_mutants.mutants(),
         *restored_mutants.mutants(),
+        *timing_mutants.mutants(),
     ]
 
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -251,7 +251,7 @@
             abandon_reason = await self._wait_for_end(task, quarantined, run, choice)
             if abandon_reason is None:
                 return self._handle_end(task.result(), run, attempt, choice)
-            return self._handle_abandoned(abandon_reason, attempt, choice)
+            return self._handle_abandoned(abandon_reason, attempt, choice, run)
         finally:
             task.cancel()
             self.context.quarantine.end(self._identity, quarantined)
@@ -341,14 +341,21 @@
             is not None
         )
 
-    def _handle_abandoned(self, abandon_reason: str, attempt: int, choice: Choice) -> list[Effect]:
+    def _handle_abandoned(
+        self, abandon_reason: str, attempt: int, choice: Choice, run: Attempt
+    ) -> list[Effect]:
+        now = time.monotonic()
         if abandon_reason != QUARANTINED:
-            self._times.abandoned(time.monotonic())
+            self._times.abandoned(now)
         if abandon_reason == "deadline":
             return self._advance(DeadlineHit())
         if abandon_reason == QUARANTINED:
             return self._fail_quarantined()
-        self._suspect(choice, abandon_reason)
+        timeout = stall_timeout_for(self._accepted.route, run.events > 0)
+        if run.fault or self._times.shows_failure(now - run.last_progress_at, timeout, now):
+            self._suspect(choice, abandon_reason)
+        else:
+            self._log_failed_attempt(choice, abandon_reason)
         self._record_possible_crash(choice)
         return self._advance(Lost(attempt, abandon_reason))
 
--- a/src/oleanderhill/serving/learned_timing.py
+++ b/src/oleanderhill/serving/learned_timing.py
@@ -21,8 +21,8 @@
 from .target_speeds import TargetSpeeds
 from .timing import Completion, Observation
 
-REFRESH_INTERVAL = 0.2
-"""Seconds for which computed values are used; as often the sums of the other hosts arrive."""
+REFRESH_INTERVAL = 0.4
+"""Seconds for which computed values are used; the sums of the other hosts arrive twice as often."""
 
 MIN_CORRECTION = 1.25
 """Correction factor below which the configured times are kept."""
@@ -71,7 +71,7 @@
 
     def set_targets(self, serving: Mapping[str, ServingTarget], now: float) -> None:
         """Replace the targets that serve. What is known of others is dropped."""
-        self._speeds.set_targets({target: found.subject for target, found in serving.items()})
+        self._speeds.set_targets(serving)
         started = self._starts.set_targets(serving, now)
         if started:
             self._add_change("slow start", targets=started[:MAX_PENDING_CHANGES])
@@ -122,8 +122,7 @@
 
     def start_limits(self, now: float) -> Mapping[str, float]:
         """Return how many requests may be in flight at each target that has just started."""
-        self._refresh(now)
-        return self._starts.limit_by_target
+        return self._starts.limits(now)
 
     def log_changes(self, records: Records) -> None:
         """Log what has changed since the last call."""
@@ -180,7 +179,6 @@
             )
             # Nobody knows whether it has recovered, or only got no requests.
             self._starts.begin(target, now)
-        self._starts.refresh(now)
 
     def _corrected_predictions(self) -> dict[str, Prediction]:
         """Return the timing of the models and services that differs from the configured one."""
--- a/src/oleanderhill/serving/request_times.py
+++ b/src/oleanderhill/serving/request_times.py
@@ -58,9 +58,26 @@
         self._timing.complete(Completion(self._subject, self._load, self._slots, duration), now)
 
     def time_quantile(self, fraction: float, now: float) -> float | None:
-        """Return a quantile of the current times of the model or service."""
+        """Return a quantile of the current times of the model or service.
+
+        :return: also ``None`` for a plain request that waits for a slot, which explains a delay
+        """
+        if self._waiting and not self._generates:
+            return None
         return self._timing.time_quantile(self._subject, fraction, now)
 
+    def shows_failure(self, idle: float, configured_timeout: float, now: float) -> bool:
+        """Return whether a target that was abandoned for no progress counts as failed.
+
+        A single long answer of a target that is otherwise as fast as its fellows does not.
+
+        :param idle: seconds without progress
+        :param configured_timeout: stall timeout without observed times
+        """
+        if self._generates or idle >= configured_timeout:
+            return True
+        return self._timing.slowness(self._target, now) > 1
+
     def _observe(self, now: float) -> None:
         if self.sent_at is None:
             return
--- a/src/oleanderhill/serving/slow_start.py
+++ b/src/oleanderhill/serving/slow_start.py
@@ -22,6 +22,9 @@
 SLOTS_PER_ANSWER = 2.0
 """Further requests in flight for each answer: what is in flight doubles within an answer's time."""
 
+REFRESH_INTERVAL = 0.1
+"""Seconds for which computed limits are used."""
+
 MAX_SECONDS = 10.0
 """Seconds after which a slow start ends without answers; they may have gone to hosts that this one
 does not hear."""
@@ -62,6 +65,7 @@
         self._serving: Mapping[str, ServingTarget] = {}
         self._start_by_target: dict[str, _Start] = {}
         self._own_answers: dict[str, float] = {}
+        self._refresh_at = float("-inf")
         self.limit_by_target: Mapping[str, float] = {}
         counters.register(ANSWERS_FAMILY, lambda now: self._own_answers)
 
@@ -80,9 +84,8 @@
         self._serving = serving
         for target in [t for t in self._start_by_target if t not in serving]:
             self._end(target)
-        started = [target for target in started if self.begin(target, now)]
-        self.refresh(now)
-        return started
+            self._refresh_at = now
+        return [target for target in started if self.begin(target, now)]
 
     def begin(self, target: str, now: float) -> bool:
         """Begin a slow start of a target; return whether it did."""
@@ -93,6 +96,7 @@
         answers_before = self._counters.total(ANSWERS_FAMILY, now).get(target, 0.0)
         self._start_by_target[target] = _Start(now, found.slots, answers_before)
         self._own_answers.setdefault(target, 0.0)
+        self._refresh_at = now
         return True
 
     def answered(self, target: str) -> None:
@@ -100,10 +104,15 @@
         if target in self._own_answers:
             self._own_answers[target] += 1.0
 
-    def refresh(self, now: float) -> None:
+    def limits(self, now: float) -> Mapping[str, float]:
+        """Return how many requests may be in flight at each target that starts slowly."""
+        if self._start_by_target and now >= self._refresh_at:
+            self._refresh_at = now + REFRESH_INTERVAL
+            self._refresh(now)
+        return self.limit_by_target
+
+    def _refresh(self, now: float) -> None:
         """Recompute the limits, and end the slow starts that are over."""
-        if not self._start_by_target:
-            return
         answers = self._counters.total(ANSWERS_FAMILY, now)
         limit_by_target = {}
         for target, start in list(self._start_by_target.items()):
--- a/src/oleanderhill/serving/stall_timeout.py
+++ b/src/oleanderhill/serving/stall_timeout.py
@@ -27,7 +27,7 @@
 """Quantile of the current times to first event below which no request counts as stalled: where all
 targets are slow, another one is not faster."""
 
-MAX_STREAM_FACTOR = 2.5
+MAX_STREAM_FACTOR = 2.0
 """Factor by which that quantile extends the stall timeout at most."""
 
 PLAIN_QUANTILE = 0.75
--- a/src/oleanderhill/serving/subject_times.py
+++ b/src/oleanderhill/serving/subject_times.py
@@ -5,9 +5,10 @@
 import math
 from collections.abc import Mapping, Sequence
 from enum import IntEnum
+from functools import lru_cache
 from typing import NamedTuple
 
-from .decaying import DecayingSums
+from .decaying import DecayingSums, Sums, from_counters, to_counters
 from .shared_counters import SharedCounters
 from .time_sketch import BUCKETS, bucket_of, quantile
 from .timing import Completion, Observation
@@ -32,8 +33,8 @@
 MAX_SUBJECTS = 64
 """Models and services that are tracked at most."""
 
-MIN_SHARED_COUNT = 0.1
-"""Buckets with a lower count are not reported to other hosts."""
+MIN_COUNT = 0.3
+"""Count below which a bucket is dropped."""
 
 BUSY_LOAD = 0.6
 """Load from which a target counts as busy."""
@@ -51,25 +52,34 @@
 
 WAITING_BANDS = (Band.FIRST_WAITING, Band.SECOND_WAITING, Band.FURTHER_WAITING)
 
-WAITING_QUANTILE = 0.9
-"""Quantile of the times of requests that wait. One waits only if all targets are full, so while it
-lasts nearly all requests wait, and a tenth of them may be late."""
+OVERLOAD_SHARE = 0.25
+"""Share of requests that wait for a slot from which a model counts as overloaded. One waits only if
+all targets are full."""
+
+OVERLOAD_QUANTILE = 0.9
+"""Quantile of the times of waiting requests that has to be on time under overload. Nearly all
+requests wait then, because each that waits delays the next one too."""
+
+OCCASIONAL_QUANTILE = 0.5
+"""The same while few requests wait: otherwise they would be rejected, and delay nobody."""
 
 MEAN_LOAD_BY_BAND: Mapping[Band, float] = {Band.BUSY: 0.8, Band.LIGHT: 0.4}
 """Approximate load in the bands in which no request waits for a slot."""
 
 
+NO_COMPLETIONS = Sums(0.0, 0.0)
+
+
 class SubjectTable(NamedTuple):
     """Times of one model or service.
 
     :param counts_by_band: times to first event, counted by bucket
-    :param completions: number of completed requests of busy targets
-    :param slot_seconds: sum of their durations, each divided by the slots of its target
+    :param completions: durations of completed requests of busy targets, each divided by the slots
+        of its target
     """
 
     counts_by_band: Mapping[Band, Mapping[int, float]]
-    completions: float = 0.0
-    slot_seconds: float = 0.0
+    completions: Sums
 
     def first_event(self, batch_seconds: float) -> float | None:
         """Return the median time to first event at a full target once a slot is free.
@@ -88,13 +98,17 @@
 
         :param known: the times returned last
         """
+        waiting = sum(sum(self.counts_by_band.get(band, {}).values()) for band in WAITING_BANDS)
+        total = sum(sum(counts.values()) for counts in self.counts_by_band.values())
+        overloaded = waiting >= OVERLOAD_SHARE * total
+        fraction = OVERLOAD_QUANTILE if overloaded else OCCASIONAL_QUANTILE
         known = (*known, *[None] * (len(WAITING_BANDS) - len(known)))
         minima = [
             MIN_WAITING_OBSERVATIONS if seconds is None else MIN_KEPT_OBSERVATIONS
             for seconds in known
         ]
         return tuple(
-            self._quantile_in(band, WAITING_QUANTILE, minimum)
+            self._quantile_in(band, fraction, minimum)
             for band, minimum in zip(WAITING_BANDS, minima, strict=True)
         )
 
@@ -106,9 +120,8 @@
 
     def slot_interval(self) -> float | None:
         """Return the seconds between two slots that become free at a full target."""
-        if self.completions < MIN_OBSERVATIONS:
-            return None
-        return self.slot_seconds / self.completions
+        count, total = self.completions
+        return total / count if count >= MIN_OBSERVATIONS else None
 
     def time_quantile(self, fraction: float) -> float | None:
         """Return a quantile of the times to first event, with those of requests that waited."""
@@ -124,11 +137,11 @@
 
     def __init__(self, counters: SharedCounters) -> None:
         self._counters = counters
-        self._times = DecayingSums(WINDOW, MAX_SUBJECTS * len(Band) * BUCKETS // 2)
-        self._completions = DecayingSums(WINDOW, 2 * MAX_SUBJECTS)
+        self._times = DecayingSums(WINDOW, MAX_SUBJECTS * len(Band) * BUCKETS // 4, MIN_COUNT)
+        self._completions = DecayingSums(WINDOW, MAX_SUBJECTS, MIN_COUNT)
         self.malformed = 0
         counters.register(TIMES_FAMILY, self._shared_times)
-        counters.register(COMPLETIONS_FAMILY, self._completions.values)
+        counters.register(COMPLETIONS_FAMILY, lambda now: to_counters(self._completions.sums(now)))
 
     def observe(self, observation: Observation, now: float) -> None:
         """Count a time to first event."""
@@ -139,17 +152,14 @@
         """Count a completed request if its target was busy and it did not wait for a slot."""
         if BUSY_LOAD <= completion.load < 1:
             interval = completion.seconds / max(1, completion.slots)
-            if self._completions.add(f"{completion.subject}/n", 1.0, now):
-                self._completions.add(f"{completion.subject}/s", interval, now)
+            self._completions.add(completion.subject, interval, now)
 
     def tables(self, now: float) -> dict[str, SubjectTable]:
         """Return the times of all models and services, summed over all entry hosts."""
         counts = self._parsed_counts(self._counters.total(TIMES_FAMILY, now))
-        completions = self._counters.total(COMPLETIONS_FAMILY, now)
+        completions = from_counters(self._counters.total(COMPLETIONS_FAMILY, now))
         return {
-            subject: SubjectTable(
-                by_band, completions.get(f"{subject}/n", 0.0), completions.get(f"{subject}/s", 0.0)
-            )
+            subject: SubjectTable(by_band, completions.get(subject, NO_COMPLETIONS))
             for subject, by_band in counts.items()
         }
 
@@ -157,22 +167,37 @@
         self, totals: Mapping[str, float]
     ) -> dict[str, dict[Band, dict[int, float]]]:
         parsed: dict[str, dict[Band, dict[int, float]]] = {}
-        for key, count in totals.items():
-            parts = key.rsplit("/", 2)
-            try:
-                subject, band, bucket = parts[0], Band(int(parts[1])), int(parts[2])
-            except (ValueError, IndexError):
+        for text, count in totals.items():
+            key = _parse(text)
+            if key is None or not 0 < count < math.inf:
                 self.malformed += 1
                 continue
-            in_range = 0 <= bucket < BUCKETS and 0 < count < math.inf
-            if not in_range or (subject not in parsed and len(parsed) >= MAX_SUBJECTS):
+            if key.subject not in parsed and len(parsed) >= MAX_SUBJECTS:
                 self.malformed += 1
                 continue
-            parsed.setdefault(subject, {}).setdefault(band, {})[bucket] = count
+            parsed.setdefault(key.subject, {}).setdefault(key.band, {})[key.bucket] = count
         return parsed
 
     def _shared_times(self, now: float) -> Mapping[str, float]:
-        return {k: round(c, 2) for k, c in self._times.values(now).items() if c >= MIN_SHARED_COUNT}
+        return {key: round(sums.number, 2) for key, sums in self._times.sums(now).items()}
+
+
+class _Key(NamedTuple):
+    """The subject of a shared counter of times."""
+
+    subject: str
+    band: Band
+    bucket: int
+
+
+@lru_cache(maxsize=2_000)
+def _parse(text: str) -> _Key | None:
+    subject, *numbers = text.rsplit("/", 2)
+    try:
+        band, bucket = (int(number) for number in numbers)
+        return _Key(subject, Band(band), bucket) if 0 <= bucket < BUCKETS else None
+    except ValueError:
+        return None
 
 
 def _band(observation: Observation) -> Band:
--- a/src/oleanderhill/serving/target_speeds.py
+++ b/src/oleanderhill/serving/target_speeds.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
-from .decaying import DecayingSums
+from .decaying import DecayingSums, Sums, from_counters, to_counters
 from .shared_counters import SharedCounters
+from .slow_start import ServingTarget
 from .time_sketch import MIN_SECONDS
 
 SPEEDS_FAMILY = "target-times"
@@ -44,12 +45,17 @@
 MAX_SECONDS = 120.0
 """Longer times count as this, so that one observation moves a mean only so far."""
 
-MAX_SHARED_TARGETS = 24
+MAX_SHARED_TARGETS = 8
 """Targets that a host reports at most. Only slow ones are of interest to others."""
 
 MAX_TARGETS = 2_000
 """Targets that are tracked at most."""
 
+MIN_COUNT = 0.3
+"""Observations below which a target is forgotten."""
+
+NO_TIMES = Sums(0.0, 0.0)
+
 _MAX_LOG = math.log(MAX_SECONDS / MIN_SECONDS)
 
 
@@ -62,83 +68,69 @@
 
     def __init__(self, counters: SharedCounters) -> None:
         self._counters = counters
-        self._by_target = DecayingSums(WINDOW, 2 * MAX_TARGETS)
-        self._by_subject = DecayingSums(WINDOW, 2 * MAX_TARGETS)
-        self._subject_by_target: dict[str, str] = {}
+        self._by_target = DecayingSums(WINDOW, MAX_TARGETS, MIN_COUNT)
+        self._by_subject = DecayingSums(WINDOW, MAX_TARGETS, MIN_COUNT)
+        self._serving: Mapping[str, ServingTarget] = {}
         self.slowness_by_target: Mapping[str, float] = {}
         counters.register(SPEEDS_FAMILY, self._shared_targets)
-        counters.register(LEVELS_FAMILY, self._by_subject.values)
+        counters.register(LEVELS_FAMILY, lambda now: to_counters(self._by_subject.sums(now)))
 
-    def set_targets(self, subject_by_target: Mapping[str, str]) -> None:
+    def set_targets(self, serving: Mapping[str, ServingTarget]) -> None:
         """Replace the targets that serve; others are dropped."""
-        for target in self._subject_by_target.keys() - subject_by_target.keys():
-            self._by_target.discard(f"{target}/n")
-            self._by_target.discard(f"{target}/s")
-        self._subject_by_target = dict(subject_by_target)
+        for target in self._serving.keys() - serving.keys():
+            self._by_target.discard(target)
+        self._serving = serving
 
     def observe(self, subject: str, target: str, seconds: float, now: float) -> None:
         """Record a time of a target, without the time for which a request waited for a slot."""
-        if target not in self._subject_by_target:
+        if target not in self._serving:
             return
         level = min(_MAX_LOG, math.log(max(1.0, seconds / MIN_SECONDS)))
-        for sums, key in ((self._by_target, target), (self._by_subject, subject)):
-            if sums.add(f"{key}/n", 1.0, now):
-                sums.add(f"{key}/s", level, now)
+        self._by_target.add(target, level, now)
+        self._by_subject.add(subject, level, now)
 
     def refresh(self, now: float) -> Mapping[str, float]:
         """Recompute and return the slowness of the slow targets."""
-        by_subject = self._counters.total(LEVELS_FAMILY, now)
-        peers, own = self._counters.peers(SPEEDS_FAMILY), self._by_target.values(now)
+        by_subject = from_counters(self._counters.total(LEVELS_FAMILY, now))
+        peers = from_counters(self._counters.peers(SPEEDS_FAMILY))
+        own, known = self._by_target.sums(now), self.slowness_by_target
         slowness_by_target = {}
-        for target in _names(own) | _names(peers):
-            subject = self._subject_by_target.get(target)
-            if subject is None:
+        for target in own.keys() | peers.keys():
+            here, there = own.get(target, NO_TIMES), peers.get(target, NO_TIMES)
+            sums = Sums(here.number + there.number, here.total + there.total)
+            minimum = MIN_KEPT_OBSERVATIONS if target in known else MIN_OBSERVATIONS
+            serving = self._serving.get(target)
+            if serving is None or sums.number < minimum:
                 continue
-            count = own.get(f"{target}/n", 0.0) + peers.get(f"{target}/n", 0.0)
-            total = own.get(f"{target}/s", 0.0) + peers.get(f"{target}/s", 0.0)
-            slowness = _slowness(count, total, by_subject, subject)
-            known = target in self.slowness_by_target
-            enough = count >= (MIN_KEPT_OBSERVATIONS if known else MIN_OBSERVATIONS)
-            if enough and slowness >= SLOW_RATIO:
+            slowness = _slowness(sums, by_subject.get(serving.subject, NO_TIMES))
+            if slowness >= SLOW_RATIO:
                 slowness_by_target[target] = slowness
         self.slowness_by_target = slowness_by_target
         return slowness_by_target
 
     def _shared_targets(self, now: float) -> Mapping[str, float]:
         """Return the own sums of targets that are slow here or by the word of other hosts."""
-        own = self._by_target.values(now)
-        by_subject = self._counters.total(LEVELS_FAMILY, now)
-        peers = _names(self._counters.peers(SPEEDS_FAMILY))
-        known, ranked = self.slowness_by_target, []
-        for target in _names(own):
-            subject = self._subject_by_target.get(target, "")
-            count, total = own.get(f"{target}/n", 0.0), own.get(f"{target}/s", 0.0)
-            slowness = _slowness(count, total, by_subject, subject, prior=0.0)
+        by_subject = from_counters(self._counters.total(LEVELS_FAMILY, now))
+        peers = from_counters(self._counters.peers(SPEEDS_FAMILY))
+        own, known = self._by_target.sums(now), self.slowness_by_target
+        ranked = []
+        for target, sums in own.items():
+            subject = self._serving[target].subject
+            slowness = _slowness(sums, by_subject.get(subject, NO_TIMES), prior=0.0)
             if slowness >= MIN_SHARED_RATIO or target in peers or target in known:
                 ranked.append((slowness, target))
         shared = sorted(ranked, reverse=True)[:MAX_SHARED_TARGETS]
-        keys = [key for _, target in shared for key in (f"{target}/n", f"{target}/s")]
-        return {key: round(own[key], 3) for key in keys if key in own}
-
-
-def _slowness(
-    count: float,
-    total: float,
-    by_subject: Mapping[str, float],
-    subject: str,
-    prior: float = PRIOR_OBSERVATIONS,
-) -> float:
-    """Return the slowness of a target, 1 with too few observations of the others."""
-    others_count = by_subject.get(f"{subject}/n", 0.0) - count
-    others_total = by_subject.get(f"{subject}/s", 0.0) - total
-    if count <= 0 or others_count < MIN_OBSERVATIONS:
-        return 1.0
-    mean, others_mean = (
-        max(0.0, min(_MAX_LOG, level)) for level in (total / count, others_total / others_count)
-    )
-    difference = (mean - others_mean) * count / (count + prior)
-    return min(MAX_SLOWNESS, math.exp(max(0.0, difference)))
+        return to_counters({target: own[target] for _, target in shared})
 
 
-def _names(keys: Iterable[str]) -> set[str]:
-    return {key[:-2] for key in keys if key.endswith(("/n", "/s"))}
+def _slowness(sums: Sums, of_all: Sums, prior: float = PRIOR_OBSERVATIONS) -> float:
+    """Return the slowness of a target, 1 with too few observations of the others.
+
+    :param of_all: sums of all targets of its model or service
+    """
+    others = Sums(of_all.number - sums.number, of_all.total - sums.total)
+    if sums.number <= 0 or others.number < MIN_OBSERVATIONS:
+        return 1.0
+    mean, others_mean = (max(0.0, min(_MAX_LOG, total / count)) for count, total in (sums, others))
+    difference = (mean - others_mean) * sums.number / (sums.number + prior)
+    return min(MAX_SLOWNESS, math.exp(max(0.0, difference)))
--- a/src/oleanderhill/serving/time_sketch.py
+++ b/src/oleanderhill/serving/time_sketch.py
@@ -12,11 +12,11 @@
 MIN_SECONDS = 0.001
 """Durations below count as this."""
 
-BUCKET_RATIO = 1.15
+BUCKET_RATIO = 1.25
 """Upper bound of a bucket divided by its lower bound."""
 
-BUCKETS = 84
-"""Number of buckets; the last one begins at 109 s, beyond any caller timeout."""
+BUCKETS = 52
+"""Number of buckets; the last one begins at 87 s, beyond any caller timeout."""
 
 _LOG_RATIO = math.log(BUCKET_RATIO)
 
