--- a/src/oleanderhill/operators/explaining.py
+++ b/src/oleanderhill/operators/explaining.py
@@ -104,6 +104,9 @@
     for host in line.fields.get("hosts") or ():
         if isinstance(host, list):
             subjects |= {str(name) for name in host[:2] if name}
+    targets = line.fields.get("targets")
+    if isinstance(targets, list):
+        subjects |= {name for name in targets if isinstance(name, str)}
     reason = line.fields.get("reason")
     if line.part == "plan" and isinstance(reason, str):
         subjects |= set(reason.replace(";", " ").split())
--- a/tests/test_learned_timing.py
+++ b/tests/test_learned_timing.py
@@ -456,6 +456,15 @@
         text = msgspec.json.encode({**line, **notes[1][1]}).decode()
         self.assertEqual(len(explain_log("a", [text])), 1)
 
+    def test_slow_start_is_logged_and_explained(self):
+        timing, _ = learned()
+        timing.set_targets(serving("abcd"), 1.0)
+        records = mock.Mock(spec=Records)
+        timing.log_changes(records)
+        records.note.assert_called_once_with("timing", "slow start", targets=["d"])
+        line = {"message_type": "oleanderhill:timing", "timestamp": 1.0, "targets": ["d"]}
+        self.assertEqual(len(explain_log("d", [msgspec.json.encode(line).decode()])), 1)
+
     def test_metrics_show_slow_targets(self):
         timing, _ = learned()
         now = feed(timing, {"a": 0.9, "b": 0.3, "c": 0.3})
