Report only targets that look slow beyond the usual spread of times

Every host reported eight targets all the time, though none was slow: one observation of twice the mean was enough, and then all hosts that had observed the target repeated each other's reports for good. At 2,200 hosts the reports would have grown to the bound of the counters, and real observations of slow targets would have been left out. One observation must now be four times as long as the mean, and others join only while the target looks slow by the observations of all. A target that is four times slower is still found.

--- a/src/oleanderhill/serving/target_speeds.py
+++ b/src/oleanderhill/serving/target_speeds.py
@@ -31,9 +31,14 @@
 """Observations down to which a target that is known to be slow stays so. With fewer of them its
 slowness approaches 1, as that of a target that gets no requests."""
 
-MIN_SHARED_RATIO = 2.0
-"""Ratio from which a host reports a target on a single observation. In a large fleet none sees a
-target often; those that hear of it add their own observations."""
+MIN_SHARED_SLOWNESS = 2.0
+"""Slowness from which a host reports a target. In a large fleet none sees a target often, so that
+one observation suffices if it is four times as long as the mean; those that hear of it add their
+own. With a lower value the usual spread of times would make hosts report most targets."""
+
+MIN_SHARED_PEER_SLOWNESS = 1.2
+"""Slowness by the observations of all hosts, from which a host reports a target because others do.
+With a lower value hosts would report healthy targets because of each other's reports."""
 
 PRIOR_OBSERVATIONS = 1.0
 """Weight of the assumption that a target is as fast as its fellows, in observations."""
@@ -103,8 +108,7 @@
         own, known = self._by_target.sums(now), self.slowness_by_target
         slowness_by_target = {}
         for target in own.keys() | peers.keys():
-            here, there = own.get(target, NO_TIMES), peers.get(target, NO_TIMES)
-            sums = Sums(here.number + there.number, here.total + there.total)
+            sums = _add(own.get(target, NO_TIMES), peers.get(target, NO_TIMES))
             minimum = MIN_KEPT_OBSERVATIONS if target in known else MIN_OBSERVATIONS
             serving = self._serving.get(target)
             if serving is None or sums.number < minimum:
@@ -136,15 +140,21 @@
         own, known = self._by_target.sums(now), self.slowness_by_target
         ranked = []
         for target, sums in own.items():
-            subject = self._serving[target].subject
-            slowness = _slowness(sums, by_subject.get(subject, NO_TIMES), prior=0.0)
-            if slowness >= MIN_SHARED_RATIO or target in peers or target in known:
-                ranked.append((slowness, target))
+            of_all = by_subject.get(self._serving[target].subject, NO_TIMES)
+            slowness = _slowness(sums, of_all)
+            together = _slowness(_add(sums, peers[target]), of_all) if target in peers else 1.0
+            is_doubtful = slowness >= MIN_SHARED_SLOWNESS or together >= MIN_SHARED_PEER_SLOWNESS
+            if is_doubtful or target in known:
+                ranked.append((max(slowness, together), target))
         shared = sorted(ranked, reverse=True)[:MAX_SHARED_TARGETS]
         return to_counters({target: own[target] for _, target in shared})
 
 
-def _slowness(sums: Sums, of_all: Sums, prior: float = PRIOR_OBSERVATIONS) -> float:
+def _add(first: Sums, second: Sums) -> Sums:
+    return Sums(first.number + second.number, first.total + second.total)
+
+
+def _slowness(sums: Sums, of_all: Sums) -> float:
     """Return the slowness of a target, 1 with too few observations of the others.
 
     :param of_all: sums of all targets of its model or service
@@ -153,5 +163,5 @@
     if sums.number <= 0 or others.number < MIN_OBSERVATIONS:
         return 1.0
     mean, others_mean = (max(0.0, min(_MAX_LOG, total / count)) for count, total in (sums, others))
-    difference = (mean - others_mean) * sums.number / (sums.number + prior)
+    difference = (mean - others_mean) * sums.number / (sums.number + PRIOR_OBSERVATIONS)
     return min(MAX_SLOWNESS, math.exp(max(0.0, difference)))
--- a/tests/test_learned_timing.py
+++ b/tests/test_learned_timing.py
@@ -275,6 +275,22 @@
         self.assertLessEqual(max(sizes), 20)
         self.assertLessEqual(len(timing._speeds._by_target.sums(now)), 20)
 
+    def test_hosts_do_not_report_healthy_targets_because_of_each_other(self):
+        """Guards against reports that last because every host repeats the others'."""
+        rng = random.Random(1)
+        names = [f"g{n}" for n in range(60)]
+        hosts = [learned(names, me=str(n)) for n in range(8)]
+        now = 0.0
+        while now < 20.0:
+            now += 0.2
+            for _ in range(24):
+                seconds = 0.15 * rng.lognormvariate(0, 0.35)
+                found = Observation("m", rng.choice(names), 0.5, seconds)
+                rng.choice(hosts)[0].observe(found, now)
+            exchange([counters for _, counters in hosts], now)
+        shared = hosts[0][1].total(target_speeds.SPEEDS_FAMILY, now)
+        self.assertLessEqual(len(shared) / 2, len(names) / 10)
+
     def test_wide_report_holds_few_targets(self):
         names = [f"g{n}" for n in range(300)]
         timing, counters = learned(names)
