Bound learned slot times from below

Where no engine times are configured, reports of durations of 0 made the slot time 0, and the queue limit of each request for the model divided by it.

--- a/src/oleanderhill/serving/subject_times.py
+++ b/src/oleanderhill/serving/subject_times.py
@@ -10,7 +10,7 @@
 
 from .decaying import DecayingSums, Sums, from_counters, to_counters
 from .shared_counters import SharedCounters
-from .time_sketch import BUCKETS, bucket_of, quantile
+from .time_sketch import BUCKETS, MIN_SECONDS, bucket_of, quantile
 from .timing import Completion, Observation
 
 TIMES_FAMILY = "first-events"
@@ -121,7 +121,7 @@
     def slot_interval(self) -> float | None:
         """Return the seconds between two slots that become free at a full target."""
         count, total = self.completions
-        return total / count if count >= MIN_OBSERVATIONS else None
+        return max(MIN_SECONDS, total / count) if count >= MIN_OBSERVATIONS else None
 
     def time_quantile(self, fraction: float) -> float | None:
         """Return a quantile of the times to first event, with those of requests that waited."""
--- a/tests/test_learned_timing.py
+++ b/tests/test_learned_timing.py
@@ -155,6 +155,14 @@
         self.assertAlmostEqual(found.first_event, 0.2, delta=0.03)
         self.assertAlmostEqual(found.slot_interval, 0.1, delta=0.01)
 
+    def test_counters_without_durations_do_not_stop_the_queue_limit(self):
+        """Guards against a division by a slot time of 0 where none is configured."""
+        timing, _ = learned(configured=None)
+        now = feed(timing, {"a": 0.2, "b": 0.2}, 30)
+        for _ in range(40):
+            timing.complete(Completion("m", 0.8, SLOTS, 0.0), now)
+        self.assertGreaterEqual(max_waiting(timing.prediction("m", now + 0.5), 1.0, SLOTS), 0)
+
     def test_waits_at_full_targets_do_not_count_as_time_of_the_first_event(self):
         timing, _ = learned()
         now = feed(timing, {"a": 0.9}, load=1.1)
