Let targets that start slowly take what no other target can

While groups return one after the other, requests were rejected, and begun streams cut, beside targets whose slow start left slots free. The limit now holds only while others have capacity. Targets without answers are no longer reported.

--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -251,11 +251,11 @@
 
         The target with the lowest load relative to its slots is chosen; remote targets and targets
         without an open connection get a penalty. A target that is slower than its fellows counts as
-        more loaded and takes fewer requests, as does one that has just started. At a suspect target
-        a request most likely waits until its caller times out. Suspects are therefore chosen only
-        if no other target has capacity and at least :data:`MAX_SUSPECT_FRACTION` of the targets are
-        suspect. The same applies to a target that requested a back-off from a peer. One that
-        requested it from this host gets no requests.
+        more loaded and takes fewer requests. One that has just started does so while others have
+        capacity. At a suspect target a request most likely waits until its caller times out.
+        Suspects are therefore chosen only if no other target has capacity and at least
+        :data:`MAX_SUSPECT_FRACTION` of the targets are suspect. The same applies to a target that
+        requested a back-off from a peer. One that requested it from this host gets no requests.
 
         :param max_load: load below which a target has capacity, as a multiple of its slots
         :param connected: returns whether a connection to an address is open
@@ -273,6 +273,10 @@
         eligible = self._within_limits(available, now)
         sound = [c for c in eligible if not self._is_doubtful(c, now)]
         with_capacity = [c for c in sound if self._has_capacity(c, now, max_load)]
+        if not with_capacity and self._start_limits:
+            # A target that starts slowly is better than none.
+            self._start_limits = {}
+            with_capacity = [c for c in sound if self._has_capacity(c, now, max_load)]
         if not with_capacity and len(sound) <= len(eligible) * (1 - MAX_SUSPECT_FRACTION):
             # A burst of requests makes one group after another late for some caller. If each of
             # them were avoided for two seconds, the others would be overloaded and avoided in turn,
--- a/src/oleanderhill/serving/slow_start.py
+++ b/src/oleanderhill/serving/slow_start.py
@@ -68,7 +68,7 @@
         self._own_answers: dict[str, float] = {}
         self._refresh_at = float("-inf")
         self.limit_by_target: Mapping[str, float] = {}
-        counters.register(ANSWERS_FAMILY, lambda now: self._own_answers)
+        counters.register(ANSWERS_FAMILY, self._shared_answers)
 
     def set_targets(self, serving: Mapping[str, ServingTarget], now: float) -> list[str]:
         """Replace the targets that serve; return those whose slow start begins.
@@ -111,7 +111,7 @@
 
     def limits(self, now: float) -> Mapping[str, float]:
         """Return how many requests may be in flight at each target that starts slowly."""
-        if self._start_by_target and now >= self._refresh_at:
+        if (self._start_by_target or self.limit_by_target) and now >= self._refresh_at:
             self._refresh_at = now + REFRESH_INTERVAL
             self._refresh(now)
         return self.limit_by_target
@@ -121,8 +121,13 @@
         answers = self._counters.total(ANSWERS_FAMILY, now)
         limit_by_target = {}
         for target, start in list(self._start_by_target.items()):
+            counted = answers.get(target, 0.0)
+            if counted < start.answers_before:
+                # Other hosts don't report the answers of an earlier start any more.
+                start = start._replace(answers_before=counted)
+                self._start_by_target[target] = start
             limit = max(MIN_IN_FLIGHT, start.slots * INITIAL_FRACTION)
-            limit += SLOTS_PER_ANSWER * max(0.0, answers.get(target, 0.0) - start.answers_before)
+            limit += SLOTS_PER_ANSWER * (counted - start.answers_before)
             if now - start.began > MAX_SECONDS:
                 self._end(target)
             elif limit > start.slots:
@@ -131,6 +136,9 @@
                 limit_by_target[target] = limit
         self.limit_by_target = limit_by_target
 
+    def _shared_answers(self, now: float) -> Mapping[str, float]:
+        return {target: number for target, number in self._own_answers.items() if number}
+
     def _end(self, target: str) -> None:
         del self._start_by_target[target]
         self._own_answers.pop(target, None)
--- a/tests/test_learned_timing.py
+++ b/tests/test_learned_timing.py
@@ -345,6 +345,40 @@
         for timing, _ in hosts:
             self.assertEqual(timing.start_limits(1.5), {})
 
+    def test_target_that_starts_takes_all_that_others_cannot(self):
+        """Guards against rejections beside free slots while groups return one after the other."""
+        timing, _ = learned()
+        timing.set_targets(serving("abcd"), 1.0)
+        book = LoadTracker("here", random.Random(1), timing=timing)
+        candidates = [target(name) for name in "abcd"]
+        while (chosen := book.choose(candidates, (), 1.0, 1.0)) is not None:
+            book.begin(chosen.target)
+        self.assertEqual(sum(book.own.values()), 4 * SLOTS)
+
+    def test_target_that_returns_among_many_is_not_held_back(self):
+        """Guards against a limit that outlasts its target's absence."""
+        timing, _ = learned()
+        timing.set_targets(serving("abcd"), 1.0)
+        self.assertIn("d", timing.start_limits(1.0))
+        timing.set_targets(serving("a"), 2.0)
+        timing.set_targets(serving("abcd"), 2.5)
+        self.assertEqual(timing.start_limits(3.0), {})
+
+    def test_peers_that_forget_an_earlier_start_do_not_prolong_the_next(self):
+        peer, peer_counters = learned(me="peer")
+        timing, counters = learned()
+        peer.set_targets(serving("abcd"), 0.0)
+        for _ in range(3 * SLOTS):
+            peer.observe(Observation("m", "d", 0.1, 0.2), 0.1)
+        exchange([counters, peer_counters], 0.3)
+        timing.set_targets(serving("abcd"), 0.4)
+        exchange([counters], 3.0)
+        exchange([counters], 3.3)
+        timing.start_limits(3.3)
+        for _ in range(SLOTS):
+            timing.observe(Observation("m", "d", 0.1, 0.2), 3.4)
+        self.assertEqual(timing.start_limits(3.6), {})
+
     def test_hosts_do_not_rush_to_a_restarted_group(self):
         sent = {True: 0, False: 0}
         for with_part in sent:
