Let plain requests leave early only for a free slot

When all targets of a plain service become slow or full together, each request left after two fifths of its goal until the usual times had risen, some two seconds later. The moved requests loaded full targets, up to 1.8 times their slots, and used up the retries that requests at lost targets need. Before the configured timeout a request now moves only to a target with a free slot; from that timeout on as before.

--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Mapping, Sequence
 from functools import partial
@@ -48,7 +49,7 @@
 from .placement import Candidate
 from .request_times import RequestTimes
 from .retries import SharedRetryBudget
-from .stall_timeout import stall_timeout_for
+from .stall_timeout import max_load_elsewhere, stall_timeout_for
 from .target_limits import StatementSource
 
 CONNECT_TIMEOUT = 0.12
@@ -322,22 +323,25 @@
                 return "deadline"
             if run.fault:
                 return run.fault
-            stalled = now - run.last_progress_at >= stall_timeout
+            idle = now - run.last_progress_at
+            configured_timeout = stall_timeout_for(self._accepted.route, run.events > 0)
             if (
-                stalled
+                idle >= stall_timeout
                 and not tracker.recently_progressed(choice.group, now, stall_timeout)
-                and self._can_retry_elsewhere(now)
+                and self._can_retry_elsewhere(now, max_load_elsewhere(idle, configured_timeout))
             ):
-                return f"no progress in {now - run.last_progress_at:.3f} s"
+                return f"no progress in {idle:.3f} s"
 
-    def _can_retry_elsewhere(self, now: float) -> bool:
+    def _can_retry_elsewhere(self, now: float, max_load: float = math.inf) -> bool:
         if not self.machine.may_retry_elsewhere(now):
             return False
         candidates = self.context.candidates(self._service, self._incoming.facts.model)
         tracker = self.context.book
         healthy = [c for c in candidates if not tracker.is_suspect(c.target, now)]
         return (
-            tracker.choose(healthy, self._tried_targets, now, self._queue_limit().max_load)
+            tracker.choose(
+                healthy, self._tried_targets, now, min(max_load, self._queue_limit().max_load)
+            )
             is not None
         )
 
--- a/src/oleanderhill/serving/stall_timeout.py
+++ b/src/oleanderhill/serving/stall_timeout.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from ..settings.catalog import Repeatable, Route
@@ -66,6 +67,18 @@
     return timeout if usual is None else min(max(timeout, usual), timeout * MAX_STREAM_FACTOR)
 
 
+def max_load_elsewhere(idle: float, configured_timeout: float) -> float:
+    """Return the load below which another target must be for a request to move to it.
+
+    A request moves earlier than configured only to a free slot. Otherwise a service that is short
+    of slots would get more requests, and retries would be used up that lost targets need.
+
+    :param idle: seconds without progress
+    :param configured_timeout: stall timeout without observed times
+    """
+    return 1.0 if idle < configured_timeout else math.inf
+
+
 def _plain_timeout(route: Route, usual: float | None) -> float:
     timeout = route.timeout * PLAIN_TIMEOUT_FRACTION
     if usual is None or not route.is_retryable:
--- a/tests/test_learned_timing.py
+++ b/tests/test_learned_timing.py
@@ -25,7 +25,11 @@
 from oleanderhill.serving.request_times import RequestTimes
 from oleanderhill.serving.shared_counters import CounterReport, SharedCounters
 from oleanderhill.serving.slow_start import ServingTarget
-from oleanderhill.serving.stall_timeout import FIRST_EVENT_FRACTION, stall_timeout_for
+from oleanderhill.serving.stall_timeout import (
+    FIRST_EVENT_FRACTION,
+    max_load_elsewhere,
+    stall_timeout_for,
+)
 from oleanderhill.serving.subject_times import TIMES_FAMILY
 from oleanderhill.serving.time_sketch import BUCKET_RATIO, bucket_of, quantile
 from oleanderhill.serving.timing import Completion, ConfiguredTiming, Observation
@@ -485,6 +489,18 @@
         times.chosen("a", 6, 6)
         self.assertIsNone(times.time_quantile(0.75, now))
 
+    def test_request_leaves_early_only_for_a_free_slot(self):
+        """Guards against retries that load a service whose targets are all full."""
+        book = LoadTracker("here", random.Random(1))
+        others = [target(name, 6) for name in "bc"]
+        for name in "bc" * 6:
+            book.begin(name)
+        early, late = max_load_elsewhere(0.12, 0.45), max_load_elsewhere(0.45, 0.45)
+        self.assertIsNone(book.choose(others, (), 1.0, min(early, 1.8)))
+        self.assertIsNotNone(book.choose(others, (), 1.0, min(late, 1.8)))
+        book.end("c")
+        self.assertEqual(book.choose(others, (), 1.0, min(early, 1.8)).target, "c")
+
     def test_one_long_answer_does_not_make_a_plain_target_suspect(self):
         timing, _ = learned(configured=None)
         now = feed(timing, {"a": 0.03, "b": 0.03, "c": 0.03})
