--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -34,7 +34,13 @@
 from oleanderhill.serving.forwarding import Notice
 
 from ..proving import Mutant, testing
-from . import cold_mutants, evacuation_mutants, notice_mutants, restored_mutants
+from . import (
+    cold_mutants,
+    evacuation_mutants,
+    notice_mutants,
+    restored_mutants,
+    timing_mutants,
+)
 
 
 def mutants() -> list[Mutant]:
@@ -155,6 +161,7 @@
         *notice_mutants.mutants(),
         *cold_mutants.mutants(),
         *restored_mutants.mutants(),
+        *timing_mutants.mutants(),
     ]
 
 
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -49,6 +49,7 @@
 from ..serving.front import CallerSink, Front, ServeCallbacks
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
+from ..serving.learned_timing import LearnedTiming
 from ..serving.leaving import LeavingTargets
 from ..serving.notices import TargetNotices
 from ..serving.placement import Candidate, LoadTracker
@@ -145,13 +146,14 @@
         self._evacuations = Evacuations(
             records, EVACUATIONS_PREFIX, s.evacuation_seconds, lambda: self._mirror.read_at
         )
-        self._view = ServingView(self._inventory, self._plans, rng, self._evacuations)
         self._counters = SharedCounters(s.host, s.data_centre)
+        self._timing = LearnedTiming(self._counters)
+        self._view = ServingView(self._inventory, self._plans, rng, self._evacuations, self._timing)
         limits = TargetLimits(s.host, cold_limits)
         failing = FailingTargets(self._counters.peers, self._log_failing)
         self._counters.register(FAILURES, failing.own_failures)
         self._counters.register(ANSWERS, failing.own_answers)
-        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs(), failing)
+        self._book = LoadTracker(s.data_centre, rng, limits, Backoffs(), failing, self._timing)
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -232,13 +234,14 @@
             self._book,
             records,
             self._view.candidates,
-            self._view.max_waiting,
+            lambda model, goal: self._view.max_waiting(model, goal, time.monotonic()),
             self._retry_delay,
             self.exposition.request,
             self._quarantine,
             self._notices,
             self._evacuations,
             self._view.evacuated_candidates,
+            self._timing,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -392,11 +395,13 @@
             lambda model: self._book.rejections(model, at),
             self._book.slots_lost_to_limits,
         )
+        self._timing.log_changes(self._records)
 
     def _refresh_targets(self) -> None:
         """Recompute the targets if hosts or plans have changed."""
         if self._view.refresh(self._catalog):
             self._quarantine.count_targets(self._view.targets())
+            self._timing.set_targets(self._view.serving_targets(), time.monotonic())
             self._owner.refresh_soon()
 
     def _update_host_count(self) -> None:
@@ -516,6 +521,7 @@
             lambda: len(self._book.failing.avoided(time.monotonic())),
         )
         self._evacuations.show(self.exposition)
+        self._timing.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 from returns.pipeline import is_successful
@@ -47,8 +49,9 @@
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
 from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS, Candidate
+from .request_times import RequestTimes
 from .retries import SharedRetryBudget
-from .stall_timeout import stall_timeout_for
+from .stall_timeout import max_load_elsewhere, stall_timeout_for
 from .target_limits import StatementSource
 
 CONNECT_TIMEOUT = 0.12
@@ -102,6 +105,8 @@
         )
         self._buffered_reply: Reply | None = None
         self._sent_at = 0.0
+        subject = incoming.facts.model if route.generates else service
+        self._times = RequestTimes(context.timing, subject, route.generates)
         self._connection_lost = False
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
@@ -137,6 +142,7 @@
         now = time.monotonic()
         if self._first_event_at is None:
             self._first_event_at = now
+            self._times.first_event(now)
             # The caller gets the first target's headers, also if another target resumes the stream.
             headers = self.context.codec.caller_reply_headers(run.reply_headers)
             self._sink.begin(run.status, headers)
@@ -163,7 +169,7 @@
         if permit is not None and not self.context.book.limits.confirm(permit, now):
             self._hold_reason = "the target's limit was used up"
             return False
-        self._sent_at = now
+        self._sent_at = self._times.sent_at = now
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
         return True
 
@@ -235,6 +241,8 @@
         self._permit = self.context.book.limits.take(found.incarnations, now)
         self._on_trial = self.context.book.backoffs.take(found.incarnations[0])
         host = found.host
+        in_flight = self.context.book.load(found.target, now)
+        self._times.chosen(found.target, host.slots, in_flight)
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
 
@@ -292,7 +300,7 @@
             abandon_reason = await self._wait_for_end(task, quarantined, run, choice)
             if abandon_reason is None:
                 return self._handle_end(task.result(), run, attempt, choice)
-            return self._handle_abandoned(abandon_reason, attempt, choice)
+            return self._handle_abandoned(abandon_reason, attempt, choice, run)
         finally:
             task.cancel()
             self.context.quarantine.end(self._identity, quarantined)
@@ -353,7 +361,8 @@
         while True:
             now = time.monotonic()
             deadline = self.machine.request.deadline
-            stall_timeout = stall_timeout_for(self._accepted.route, run.events > 0)
+            quantile = partial(self._times.time_quantile, now=now)
+            stall_timeout = stall_timeout_for(self._accepted.route, run.events > 0, quantile)
             next_check = min(deadline, max(run.last_progress_at + stall_timeout, now + 0.02))
             wait = max(0.0, next_check - now)
             awaited: set[asyncio.Future[Any]] = {task, quarantined}
@@ -367,31 +376,43 @@
                 return "deadline"
             if run.fault:
                 return run.fault
-            stalled = now - run.last_progress_at >= stall_timeout
+            idle = now - run.last_progress_at
+            configured_timeout = stall_timeout_for(self._accepted.route, run.events > 0)
             if (
-                stalled
+                idle >= stall_timeout
                 and not tracker.recently_progressed(choice.group, now, stall_timeout)
-                and self._can_retry_elsewhere(now)
+                and self._can_retry_elsewhere(now, max_load_elsewhere(idle, configured_timeout))
             ):
-                return f"no progress in {now - run.last_progress_at:.3f} s"
+                return f"no progress in {idle:.3f} s"
 
-    def _can_retry_elsewhere(self, now: float) -> bool:
+    def _can_retry_elsewhere(self, now: float, max_load: float = math.inf) -> bool:
         if not self.machine.may_retry_elsewhere(now):
             return False
         candidates = self.context.candidates(self._service, self._incoming.facts.model)
         tracker = self.context.book
         healthy = [c for c in candidates if not tracker.is_suspect(c.target, now)]
         return (
-            tracker.choose(healthy, self._tried_targets, now, self._queue_limit().max_load)
+            tracker.choose(
+                healthy, self._tried_targets, now, min(max_load, self._queue_limit().max_load)
+            )
             is not None
         )
 
-    def _handle_abandoned(self, abandon_reason: str, attempt: int, choice: Choice) -> list[Effect]:
+    def _handle_abandoned(
+        self, abandon_reason: str, attempt: int, choice: Choice, run: Attempt
+    ) -> list[Effect]:
+        now = time.monotonic()
+        if abandon_reason != QUARANTINED:
+            self._times.abandoned(now)
         if abandon_reason == "deadline":
             return self._advance(DeadlineHit())
         if abandon_reason == QUARANTINED:
             return self._fail_quarantined()
-        self._suspect(choice, abandon_reason)
+        timeout = stall_timeout_for(self._accepted.route, run.events > 0)
+        if run.fault or self._times.shows_failure(now - run.last_progress_at, timeout, now):
+            self._suspect(choice, abandon_reason)
+        else:
+            self._log_failed_attempt(choice, abandon_reason)
         self._record_possible_crash(choice)
         return self._advance(Lost(attempt, abandon_reason))
 
@@ -424,7 +445,10 @@
         self.context.quarantine.answered(self._identity, self._incoming.facts.request_id)
         self._target_failed = reply.status >= 500 and reply.status != TARGET_DEADLINE_STATUS
         self.context.book.failing.record(choice.group, self._target_failed, time.monotonic())
+        if run.streaming and self.machine.attempts_sent == 1:
+            self._times.completed(time.monotonic())
         if not run.streaming:
+            self._times.answered(reply.status, time.monotonic())
             reply = reply._replace(body=b"".join(run.chunks))
             if self._sink.started:
                 return self._advance(Lost(attempt, f"status {reply.status} in place of the rest"))
