Spares that mend the only large group of a domain stay while it is dissolved

Callers of the large model would have seen its group form again only after loads: while a group that lost a member is dissolved it is no longer among the fault-free ones, so the domain seemed to have no larger model, kept no spares for it, and a small model that was getting full took them. Larger models that the desired mix names count as well. Test: test_spares_stay_while_the_only_large_group_is_dissolved, which fails without the change.

--- a/src/oleanderhill/groups/composing.py
+++ b/src/oleanderhill/groups/composing.py
@@ -169,11 +169,21 @@
     plan: DomainPlan, need: ModelNeed, desired: Composition, needs: Sequence[ModelNeed]
 ) -> int:
     """Return how many spares should stay free for groups of larger models than the given one."""
-    planned = {g.model for g in plan.groups}
-    larger = any(n.hosts > need.hosts and n.model in planned for n in needs)
+    larger = bool(_larger_models(plan, need, desired, needs))
     return math.ceil(desired.spares / 2) if larger else 0
 
 
+def _larger_models(
+    plan: DomainPlan, need: ModelNeed, desired: Composition, needs: Sequence[ModelNeed]
+) -> list[str]:
+    """Return the larger models that have groups here, or should: one that lost its last included.
+
+    :param plan: the domain's plan with its fault-free groups only
+    """
+    held = {g.model for g in plan.groups} | {m for m, n in desired.mix.items() if n > 0}
+    return [n.model for n in needs if n.hosts > need.hosts and n.model in held]
+
+
 def _mending_spares(
     plan: DomainPlan,
     need: ModelNeed,
@@ -186,8 +196,7 @@
 
     A host that has the weights of several models counts for each of them.
     """
-    planned = {g.model for g in plan.groups}
-    larger = [n.model for n in needs if n.hosts > need.hosts and n.model in planned]
+    larger = _larger_models(plan, need, desired, needs)
     with_others = max(0, sum(staged.values()) - free)
     only_larger = max(0, sum(staged.get(m, 0) for m in larger) - with_others)
     return min(_mending_reserve(plan, need, desired, needs), only_larger)
--- a/tests/test_capacity_follows.py
+++ b/tests/test_capacity_follows.py
@@ -558,6 +558,11 @@
         free = self.free_hosts("large", "large")
         self.assertEqual(loads_to_order(self.plan, free, self.desired, needs), [])
 
+    def test_spares_stay_while_the_only_large_group_is_dissolved(self):
+        self.plan = self.plan.without_group(self.plan.groups[0].name)
+        pressed = self.small._replace(pressing=22.0)
+        self.assertIsNone(self.next({"large": 2, "small": 2}, 3, pressed))
+
     def free_hosts(self, *models):
         return [FreeHost(f"f{n}", m, True) for n, m in enumerate(models)]
 
