Admit by priority, account share and the room left where targets can't take all

Under 1.5 to 3 times the load that the groups of a model bear, each entry host placed requests on counts that lag, in the order of arrival: groups got more requests than slots, who queued made the next one late too, and late and less urgent requests took slots from the others. Each host now admits a request with a probability that follows from the free slots, the rate at which slots become free and the arrivals at all hosts, by priority, max-min fair by account, retries after first attempts. Weighed against thresholds on the known counts (what was there before): they give the same slots away several times within the lag. Retry-After follows the backlog of rejected callers.

--- a/dev/oleanderhill_dev/model/policies.py
+++ b/dev/oleanderhill_dev/model/policies.py
@@ -15,11 +15,13 @@
 
     :param tried: groups that the request was sent to before
     :param on_time_until: time until which the first event is on time
+    :param connected: returns whether the entry host has an idle connection to an address
     """
 
     standing: AdmissionClass
     tried: Collection[str]
     on_time_until: float
+    connected: Callable[[str], bool]
 
 
 class Policy(Protocol):
@@ -27,6 +29,7 @@
 
     name: str
     honours_backoffs: bool
+    controls_admission: bool
 
     def choose(
         self,
@@ -53,6 +56,7 @@
     name = "shipped"
     limits_by_class = ENGINE_QUEUE_LIMITS
     honours_backoffs = True
+    controls_admission = True
 
     def choose(
         self,
@@ -61,9 +65,8 @@
         request: PlacementRequest,
         now: float,
     ) -> Candidate | None:
-        return tracker.choose(
-            candidates, request.tried, now, self.limits_by_class[request.standing].max_load
-        )
+        max_load = self.limits_by_class[request.standing].max_load
+        return tracker.choose(candidates, request.tried, now, max_load, request.connected)
 
     def hold_until(self, request: PlacementRequest) -> float:
         return 0.0
@@ -75,7 +78,14 @@
         """Do nothing; the shipped policy does not adapt."""
 
 
-class LongQueueForRetries(Shipped):
+class WithoutAdmission(Shipped):
+    """As shipped, but place each request for which a target has room, in the order of arrival."""
+
+    name = "without admission"
+    controls_admission = False
+
+
+class LongQueueForRetries(WithoutAdmission):
     """Queue two new requests and ten retries at each group, in the order of arrival."""
 
     name = "long queue for retries"
@@ -86,14 +96,14 @@
     }
 
 
-class ShortQueueForAll(Shipped):
+class ShortQueueForAll(WithoutAdmission):
     """Queue two requests of any class at each group, in the order of arrival."""
 
     name = "queue of two for all"
     limits_by_class = dict.fromkeys(AdmissionClass, QueueLimit(1.2, 0))
 
 
-class HeldForASlot(Shipped):
+class HeldForASlot(WithoutAdmission):
     """As shipped, but hold a new request without a free slot while it can still be on time."""
 
     name = "held for a slot"
@@ -206,6 +216,7 @@
     """Return a new instance of each compared policy."""
     return [
         Shipped(),
+        WithoutAdmission(),
         LongQueueForRetries(),
         ShortQueueForAll(),
         HeldForASlot(),
--- a/dev/oleanderhill_dev/model/scenario.py
+++ b/dev/oleanderhill_dev/model/scenario.py
@@ -54,6 +54,8 @@
     :param worth: value of an answer on time
     :param late_worth: value of a late answer
     :param spread: coefficient of variation of ``prompt`` and ``events``
+    :param priority: 0 is the most urgent
+    :param account: client account of the callers, empty for none
     """
 
     name: str
@@ -67,14 +69,20 @@
     worth: float
     late_worth: float
     spread: float = 0.8
+    priority: int = 0
+    account: str = ""
 
 
 class Burst(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A load peak: ``factor`` times as many callers from ``at`` for ``seconds``."""
+    """A load peak: ``factor`` times as many callers from ``at`` for ``seconds``.
+
+    :param kind: kind of request, empty for all
+    """
 
     at: float
     seconds: float
     factor: float
+    kind: str = ""
 
 
 class GroupLoss(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/dev/oleanderhill_dev/model/site.py
+++ b/dev/oleanderhill_dev/model/site.py
@@ -11,20 +11,26 @@
 from oleanderhill.groups.inventory import Instance, TargetHost
 from oleanderhill.routing.target_limits import CallKind, TargetLimits
 from oleanderhill.serving.admission_class import admission_class
+from oleanderhill.serving.admission_control import AdmissionControl
+from oleanderhill.serving.admission_demand import DemandCounts
+from oleanderhill.serving.applicant import Applicant, Decision, Refuse
 from oleanderhill.serving.placement import Candidate, LoadTracker
+from oleanderhill.serving.prediction import Prediction
+from oleanderhill.serving.reports import MAX_MESH_HOSTS
 from oleanderhill.serving.retries import SharedRetryBudget
 from oleanderhill.serving.retry_delay import retry_delay
+from oleanderhill.serving.shared_counters import SharedCounters
 from oleanderhill.serving.stall_timeout import stall_timeout_for
 from oleanderhill.settings.catalog import Repeatable, Route
 
 from .clockwork import VirtualClock
+from .connections import IdleConnections
 from .engines import EngineRequest, Group
+from .exchange import REPORT_INTERVAL, TOTAL_HOPS, exchange_counters, report_totals
+from .expected import expected_timing
 from .policies import PlacementRequest, Policy
 from .scenario import BackoffPeriod, GroupLoss, LimitPeriod, RequestKind, Scenario, validate
 
-REPORT_INTERVAL = 0.05
-"""Seconds between two reports of a host, as in the product."""
-
 NETWORK_DELAY = 0.003
 """Seconds from a caller through an entry host to a group, and of a rejection on the way back."""
 
@@ -59,6 +65,7 @@
         self.scenario = scenario
         self.policy = policy
         self.clock = VirtualClock()
+        self.seed = seed
         self.rng = random.Random(seed)
         self.results: list[CallerResult] = []
         self.groups: dict[str, list[Group]] = {}
@@ -68,6 +75,7 @@
             self.groups[model.name] = [Group(n, model, scenario.engine, self.clock) for n in names]
             self.visible[model.name] = [Candidate(n, _target_host(n, model.slots)) for n in names]
         self.group_by_name = {g.name: g for groups in self.groups.values() for g in groups}
+        self._prediction_by_model = {m.name: expected_timing(scenario, m) for m in scenario.models}
         self.hosts = [EntryHost(self, f"entry-{n}") for n in range(scenario.entry_hosts)]
 
     def run(self) -> list[CallerResult]:
@@ -92,13 +100,24 @@
                 backoff_period.at + backoff_period.seconds,
                 partial(self._set_backoff, backoff_period, None),
             )
-        self.clock.call_later(REPORT_INTERVAL, self._report)
+        aggregated = len(self.hosts) > MAX_MESH_HOSTS
+        report = partial(report_totals, self) if aggregated else self._report
+        self.clock.call_later(REPORT_INTERVAL, report)
+        self.clock.call_later(REPORT_INTERVAL, partial(exchange_counters, self))
         self.clock.run(self.scenario.seconds + 12.0)
         return self.results
 
+    def prediction(self, model: str, now: float) -> Prediction | None:
+        """Return the timing of a model's groups that follows from its mean requests."""
+        return self._prediction_by_model[model]
+
     def _schedule_caller(self, kind: RequestKind) -> None:
         now = self.clock.now
-        factors = [b.factor for b in self.scenario.bursts if b.at <= now < b.at + b.seconds]
+        factors = [
+            b.factor
+            for b in self.scenario.bursts
+            if b.at <= now < b.at + b.seconds and b.kind in ("", kind.name)
+        ]
         rate = kind.per_second * math.prod(factors)
         at = now + self.rng.expovariate(rate)
         if at < self.scenario.seconds:
@@ -160,7 +179,7 @@
 
 
 class EntryHost:
-    """One entry host: its load tracker and its share of the retry budget."""
+    """One entry host: its load tracker, its admission and its share of the retry budget."""
 
     def __init__(self, simulation: Simulation, name: str) -> None:
         self.simulation = simulation
@@ -169,8 +188,19 @@
             "here", random.Random(simulation.rng.random()), TargetLimits(name)
         )
         s = simulation.scenario
+        if s.entry_hosts > MAX_MESH_HOSTS:
+            self.tracker.peer_report_delay = TOTAL_HOPS * REPORT_INTERVAL
+        self.counters = SharedCounters(name, "here")
+        self.admission = AdmissionControl(
+            random.Random(f"admission/{simulation.seed}/{name}"),
+            DemandCounts(self.counters, lambda: s.entry_hosts),
+            self.tracker,
+            lambda: s.entry_hosts,
+            simulation.prediction,
+        )
         self.budget = SharedRetryBudget(s.retry_ratio, s.retry_slack, RETRY_WINDOW)
         self.budget.hosts = s.entry_hosts
+        self.connections = IdleConnections(simulation.clock)
 
 
 class Caller:
@@ -295,14 +325,26 @@
 
     def _request(self) -> PlacementRequest:
         request_class = admission_class(self._is_retry, self._attempts_sent, self._events_sent > 0)
-        return PlacementRequest(request_class, self._tried, self._caller.on_time_until)
+        return PlacementRequest(
+            request_class, self._tried, self._caller.on_time_until, self._host.connections.has
+        )
 
     def _send(self) -> None:
         if self.ended:
             return
         simulation, now, request = self._simulation, self._simulation.clock.now, self._request()
         candidates = simulation.visible[self._caller.kind.model]
-        chosen = simulation.policy.choose(self._host.tracker, candidates, request, now)
+        preferred: Sequence[Candidate] = ()
+        if candidates and not self._tried and simulation.policy.controls_admission:
+            decision = self._decide_admission(candidates, now)
+            if isinstance(decision, Refuse):
+                self._reject(candidates, now)
+                return
+            preferred = decision.candidates
+        choose, tracker = simulation.policy.choose, self._host.tracker
+        chosen = choose(tracker, preferred, request, now) if preferred else None
+        if chosen is None:
+            chosen = choose(tracker, candidates, request, now)
         if chosen is None and now < simulation.policy.hold_until(request):
             simulation.clock.call_later(HOLD_INTERVAL, self._send)
             return
@@ -314,9 +356,10 @@
         self._host.tracker.limits.take(chosen.incarnations, now)
         self._is_backoff_trial = self._host.tracker.backoffs.take(chosen.target)
         self._host.tracker.begin(chosen.target)
+        self._host.connections.take(chosen.host.address)
         events_left = self._caller.events - self._events_sent
         prompt = self._caller.prompt + self._events_sent * simulation.scenario.engine.stride
-        queue_rank = simulation.policy.queue_rank(request, now)
+        queue_rank = simulation.policy.queue_rank(request, now) + self._caller.kind.priority
         engine_request = EngineRequest(
             queue_rank,
             prompt,
@@ -336,6 +379,18 @@
             lambda: self._check_stall(engine_request),
         )
 
+    def _decide_admission(self, candidates: Sequence[Candidate], now: float) -> Decision:
+        """Return the shipped admission decision for a request that was not sent yet."""
+        kind = self._caller.kind
+        applicant = Applicant(
+            kind.model,
+            kind.priority,
+            kind.account,
+            admission_class(self._is_retry, 0, False),
+            self._caller.on_time_until,
+        )
+        return self._host.admission.decide_for(applicant, kind.model, candidates, now)
+
     def _reject(self, candidates: Sequence[Candidate], now: float) -> None:
         self.ended = True
         if self._events_sent:
@@ -345,7 +400,13 @@
             self._host.tracker.count_rejection(self._caller.kind.model, now)
         limited_for = self._host.tracker.limited_for(candidates, self._caller.kind.model, now)
         backoff_left = self._host.tracker.backoff_left(candidates, now)
-        retry_after = retry_delay(bool(candidates), self._simulation.rng, limited_for, backoff_left)
+        model, admission = self._caller.kind.model, self._host.admission
+        controlled = self._simulation.policy.controls_admission
+        backlog_for = admission.return_delay(model, now) if controlled else 0.0
+        retry_after = retry_delay(
+            bool(candidates), self._simulation.rng, limited_for, backoff_left, backlog_for
+        )
+        admission.told_to_return(model, now + retry_after)
         self._caller.on_rejected(retry_after)
 
     def _on_rejected(self, backoff: float) -> None:
@@ -384,6 +445,7 @@
 
     def _on_end(self) -> None:
         self._release()
+        self._host.admission.completed(self._caller.kind.model, self._simulation.clock.now)
         self.ended = True
         self._caller.on_complete()
 
@@ -392,6 +454,7 @@
             self._engine_request.finished = True
             self._engine_request = None
             self._host.tracker.end(self._target)
+            self._host.connections.put(self._target)
             if self._is_backoff_trial:
                 self._host.tracker.backoffs.trial_ended(self._target)
                 self._is_backoff_trial = False
@@ -431,7 +494,7 @@
 
 
 def _target_host(name: str, slots: int) -> TargetHost:
-    return TargetHost(Instance(name), "pool", "10.0.0.1:1", "here", False, slots, "d")
+    return TargetHost(Instance(name), "pool", name, "here", False, slots, "d")
 
 
 def _route(kind: RequestKind) -> Route:
--- a/src/oleanderhill/exposition.py
+++ b/src/oleanderhill/exposition.py
@@ -27,8 +27,18 @@
             buckets=LATENCY_BUCKETS,
             registry=self._registry,
         )
+        self._admissions = Counter(
+            "oleanderhill_admissions",
+            "Admission decisions by outcome and priority",
+            ["outcome", "priority"],
+            registry=self._registry,
+        )
         self._server: HTTPServer | None = None
 
+    def admission(self, outcome: str, priority: int) -> None:
+        """Count an admission decision."""
+        self._admissions.labels(outcome, priority).inc()
+
     def request(self, route: str, outcome: str, seconds: float) -> None:
         """Record the outcome and the duration of a request."""
         self._outcomes.labels(route, outcome).inc()
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -37,6 +37,8 @@
 from ..routing.backoffs import Backoffs
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
+from ..serving.admission_control import AdmissionControl
+from ..serving.admission_demand import DemandCounts
 from ..serving.context import ForwardingContext
 from ..serving.driver import Exchange
 from ..serving.forwarding import Notice
@@ -46,6 +48,7 @@
 from ..serving.leaving import LeavingTargets
 from ..serving.notices import TargetNotices
 from ..serving.placement import Candidate, LoadTracker
+from ..serving.pool_capacity import pool_of
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
 from ..serving.shared_counters import SharedCounters
@@ -126,6 +129,15 @@
         self._counters = SharedCounters(s.host, s.data_centre)
         limits = TargetLimits(s.host)
         self._book = LoadTracker(s.data_centre, rng, limits, Backoffs())
+        self._demand = DemandCounts(self._counters, self._entry_hosts)
+        self._admission = AdmissionControl(
+            rng,
+            self._demand,
+            self._book,
+            self._entry_hosts,
+            self._view.prediction,
+            self.exposition.admission,
+        )
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -207,6 +219,7 @@
             self.exposition.request,
             self._quarantine,
             self._notices,
+            self._admission,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -315,7 +328,14 @@
         now = time.monotonic()
         limited_for = self._book.limited_for(candidates, model, now)
         backoff_left = self._book.backoff_left(candidates, now)
-        return self._view.retry_delay(service, model, limited_for, backoff_left)
+        pool = pool_of(candidates, model) if candidates else ""
+        backlog_for = self._admission.return_delay(pool, now)
+        delay = self._view.retry_delay(service, model, limited_for, backoff_left, backlog_for)
+        self._admission.told_to_return(pool, now + delay)
+        return delay
+
+    def _entry_hosts(self) -> int:
+        return len(self._presence.alive())
 
     async def _check_target(self, name: str, address: str) -> ListenStatus:
         """Check whether a target with lost connections is up and is the same incarnation."""
@@ -463,6 +483,16 @@
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
+        register(
+            "short_pools",
+            "Models and services whose room was nearly used up lately",
+            lambda: self._demand.tight_pools(time.monotonic()),
+        )
+        register(
+            "admission_counts_unreadable",
+            "Counts of other entry hosts that could not be read",
+            lambda: self._demand.unreadable,
+        )
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
 
--- a/src/oleanderhill/serving/applicant.py
+++ b/src/oleanderhill/serving/applicant.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from .admission_class import AdmissionClass
+from .placement import Candidate
 
 
 class Applicant(NamedTuple):
@@ -27,8 +29,8 @@
     """Capacity of the targets of one pool over all entry hosts.
 
     :param slots: requests that its usable targets run concurrently
-    :param free: slots that are not taken by the requests known to be in flight
-    :param slot_rate: slots that become free a second while all are taken
+    :param free: slots less the requests known to be in flight; negative if requests queue
+    :param slot_rate: slots that become free a second while all are taken, infinite if unknown
     :param report_delay: seconds by which the counts of other entry hosts lag
     """
 
@@ -39,27 +41,21 @@
 
 
 class Go(NamedTuple):
-    """The request may be sent now."""
+    """The request may be sent now.
 
-
-class Wait(NamedTuple):
-    """The request waits at the entry host and is decided again.
-
-    :param until: monotonic time of the next decision at the latest
+    :param candidates: targets to choose among first, empty for all
     """
 
-    until: float
+    candidates: Sequence[Candidate] = ()
 
 
 class Refuse(NamedTuple):
     """The request is rejected.
 
-    :param retry_after: seconds after which its caller may retry
     :param reason: the inputs behind the decision, for the log
     """
 
-    retry_after: float
     reason: str
 
 
-Decision = Go | Wait | Refuse
+Decision = Go | Refuse
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -7,6 +7,7 @@
 
 from ..clients.httpcall import HttpCaller
 from ..records import Records
+from .admission_control import AdmissionControl
 from .forwarding import Codec
 from .notices import TargetNotices
 from .placement import Candidate, LoadTracker
@@ -34,3 +35,4 @@
     report: Callable[[str, str, float], None]
     quarantine: QuarantineTask
     notices: TargetNotices
+    admission: AdmissionControl
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -39,12 +39,14 @@
 from ..types import Member
 from .admission import Accepted
 from .admission_class import AdmissionClass, QueueLimit, admission_class, queue_limit
+from .applicant import Applicant, Decision, Go, Refuse
 from .attempt import Attempt
 from .context import ForwardingContext
 from .events import EventSequence
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
 from .placement import Candidate
+from .pool_capacity import pool_of
 from .retries import SharedRetryBudget
 from .stall_timeout import stall_timeout_for
 from .target_limits import StatementSource
@@ -102,6 +104,7 @@
         self._longest_pause = 0.0
         self._permit: Permit | None = None
         self._hold_reason = ""
+        self._pool = ""
         self._on_trial = False
         self._tried_targets: set[str] = set()
         self._attempt_log: list[str] = []
@@ -191,12 +194,18 @@
         now = time.monotonic()
         connected = self.context.caller.has_idle_connection
         spread = self._connection_lost or self.context.quarantine.crash_count(self._identity) > 0
-        found = self.context.book.choose(
-            candidates, self._tried_targets, now, queue_limit, connected, spread
-        )
+        found, decision = None, self._decide_admission(candidates, now)
+        among = () if isinstance(decision, Refuse) else (decision.candidates, candidates)
+        for part in among:
+            if part and found is None:
+                found = self.context.book.choose(
+                    part, self._tried_targets, now, queue_limit, connected, spread
+                )
         if found is None:
             no_capacity = bool(candidates)
             reason = self._describe_no_capacity(candidates) if no_capacity else "no target serves"
+            if isinstance(decision, Refuse):
+                reason = decision.reason
             if not self.machine.attempts_sent:
                 self.context.book.count_rejection(self._incoming.facts.model, time.monotonic())
             return NoChoice(reason, no_capacity, no_capacity)
@@ -206,6 +215,22 @@
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(found.target, 0, member, host.data_centre, "least busy")
 
+    def _decide_admission(self, candidates: Sequence[Candidate], now: float) -> Decision:
+        """Return whether the request may be sent; one that was sent before may be sent again."""
+        if not candidates or self._tried_targets:
+            return Go()
+        model, route = self._incoming.facts.model, self._accepted.route
+        account = self._accepted.account
+        self._pool = pool_of(candidates, model)
+        applicant = Applicant(
+            self._pool,
+            self._accepted.priority,
+            "" if account is None else account.name,
+            self._admission_class(),
+            self._incoming.arrived + route.latency_goal,
+        )
+        return self.context.admission.decide_for(applicant, model, candidates, now)
+
     def _describe_no_capacity(self, candidates: Sequence[Candidate]) -> str:
         """Describe why no target accepts the request, with the counts behind it."""
         now = time.monotonic()
@@ -416,6 +441,7 @@
         )
 
     def _deliver(self) -> None:
+        self.context.admission.completed(self._pool, time.monotonic())
         if self._sink.started:
             self._sink.end()
             self._log_outcome("answered", True, 200)
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -220,6 +220,10 @@
         """Return whether any entry host is known to have a request in flight."""
         return bool(self._own) or any(counts for _, counts in self._peers.values())
 
+    def hears_peers(self) -> bool:
+        """Return whether the load of other entry hosts was reported lately."""
+        return bool(self._peers)
+
     def load(self, target: str, now: float) -> int:
         """Return the known number of requests in flight at a target."""
         total = self._own.get(target, 0)
--- a/src/oleanderhill/serving/retry_delay.py
+++ b/src/oleanderhill/serving/retry_delay.py
@@ -26,17 +26,20 @@
     rng: random.Random,
     limited_for: float | None = None,
     backoff_left: float | None = None,
+    backlog_for: float = 0.0,
 ) -> float:
     """Return the seconds after which a rejected caller may retry.
 
     :param serves: whether some target serves what the request asks for
     :param limited_for: seconds until a target has capacity, where all have a rate limit
     :param backoff_left: seconds until the first back-off ends, where this host backs off from all
+    :param backlog_for: seconds until slots are left for the callers that were rejected before
     """
     if backoff_left is not None:
         # The jitter only lengthens this delay, so that no retry arrives during the back-off.
         return min(MAX_DELAY, max(BUSY_DELAY, backoff_left)) * (1 + 2 * JITTER * rng.random())
     base = BUSY_DELAY if serves else OUTAGE_DELAY
+    base = max(base, min(MAX_DELAY, backlog_for))
     if limited_for is not None:
         base = min(MAX_DELAY, max(BUSY_DELAY, limited_for))
     return base * (1 - JITTER + 2 * JITTER * rng.random())
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -142,21 +142,27 @@
             return None
         return max_waiting(prediction, goal, self._slots) / max(1, self._slots)
 
+    def prediction(self, model: str, now: float) -> Prediction | None:
+        """Return the configured timing of a full group of a model, ``None`` if unknown."""
+        return self._prediction_by_model.get(model)
+
     def retry_delay(
         self,
         service: str,
         model: str,
         limited_for: float | None = None,
         backoff_left: float | None = None,
+        backlog_for: float = 0.0,
     ) -> float:
         """Return the seconds after which a rejected caller may retry, with random jitter.
 
         :param limited_for: seconds until a target has capacity, if all of them are rate limited
         :param backoff_left: seconds until the first target may be tried, if this host backs off
             from all of them
+        :param backlog_for: seconds until slots are left for the callers that were rejected before
         """
         serves = bool(self.candidates(service, model))
-        return retry_delay(serves, self._rng, limited_for, backoff_left)
+        return retry_delay(serves, self._rng, limited_for, backoff_left, backlog_for)
 
     def groups_by_model(self) -> dict[str, int]:
         """Return the number of serving groups by model."""
