--- a/src/oleanderhill/serving/admission_control.py
+++ b/src/oleanderhill/serving/admission_control.py
@@ -32,6 +32,10 @@
 MIN_FILL_SECONDS = 0.1
 """Lower bound of the time in which free slots are given away, for hosts with exact counts."""
 
+SPARE_FRACTION = 0.05
+"""Fraction of the slots that stays free under shortage. How the requests spread over the targets is
+known only as of a report delay ago, and who has to queue is late."""
+
 FLOOR_FRACTION = 0.05
 """Fraction of the room that first attempts of each priority get at least, so that none starves."""
 
@@ -65,7 +69,8 @@
 def admission_rate(capacity: PoolCapacity) -> float:
     """Return the requests a second that all entry hosts together may admit."""
     fill_seconds = max(MIN_FILL_SECONDS, DELAYS_TO_FILL * capacity.report_delay)
-    return max(0.0, capacity.slot_rate + capacity.free / fill_seconds)
+    free = capacity.free - SPARE_FRACTION * capacity.slots
+    return max(0.0, capacity.slot_rate + free / fill_seconds)
 
 
 def divide(room: float, slot_rate: float, demand: Demand, rank: Rank, account: str) -> Admission:
@@ -186,13 +191,16 @@
         """Return the capacity of the targets over all entry hosts.
 
         A host that hears no load of others sees its own requests only. It takes its part of the
-        slots, as its callers are a part of all.
+        slots, as its callers are a part of all, and what their number varies by.
         """
         deaf, hosts = self._is_deaf(), max(1, self._expected_hosts())
         slot_time = self._slot_time_by_pool.setdefault(pool, SlotTime())
         slot_time.observe(load.busy, self._counts.completions(pool, now, deaf), now)
         seconds = slot_time.seconds(predicted_slot_seconds(self._prediction(model, now), load))
-        slots = load.slots / hosts if deaf else load.slots
+        slots = load.slots
+        if deaf:
+            part = load.slots / hosts
+            slots = min(load.slots, part + 2.0 * math.sqrt(part))
         slot_rate = slots / seconds if seconds else math.inf
         self._slot_rate_by_pool[pool] = slot_rate
         delay = 0.0 if deaf or hosts == 1 else self._book.peer_report_delay
--- a/src/oleanderhill/serving/admission_demand.py
+++ b/src/oleanderhill/serving/admission_demand.py
@@ -20,6 +20,8 @@
 """Families of shared counters: arrivals a second by rank and by account, completions a second, and
 rejected callers that have yet to return."""
 
+FAMILIES = (ARRIVALS, ACCOUNTS, COMPLETIONS, RETURNING)
+
 ARRIVAL_SECONDS = 0.5
 """Window of the arrival rates: short, so that a burst is known soon after it begins."""
 
@@ -29,6 +31,10 @@
 REFRESH_SECONDS = 0.05
 """Seconds for which the sums over all entry hosts are reused."""
 
+HEARD_FRACTION = 0.9
+"""Fraction of the entry hosts whose counts suffice as the sum. Below it the rest is estimated, as
+after a restart and beside hosts of an older version, which don't report counts."""
+
 MAX_PRIORITY = 9
 """Largest priority that is told apart; less urgent ones count as this one."""
 
@@ -81,6 +87,15 @@
     return Rank(late, max(0, min(MAX_PRIORITY, applicant.priority)))
 
 
+def _extrapolate(rate: float, factor: float) -> float:
+    """Return a rate over all hosts that a sample shows with some certainty.
+
+    A host that has seen two requests doesn't conclude that all hosts have.
+    """
+    count = rate * ARRIVAL_SECONDS
+    return max(0.0, count - 2.0 * math.sqrt(count)) * factor / ARRIVAL_SECONDS
+
+
 class DemandCounts:
     """Counts what arrives here, and sums it over all entry hosts.
 
@@ -158,16 +173,20 @@
         if now - self._refreshed_at < REFRESH_SECONDS:
             return
         self._refreshed_at = now
-        hosts = self._counters.hosts
-        # Hosts of an older version report nothing; they are taken to get as many requests.
-        scale = 1.0 / hosts if alone else max(1.0, self._expected_hosts() / hosts)
-        totals = {
-            family: {s: v * scale for s, v in self._counters.total(family, now).items()}
-            for family in (ARRIVALS, ACCOUNTS, COMPLETIONS, RETURNING)
-        }
-        self._completions_by_pool = totals[COMPLETIONS]
-        self._returning_by_pool = totals[RETURNING]
-        self._demand_by_pool = self._read_demand(totals[ARRIVALS], totals[ACCOUNTS])
+        hosts, expected = self._counters.hosts, self._expected_hosts()
+        total = {f: self._counters.total(f, now) for f in FAMILIES}
+        if alone:
+            total = {
+                f: {s: v / hosts for s, v in by_subject.items()} for f, by_subject in total.items()
+            }
+        elif hosts < expected * HEARD_FRACTION:
+            for family in (ARRIVALS, ACCOUNTS):
+                by_subject = total[family].items()
+                total[family] = {s: _extrapolate(v, expected / hosts) for s, v in by_subject}
+            total[COMPLETIONS] = {}
+        self._completions_by_pool = total[COMPLETIONS]
+        self._returning_by_pool = total[RETURNING]
+        self._demand_by_pool = self._read_demand(total[ARRIVALS], total[ACCOUNTS])
 
     def _read_demand(
         self, arrivals: Mapping[str, float], accounts: Mapping[str, float]
