--- a/src/oleanderhill/serving/admission_control.py
+++ b/src/oleanderhill/serving/admission_control.py
@@ -42,8 +42,9 @@
 MIN_RATE = 1.0
 """Requests a second that are assumed of a rank whose first request has just arrived."""
 
-TIGHT_FRACTION = 0.8
-"""Fraction of the room from which on hosts report arrivals by account."""
+TIGHT_FRACTION = 0.95
+"""Arrivals, as a fraction of the slots that become free, from which on requests are spread by room
+and hosts report arrivals by account."""
 
 MIN_RETURN_FRACTION = 0.1
 """Fraction of the slots that become free that rejected callers are expected to get at least, if
@@ -159,9 +160,10 @@
         self._counts.arrived(applicant, rank, now)
         demand = self._counts.demand(applicant.pool, now, self._is_deaf())
         room = admission_rate(capacity)
-        if demand.total > TIGHT_FRACTION * room:
+        if demand.total > TIGHT_FRACTION * capacity.slot_rate:
             self._counts.mark_tight(applicant.pool, now)
-        if demand.total <= room:
+        if demand.total <= room or demand.up_to(rank) <= capacity.slot_rate:
+            # A pool that is full for a moment without a shortage is left to the placement.
             return Go()
         admission = divide(room, capacity.slot_rate, demand, rank, applicant.account)
         if admission.probability >= 1.0 or self._rng.random() < admission.probability:
@@ -195,8 +197,9 @@
         """
         deaf, hosts = self._is_deaf(), max(1, self._expected_hosts())
         slot_time = self._slot_time_by_pool.setdefault(pool, SlotTime())
+        predicted = predicted_slot_seconds(self._prediction(model, now), load)
         slot_time.observe(load.busy, self._counts.completions(pool, now, deaf), now)
-        seconds = slot_time.seconds(predicted_slot_seconds(self._prediction(model, now), load))
+        seconds = slot_time.seconds(predicted, now)
         slots = load.slots
         if deaf:
             part = load.slots / hosts
--- a/src/oleanderhill/serving/admission_demand.py
+++ b/src/oleanderhill/serving/admission_demand.py
@@ -72,6 +72,10 @@
         """Return all arrivals a second."""
         return sum(self.by_rank.values())
 
+    def up_to(self, rank: Rank) -> float:
+        """Return the arrivals a second of a rank and those that go before it."""
+        return sum(rate for other, rate in self.by_rank.items() if other <= rank)
+
     @property
     def first_attempts(self) -> float:
         """Return the first attempts a second."""
--- a/src/oleanderhill/serving/pool_capacity.py
+++ b/src/oleanderhill/serving/pool_capacity.py
@@ -9,9 +9,9 @@
 from .placement import MAX_SUSPECT_FRACTION, Candidate, LoadTracker
 from .prediction import Prediction
 
-MEMORY_SECONDS = 4.0
+MEMORY_SECONDS = 10.0
 """Time constant of the averages: several times the duration of a request, as completions follow the
-taken slots by that time when the load rises."""
+taken slots by that time when the load changes."""
 
 MIN_COMPLETIONS = 8.0
 """Completions a second, over all entry hosts, from which on they tell the slot time."""
@@ -57,7 +57,8 @@
     room_by_target: dict[str, float] = {}
     for candidate in usable:
         load = book.load(candidate.target, now)
-        own_slots = candidate.host.slots - book.slots_lost_to_limits(candidate)
+        lost = book.slots_lost_to_limits(candidate) if book.limits.known else 0.0
+        own_slots = candidate.host.slots - lost
         slots += own_slots
         in_flight += load
         busy += min(load, own_slots)
@@ -73,28 +74,34 @@
     """
 
     def __init__(self) -> None:
-        self._at = -math.inf
+        self._began_at: float | None = None
+        self._at = 0.0
         self._busy = 0.0
         self._completions = 0.0
 
     def observe(self, busy: float, completions: float, now: float) -> None:
         """Record the taken slots and the completions a second over all entry hosts."""
+        if self._began_at is None:
+            self._began_at = self._at = now
         weight = 1.0 - math.exp(-max(0.0, now - self._at) / MEMORY_SECONDS)
         self._at = now
         self._busy += weight * (busy - self._busy)
         self._completions += weight * (completions - self._completions)
 
-    def seconds(self, predicted: float | None) -> float | None:
+    def seconds(self, predicted: float | None, now: float) -> float | None:
         """Return the seconds that a request takes a slot, ``None`` if unknown.
 
         :param predicted: the same from the configuration, ``None`` if it has no timing
         """
-        if self._completions < MIN_COMPLETIONS or self._busy <= 0.0:
+        watched = 0.0 if self._began_at is None else now - self._began_at
+        known = 1.0 - math.exp(-max(0.0, watched) / MEMORY_SECONDS)
+        if self._completions < MIN_COMPLETIONS * known or self._busy <= 0.0:
             return predicted
-        observed = self._busy / self._completions
+        observed = self._busy / max(1e-9, self._completions)
         if predicted is None:
-            return observed
-        return min(predicted * MAX_DEVIATION, max(predicted / MAX_DEVIATION, observed))
+            return observed if watched >= MEMORY_SECONDS else None
+        bounded = min(predicted * MAX_DEVIATION, max(predicted / MAX_DEVIATION, observed))
+        return predicted + known * (bounded - predicted)
 
 
 def predicted_slot_seconds(prediction: Prediction | None, load: PoolLoad) -> float | None:
