--- a/src/oleanderhill/serving/admission_control.py
+++ b/src/oleanderhill/serving/admission_control.py
@@ -46,6 +46,10 @@
 """Arrivals, as a fraction of the slots that become free, from which on requests are spread by room
 and hosts report arrivals by account."""
 
+LATE_FRACTION = 0.8
+"""Fraction of the slots that become free up to which retries go beside first attempts. Slots that
+are free for a moment are left to the next first attempts."""
+
 MIN_RETURN_FRACTION = 0.1
 """Fraction of the slots that become free that rejected callers are expected to get at least, if
 first attempts take all."""
@@ -78,11 +82,10 @@
     """Return the part of the room that a request of a rank and account gets.
 
     :param room: requests a second that all entry hosts together may admit
-    :param slot_rate: slots that become free a second. Retries get nothing beyond it: slots that are
-        free for a moment are left to the next first attempts
+    :param slot_rate: slots that become free a second
     """
     if rank.late:
-        room = min(room, slot_rate)
+        room = min(room, LATE_FRACTION * slot_rate)
     rate_by_rank = dict(sorted(({rank: MIN_RATE} | dict(demand.by_rank)).items()))
     floors = [0.0 if r.late else FLOOR_FRACTION * room for r in rate_by_rank]
     allotted_by_rank = allocate(room, list(rate_by_rank.values()), floors)
@@ -216,7 +219,7 @@
             return 0.0
         deaf = self._is_deaf()
         first_attempts = self._counts.demand(pool, now, deaf).first_attempts
-        left = max(slot_rate - first_attempts, MIN_RETURN_FRACTION * slot_rate)
+        left = max(LATE_FRACTION * slot_rate - first_attempts, MIN_RETURN_FRACTION * slot_rate)
         return self._counts.returning(pool, now, deaf) / left
 
     def told_to_return(self, pool: str, at: float) -> None:
