--- a/src/oleanderhill/serving/admission_control.py
+++ b/src/oleanderhill/serving/admission_control.py
@@ -21,7 +21,7 @@
 from .admission_demand import FOLDED, Demand, DemandCounts, Rank, rank_of
 from .applicant import Applicant, Decision, Go, PoolCapacity, Refuse
 from .fair_share import allocate, max_min_level
-from .placement import Candidate, LoadTracker
+from .placement import HERD_LIMIT, Candidate, LoadTracker
 from .pool_capacity import PoolLoad, SlotTime, pool_load, predicted_slot_seconds
 from .prediction import Prediction
 
@@ -183,14 +183,17 @@
         """Return a candidate drawn in proportion to its room when the counts have caught up.
 
         If all hosts sent to the targets that they know to be least loaded, these would get all
-        requests of a report delay.
+        requests of a report delay. Where these are few, the least loaded one is the best.
         """
-        freed = capacity.slot_rate * capacity.report_delay / max(1.0, capacity.slots)
+        unreported = capacity.slot_rate * capacity.report_delay
+        if not HERD_LIMIT < unreported < math.inf:
+            return ()
+        freed = unreported / max(1.0, capacity.slots)
         weights = [
             max(0.0, load.room_by_target.get(c.target, -math.inf) + c.host.slots * freed)
             for c in candidates
         ]
-        return self._rng.choices(candidates, weights) if any(weights) else candidates
+        return self._rng.choices(candidates, weights) if any(weights) else ()
 
     def _capacity(self, pool: str, model: str, load: PoolLoad, now: float) -> PoolCapacity:
         """Return the capacity of the targets over all entry hosts.
