--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -258,10 +258,18 @@
         until = self._suspect_until.get(target, 0.0)
         return max(until, self._peer_suspect_until.get(target, 0.0)) > now
 
+    def is_avoided(self, target: str, now: float) -> bool:
+        """Return whether a target was observed to stall, or answers with failures."""
+        return self.is_suspect(target, now) or self.failing.is_failing(target, now)
+
     def has_load(self) -> bool:
         """Return whether any entry host is known to have a request in flight."""
         return bool(self._own) or any(counts for _, counts in self._peers.values())
 
+    def hears_peers(self) -> bool:
+        """Return whether the load of other entry hosts was reported lately."""
+        return bool(self._peers)
+
     def load(self, target: str, now: float) -> int:
         """Return the known number of requests in flight at a target."""
         total = self._own.get(target, 0)
@@ -325,8 +333,7 @@
 
     def _is_doubtful(self, candidate: Candidate, now: float) -> bool:
         until = self._peer_backoff_until.get(candidate.incarnations[0], 0.0)
-        failing = self.failing.is_failing(candidate.target, now)
-        return failing or until > now or self.is_suspect(candidate.target, now)
+        return until > now or self.is_avoided(candidate.target, now)
 
     def _within_limits(self, candidates: Sequence[Candidate], now: float) -> Sequence[Candidate]:
         if not self.limits.known:
