--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -43,6 +43,8 @@
 from ..routing.limit_scope import WindowBound
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
+from ..serving.admission_control import AdmissionControl
+from ..serving.admission_demand import DemandCounts
 from ..serving.cold_targets import ColdTargets
 from ..serving.context import ForwardingContext
 from ..serving.driver import Exchange
@@ -54,6 +56,7 @@
 from ..serving.leaving import LeavingTargets
 from ..serving.notices import TargetNotices
 from ..serving.placement import Candidate, LoadTracker
+from ..serving.pool_capacity import pool_of
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
 from ..serving.shared_counters import SharedCounters
@@ -155,6 +158,15 @@
         self._counters.register(FAILURES, failing.own_failures)
         self._counters.register(ANSWERS, failing.own_answers)
         self._book = LoadTracker(s.data_centre, rng, limits, Backoffs(), failing, self._timing)
+        self._demand = DemandCounts(self._counters, self._entry_hosts)
+        self._admission = AdmissionControl(
+            rng,
+            self._demand,
+            self._book,
+            self._entry_hosts,
+            self._view.prediction,
+            self.exposition.admission,
+        )
         own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
@@ -242,6 +254,7 @@
             self._evacuations,
             self._view.evacuated_candidates,
             self._timing,
+            self._admission,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -363,7 +376,14 @@
         now = time.monotonic()
         limited_for = self._book.limited_for(candidates, model, now)
         backoff_left = self._book.backoff_left(candidates, now)
-        return self._view.retry_delay(service, model, limited_for, backoff_left)
+        pool = pool_of(candidates, model) if candidates else ""
+        backlog_for = self._admission.return_delay(pool, now)
+        delay = self._view.retry_delay(service, model, limited_for, backoff_left, backlog_for)
+        self._admission.told_to_return(pool, now + delay)
+        return delay
+
+    def _entry_hosts(self) -> int:
+        return len(self._presence.alive())
 
     async def _check_target(self, name: str, address: str) -> ListenStatus:
         """Check whether a target with lost connections is up and is the same incarnation."""
@@ -521,6 +541,16 @@
             "Targets that are avoided because they answer with failures",
             lambda: len(self._book.failing.avoided(time.monotonic())),
         )
+        register(
+            "short_pools",
+            "Models and services whose room was nearly used up lately",
+            lambda: self._demand.tight_pools(time.monotonic()),
+        )
+        register(
+            "admission_counts_unreadable",
+            "Counts of other entry hosts that could not be read",
+            lambda: self._demand.unreadable,
+        )
         self._evacuations.show(self.exposition)
         self._timing.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -8,6 +8,7 @@
 from ..clients.httpcall import HttpCaller
 from ..groups.evacuations import Evacuations
 from ..records import Records
+from .admission_control import AdmissionControl
 from .forwarding import Codec
 from .notices import TargetNotices
 from .placement import Candidate, LoadTracker
@@ -42,3 +43,4 @@
     evacuations: Evacuations
     evacuated_candidates: Callable[[str, str], Sequence[Candidate]]
     timing: Timing
+    admission: AdmissionControl
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -43,12 +43,14 @@
 from ..types import Member
 from .admission import Accepted
 from .admission_class import AdmissionClass, QueueLimit, admission_class, queue_limit
+from .applicant import Applicant, Decision, Go, Refuse
 from .attempt import Attempt
 from .context import ForwardingContext
 from .events import EventSequence
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
 from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS, Candidate
+from .pool_capacity import pool_of
 from .request_times import RequestTimes
 from .retries import SharedRetryBudget
 from .stall_timeout import max_load_elsewhere, stall_timeout_for
@@ -112,6 +114,7 @@
         self._longest_pause = 0.0
         self._permit: Permit | None = None
         self._hold_reason = ""
+        self._pool = ""
         self._on_trial = False
         self._target_failed = False
         self._chosen: Candidate | None = None
@@ -222,18 +225,22 @@
         now = time.monotonic()
         connected = self.context.caller.has_idle_connection
         spread = self._connection_lost or self.context.quarantine.crash_count(self._identity) > 0
-        found = self.context.book.choose(
-            candidates, self._tried_targets, now, queue_limit, connected, spread
-        )
-        if found is None and (evacuated := self._still_open()):
-            found = self.context.book.choose(
-                evacuated, self._tried_targets, now, queue_limit, connected, spread
-            )
+        evacuated = self._still_open()
+        found, decision = None, self._decide_admission([*candidates, *evacuated], now)
+        drawn = () if isinstance(decision, Refuse) else decision.candidates
+        among = () if isinstance(decision, Refuse) else (drawn, candidates, evacuated)
+        for part in among:
+            if part and found is None:
+                found = self.context.book.choose(
+                    part, self._tried_targets, now, queue_limit, connected, spread
+                )
         if found is None:
             no_capacity = bool(candidates)
             reason = (
                 self._describe_no_capacity(candidates) if no_capacity else self._describe_none()
             )
+            if isinstance(decision, Refuse):
+                reason = decision.reason
             if not self.machine.attempts_sent:
                 self.context.book.count_rejection(self._incoming.facts.model, time.monotonic())
             return NoChoice(reason, no_capacity, no_capacity)
@@ -261,6 +268,22 @@
         names = self.context.evacuations.names()
         return f"no target serves outside the evacuated data centres: {names}"
 
+    def _decide_admission(self, candidates: Sequence[Candidate], now: float) -> Decision:
+        """Return whether the request may be sent; one that was sent before may be sent again."""
+        if not candidates or self._tried_targets:
+            return Go()
+        model, route = self._incoming.facts.model, self._accepted.route
+        account = self._accepted.account
+        self._pool = pool_of(candidates, model)
+        applicant = Applicant(
+            self._pool,
+            self._accepted.priority,
+            "" if account is None else account.name,
+            self._admission_class(),
+            self._incoming.arrived + route.latency_goal,
+        )
+        return self.context.admission.decide_for(applicant, model, candidates, now)
+
     def _describe_no_capacity(self, candidates: Sequence[Candidate]) -> str:
         """Describe why no target accepts the request, with the counts behind it."""
         now = time.monotonic()
@@ -495,6 +518,7 @@
         )
 
     def _deliver(self) -> None:
+        self.context.admission.completed(self._pool, time.monotonic())
         if self._sink.started:
             self._sink.end()
             self._log_outcome("answered", True, 200)
