--- a/dev/oleanderhill_dev/users/evacuation_mutants.py
+++ b/dev/oleanderhill_dev/users/evacuation_mutants.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from oleanderhill.clients import relay
-from oleanderhill.groups import closed_hosts, evacuations, forming
+from oleanderhill.groups import evacuations, forming, needs
 from oleanderhill.serving import driver, view
 
 from ..proving import Mutant, testing
@@ -61,14 +61,14 @@
         ),
         Mutant(
             "groups of an evacuated data centre are no supply",
-            [(closed_hosts.ClosedHosts, "supply", _supply_all)],
+            [(needs, "domain_state", _state_with_all)],
             testing(f"{site}.test_owners_do_not_count_its_groups_as_supply"),
         ),
     ]
 
 
-def _supply_all(self: Any, plans: Any) -> Any:
-    return (g for p in plans for g in p.groups)
+def _state_with_all(plan: Any, hosts: Any, closed: Any) -> Any:
+    return _STATE(plan, hosts)
 
 
 def _free_any(self: Any, now: float, plan: Any, hosts: Any) -> Any:
@@ -77,3 +77,4 @@
 
 
 _FREE = forming.DomainKeeper._free
+_STATE = needs.domain_state
--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -35,6 +35,7 @@
 
 from ..proving import Mutant, testing
 from . import (
+    capacity_mutants,
     cold_mutants,
     evacuation_mutants,
     notice_mutants,
@@ -161,6 +162,7 @@
         *notice_mutants.mutants(),
         *cold_mutants.mutants(),
         *restored_mutants.mutants(),
+        *capacity_mutants.mutants(),
         *timing_mutants.mutants(),
     ]
 
--- a/src/oleanderhill/groups/closed_hosts.py
+++ b/src/oleanderhill/groups/closed_hosts.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from .evacuations import Evacuations
 from .inventory import Instance, Inventory
-from .plans import DomainPlan, PlannedGroup
 
 
 class _Closed(NamedTuple):
@@ -30,6 +28,11 @@
         self._evacuations = evacuations
         self._closed_by_domain: dict[str, _Closed] = {}
 
+    @property
+    def any(self) -> bool:
+        """Return whether there may be such hosts: whether an evacuation is in force."""
+        return bool(self._evacuations.in_force)
+
     def of_domain(self, domain: str) -> frozenset[Instance]:
         """Return the hosts of a domain that are in an evacuated data centre."""
         if not self._evacuations.in_force:
@@ -43,9 +46,3 @@
         closed = frozenset(i for i, h in hosts if self._evacuations.includes(h.data_centre))
         self._closed_by_domain[domain] = _Closed(*changes, closed)
         return closed
-
-    def supply(self, plans: Iterable[DomainPlan]) -> Iterator[PlannedGroup]:
-        """Yield the groups of some domains that have no member in an evacuated data centre."""
-        for plan in plans:
-            closed = self.of_domain(plan.domain) if self._evacuations.in_force else None
-            yield from (g for g in plan.groups if not closed or closed.isdisjoint(g.members))
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -14,10 +14,10 @@
 
 from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
-from enum import StrEnum
 
 from .actions import Action, Join, Leave, Open, Order, OrderOutcome, Replan, Stage
 from .composing import (
+    Composition,
     FreeHost,
     ModelNeed,
     desired_composition,
@@ -25,9 +25,13 @@
     next_initial_model,
     next_model,
 )
+from .faults import Fault
+from .giving_up import DomainView, GivingUp, formable
 from .inventory import Instance, MemberState, TargetHost
+from .needs import Fleet
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup
+from .running_dry import RunningDry
 from .spares import Spares
 
 ORDER_REPEAT_SECONDS = 1.2
@@ -64,28 +68,14 @@
 its hosts are reassigned."""
 
 
-class Fault(StrEnum):
-    """Reason to dissolve a group.
-
-    ``MEMBER_GONE``: a member is no longer listed. ``MEMBER_OUT``: after the group was complete, a
-    listed member reports another group or none. ``BROKEN``: a member reports the group as broken.
-    """
-
-    DISSOLVING = "being broken up"
-    MEMBER_SILENT = "member silent"
-    MEMBER_GONE = "member gone"
-    MEMBER_LEAVING = "member leaving"
-    MEMBER_OUT = "member out"
-    BROKEN = "broken"
-    NOT_FORMED = "not formed in time"
-
-
 class DomainKeeper:
     """Decides the actions of the owner of one domain."""
 
     def __init__(self, pacer: LoadPacer) -> None:
         self.pacer = pacer
         self._spares = Spares(pacer)
+        self._running_dry = RunningDry()
+        self._giving_up = GivingUp()
         self._ordered_at: dict[tuple[type[Order], Order], float] = {}
         self._planned_since: dict[str, float] = {}
         self._fault_since: dict[str, float] = {}
@@ -134,6 +124,7 @@
         initial: Mapping[str, int] | None,
         restarted: Collection[Instance] = (),
         closed: Collection[Instance] = (),
+        fleet: Fleet | None = None,
     ) -> list[Action]:
         """Return the actions to take now.
 
@@ -146,6 +137,7 @@
         :param closed: hosts of an evacuated data centre. They aren't assigned to groups and load
             nothing. Their groups stay planned, and those that still form go on once it is taken
             back
+        :param fleet: state of all domains, by which groups may be given up; ``None`` if not known
         """
         self._closed = closed
         loads_free = initial is not None
@@ -172,8 +164,17 @@
                 plan = plan.without_group(group.name)
             else:
                 actions.extend(self._order_members_out(now, group, host_by_instance))
-        actions.extend(self._remove_unplanned_members(now, plan, host_by_instance))
-        formed = self._form_new(now, plan, host_by_instance, needs, initial)
+        actions.extend(self._remove_unplanned_members(now, plan, host_by_instance, needs))
+        desired = desired_composition(plan.domain, len(host_by_instance), needs)
+        if fleet is not None and initial is None:
+            # Without the closed hosts, no group that has one of them is given up.
+            open_hosts = {i: h for i, h in host_by_instance.items() if i not in closed}
+            view = DomainView(plan, self._fault_free(plan), open_hosts, desired, fleet)
+            given_up = self._giving_up.decide(now, view, self._completed, needs)
+            if given_up is not None and not dissolved:
+                return [*actions, given_up]
+            needs = formable(view, self._free(now, plan, host_by_instance), needs)
+        formed = self._form_new(now, plan, host_by_instance, desired, needs, initial)
         if formed is not None or dissolved:
             reasons = [f"dissolved {d}" for d in dissolved]
             if formed is not None:
@@ -181,7 +182,7 @@
                 reasons.append(reason)
             return [*actions, Replan(plan, "; ".join(reasons))]
         if initial is None or initial:
-            actions.extend(self._prepare_spares(now, plan, host_by_instance, needs, loads_free))
+            actions += self._prepare_spares(now, plan, host_by_instance, desired, needs, loads_free)
         return actions
 
     def _prune(self, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> None:
@@ -299,15 +300,24 @@
         return [action for order in orders for action in self._order_if_due(now, order)]
 
     def _remove_unplanned_members(
-        self, now: float, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]
+        self,
+        now: float,
+        plan: DomainPlan,
+        hosts: Mapping[Instance, TargetHost],
+        needs: Sequence[ModelNeed],
     ) -> list[Action]:
-        """Order hosts to leave groups that are not planned: they reappeared, or joined late."""
+        """Order hosts to leave groups that are not planned: they reappeared, or joined late.
+
+        A whole group that serves first finishes its requests.
+        """
         held = {i for g in plan.groups for i in g.members}
-        actions: list[Action] = []
+        remaining = {i: h for i, h in hosts.items() if not self._has_left(now, h)}
+        closing = self._running_dry.observe(now, plan, remaining, needs)
+        actions = [a for order in closing for a in self._order_if_due(now, order)]
         for host in hosts.values():
             if host.instance in held or host.membership is None or self._has_left(now, host):
                 continue
-            if host.instance in self._spares.warming:
+            if host.instance in self._spares.warming or host.instance in self._running_dry.members:
                 continue
             membership = host.membership
             actions += self._order_if_due(
@@ -339,12 +349,12 @@
         now: float,
         plan: DomainPlan,
         hosts: Mapping[Instance, TargetHost],
+        desired: Composition,
         needs: Sequence[ModelNeed],
         initial: Mapping[str, int] | None,
     ) -> tuple[DomainPlan, str] | None:
         free = self._free(now, plan, hosts)
         fault_free = self._fault_free(plan)
-        desired = desired_composition(plan.domain, len(hosts), needs)
         reasons = []
         while True:
             if initial is not None:
@@ -396,11 +406,11 @@
         now: float,
         plan: DomainPlan,
         hosts: Mapping[Instance, TargetHost],
+        desired: Composition,
         needs: Sequence[ModelNeed],
         loads_free: bool,
     ) -> list[Action]:
         """Order free hosts to load weights and warm up for future groups."""
-        desired = desired_composition(plan.domain, len(hosts), needs)
         left = self._available_hosts(now, plan, hosts)
         wanted = loads_to_order(self._fault_free(plan), left, desired, needs)
         loads = self._spares.load(now, wanted, loads_free)
@@ -411,6 +421,11 @@
     ) -> list[FreeHost]:
         """Return the hosts in no fault-free group, including those that will be free shortly."""
         free = [self._spares.as_free(h, now) for h in self._free(now, plan, hosts)]
+        dry = [
+            self._spares.as_free(hosts[i], now)
+            for i in self._running_dry.members
+            if i not in self._closed
+        ]
         faulty = [g for g in plan.groups if g.name in self._fault_since]
         soon = [
             FreeHost(i, g.model, False)
@@ -421,7 +436,7 @@
             and not hosts[i].leaving
             and now >= self._avoid_until.get(i, 0.0)
         ]
-        return [*free, *soon]
+        return [*free, *soon, *(h._replace(available=False) for h in dry)]
 
 
 def _is_member(group: PlannedGroup, host: TargetHost) -> bool:
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -28,6 +28,7 @@
 from ..groups.closed_hosts import ClosedHosts
 from ..groups.evacuations import Evacuations
 from ..groups.inventory import Inventory, Removal
+from ..groups.needs import DemandReader
 from ..groups.owner import LoadLimits, OwnerTask
 from ..groups.ownership import PRESENCE_PREFIX, Presence, decode_presence
 from ..groups.plans import PLAN_PREFIX, PLAN_RETENTION_SECONDS, decode_plan, supersedes
@@ -234,8 +235,7 @@
             LoadLimits(s.load_window, s.load_factor),
             self._loads_exempt,
             lambda group: self._book.is_suspect(group, time.monotonic()),
-            self._view.demand,
-            self._view.occupied_groups,
+            DemandReader(self._view.demand, self._view.occupied_groups, self._view.demand_history),
             ClosedHosts(self._inventory, self._evacuations),
             records,
         )
@@ -414,6 +414,7 @@
             lambda target: self._book.load(target, at),
             lambda model: self._book.rejections(model, at),
             self._book.slots_lost_to_limits,
+            now,
         )
         self._timing.log_changes(self._records)
 
@@ -554,6 +555,10 @@
         self._timing.show(self.exposition)
         register("store_restored", "Times the store was restored", lambda: self._mirror.restored)
         register("serving_groups", "Groups", lambda: sum(self._view.groups_by_model().values()))
+        register("groups_given_up", "For other models", lambda: self._owner.groups_given_up)
+        by = self.exposition.gauge_by
+        by("model_groups", "Serving groups", "model", lambda: self._view.groups_by_model())
+        by("model_groups_surplus", "Beyond demand", "model", self._view.groups_beyond_demand)
 
 
 def main() -> None:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -525,7 +525,10 @@
 
     async def test_owners_do_not_count_its_groups_as_supply(self):
         def others():
-            needs = self.entry._owner._model_needs("d0", self.entry._catalog, {"pool"})
+            owner, catalog = self.entry._owner, self.entry._catalog
+            hosts = owner._engine_hosts.by_domain(catalog)
+            fleet = owner._available(hosts)
+            needs = owner._model_needs(boottime_seconds(), "d0", fleet, catalog, hosts["d0"])
             return {n.model: n.others for n in needs}
 
         before = others()
