Selecting the target of a request is a module of its own

TargetSelection decides (admission, then placement, then the targets of a data centre that is being handed over) and says why there is none; the driver keeps the attempts. The mutant of the check before the first byte follows.

--- a/dev/oleanderhill_dev/users/evacuation_mutants.py
+++ b/dev/oleanderhill_dev/users/evacuation_mutants.py
@@ -6,7 +6,7 @@
 
 from oleanderhill.clients import relay
 from oleanderhill.groups import evacuations, forming, needs
-from oleanderhill.serving import driver, view
+from oleanderhill.serving import selection, view
 
 from ..proving import Mutant, testing
 
@@ -25,7 +25,7 @@
         ),
         Mutant(
             "a chosen target is checked at the moment of sending",
-            [(driver.Exchange, "_evacuation_reason", lambda self, choice: "")],
+            [(selection.TargetSelection, "evacuation_reason", lambda self: "")],
             testing(f"{site}.test_target_chosen_before_gets_nothing_after_the_bound"),
         ),
         Mutant(
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Awaitable, Mapping, Sequence
+from collections.abc import Awaitable, Mapping
 from functools import partial
 from typing import Any
 
@@ -14,7 +14,6 @@
 from tornado.httputil import HTTPHeaders
 
 from ..clients.httpcall import Call, CallFailure, Reply
-from ..clock import boottime_seconds
 from ..outcomes import HELD_BACK, Problem, Ran, ends_targets
 from ..requests.attempts import (
     Cancel,
@@ -43,16 +42,15 @@
 from ..types import Member
 from .admission import Accepted
 from .admission_class import AdmissionClass, QueueLimit, admission_class, queue_limit
-from .applicant import Applicant, Decision, Go, Refuse
 from .attempt import Attempt
 from .context import ForwardingContext
 from .events import EventSequence
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
-from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS, Candidate
-from .pool_capacity import pool_of
+from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS
 from .request_times import RequestTimes
 from .retries import SharedRetryBudget
+from .selection import Attempting, TargetSelection
 from .stall_timeout import max_load_elsewhere, stall_timeout_for
 from .target_limits import StatementSource
 
@@ -105,6 +103,15 @@
         self._identity = identity(
             incoming.method, incoming.headers.get("Host", ""), incoming.uri, account, incoming.body
         )
+        self._selection = TargetSelection(
+            context,
+            incoming.facts.request_id,
+            service,
+            incoming.facts.model,
+            accepted.priority,
+            account,
+            incoming.arrived + route.latency_goal,
+        )
         self._buffered_reply: Reply | None = None
         self._sent_at = 0.0
         subject = incoming.facts.model if route.generates else service
@@ -114,10 +121,8 @@
         self._longest_pause = 0.0
         self._permit: Permit | None = None
         self._hold_reason = ""
-        self._pool = ""
         self._on_trial = False
         self._target_failed = False
-        self._chosen: Candidate | None = None
         self._tried_targets: set[str] = set()
         self._attempt_log: list[str] = []
 
@@ -163,9 +168,10 @@
             return False
         now = time.monotonic()
         if self.machine.choice is not None:
-            self._hold_reason = self.context.notices.reason_to_skip(
-                self.machine.choice.head.boot_id
-            ) or self._evacuation_reason(self.machine.choice)
+            self._hold_reason = (
+                self.context.notices.reason_to_skip(self.machine.choice.head.boot_id)
+                or self._selection.evacuation_reason()
+            )
         if self._hold_reason:
             return False
         permit, self._permit = self._permit, None
@@ -176,24 +182,6 @@
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
         return True
 
-    def _evacuation_reason(self, choice: Choice) -> str:
-        """Return that the data centre of the target is evacuated, empty if it isn't."""
-        chosen = self._chosen
-        if chosen is None:
-            return ""
-        evacuations = self.context.evacuations
-        reason = evacuations.reason_to_skip(chosen.data_centres, boottime_seconds())
-        if reason:
-            self.context.records.request(
-                self._incoming.facts.request_id,
-                "held back",
-                False,
-                target=choice.group,
-                data_centre=evacuations.among(chosen.data_centres),
-                reason=reason,
-            )
-        return reason
-
     def read_reply(self, status: int, headers: HTTPHeaders) -> ReplyInfo:
         """Decode the status and headers of a reply."""
         return self.context.codec.read_reply(status, headers)
@@ -220,85 +208,22 @@
         return self._advance(Quarantined(problem))
 
     def _choose(self) -> Choice | NoChoice:
-        candidates = self.context.candidates(self._service, self._incoming.facts.model)
-        queue_limit = self._queue_limit().max_load
-        now = time.monotonic()
-        connected = self.context.caller.has_idle_connection
         spread = self._connection_lost or self.context.quarantine.crash_count(self._identity) > 0
-        evacuated = self._still_open()
-        found, decision = None, self._decide_admission([*candidates, *evacuated], now)
-        drawn = () if isinstance(decision, Refuse) else decision.candidates
-        among = () if isinstance(decision, Refuse) else (drawn, candidates, evacuated)
-        for part in among:
-            if part and found is None:
-                found = self.context.book.choose(
-                    part, self._tried_targets, now, queue_limit, connected, spread
-                )
-        if found is None:
-            no_capacity = bool(candidates)
-            reason = (
-                self._describe_no_capacity(candidates) if no_capacity else self._describe_none()
-            )
-            if isinstance(decision, Refuse):
-                reason = decision.reason
-            if not self.machine.attempts_sent:
-                self.context.book.count_rejection(self._incoming.facts.model, time.monotonic())
-            return NoChoice(reason, no_capacity, no_capacity)
-        self._chosen = found
-        self._permit = self.context.book.limits.take(found.incarnations, now)
-        self._on_trial = self.context.book.backoffs.take(found.incarnations[0])
-        host = found.host
-        in_flight = self.context.book.load(found.target, now)
-        self._times.chosen(found.target, host.slots, in_flight)
-        member = Member(host.instance.name, host.address, str(host.instance))
-        return Choice(found.target, 0, member, host.data_centre, "least busy")
-
-    def _still_open(self) -> Sequence[Candidate]:
-        """Return the targets of evacuated data centres that may still take what has no other."""
-        evacuations, now = self.context.evacuations, boottime_seconds()
-        if not evacuations.handing_over(now):
-            return ()
-        found = self.context.evacuated_candidates(self._service, self._incoming.facts.model)
-        return [c for c in found if evacuations.may_send(c.data_centres, now)]
-
-    def _describe_none(self) -> str:
-        """Describe why there is no target at all."""
-        if not self.context.evacuated_candidates(self._service, self._incoming.facts.model):
-            return "no target serves"
-        names = self.context.evacuations.names()
-        return f"no target serves outside the evacuated data centres: {names}"
-
-    def _decide_admission(self, candidates: Sequence[Candidate], now: float) -> Decision:
-        """Return whether the request may be sent; one that was sent before may be sent again."""
-        if not candidates or self._tried_targets:
-            return Go()
-        model, route = self._incoming.facts.model, self._accepted.route
-        account = self._accepted.account
-        self._pool = pool_of(candidates, model)
-        applicant = Applicant(
-            self._pool,
-            self._accepted.priority,
-            "" if account is None else account.name,
+        attempting = Attempting(
             self._admission_class(),
-            self._incoming.arrived + route.latency_goal,
-        )
-        return self.context.admission.decide_for(applicant, model, candidates, now)
-
-    def _describe_no_capacity(self, candidates: Sequence[Candidate]) -> str:
-        """Describe why no target accepts the request, with the counts behind it."""
-        now = time.monotonic()
-        load = min(self.context.book.load(c.target, now) for c in candidates)
-        suspects = sum(self.context.book.is_suspect(c.target, now) for c in candidates)
-        limited = sum(self.context.book.limits.is_limited(c.incarnations) for c in candidates)
-        backed_off = sum(
-            not self.context.book.backoffs.may_place(c.incarnations[0], now) for c in candidates
-        )
-        slots = candidates[0].host.slots
-        return (
-            f"no untried target has room: {len(candidates)} targets, {suspects} doubtful, "
-            f"{limited} limited, {backed_off} backed off from, "
-            f"least busy {load} of {slots}, tried {len(self._tried_targets)}"
+            self._tried_targets,
+            self._queue_limit().max_load,
+            spread,
+            self.machine.attempts_sent,
         )
+        selected = self._selection.select(attempting)
+        if isinstance(selected, NoChoice):
+            return selected
+        self._permit, self._on_trial = selected.permit, selected.on_trial
+        host, target = selected.candidate.host, selected.candidate.target
+        self._times.chosen(target, host.slots, selected.in_flight)
+        member = Member(host.instance.name, host.address, str(host.instance))
+        return Choice(target, 0, member, host.data_centre, "least busy")
 
     def _admission_class(self) -> AdmissionClass:
         return admission_class(
@@ -518,7 +443,7 @@
         )
 
     def _deliver(self) -> None:
-        self.context.admission.completed(self._pool, time.monotonic())
+        self.context.admission.completed(self._selection.pool, time.monotonic())
         if self._sink.started:
             self._sink.end()
             self._log_outcome("answered", True, 200)
