The hosts of the group tests carry out the order to close a head

Traced: since capacity follows demand, a head in no plan is ordered to close first; the test's hosts did not know that order and raised. The check itself is as it was: the order closes a head that is still in that group, and whoever joins from another group is still reported.

--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -10,7 +10,16 @@
 from oleanderhill_dev.windows import max_within_window
 
 from oleanderhill.groups import forming
-from oleanderhill.groups.actions import Join, Leave, Open, OrderOutcome, Replan, Stage, Warm
+from oleanderhill.groups.actions import (
+    Close,
+    Join,
+    Leave,
+    Open,
+    OrderOutcome,
+    Replan,
+    Stage,
+    Warm,
+)
 from oleanderhill.groups.composing import (
     Composition,
     FreeHost,
@@ -95,6 +104,11 @@
                     if member is None or member.group != group.name:
                         self.broken_rules.append(f"{group.name} opened without {i}")
                 return host_._replace(membership=host_.membership._replace(state=MemberState.OPEN))
+            case Close(group, epoch, _):
+                held = host_.membership
+                if held is None or (held.group, held.epoch) != (group, epoch):
+                    return host_
+                return host_._replace(membership=held._replace(state=MemberState.READY))
             case Leave():
                 return host_._replace(membership=None)
             case Stage(model, _):
