explain reads logs in which a target is avoided for its failures

Operators saw: oleanderhill explain ended with a TypeError for any id, as soon as a log held one line of a target that fails what it gets. Found by reading the change again. Cause: that line had the number of entry hosts in the field hosts, and explain takes hosts for the rows of a changed list. The field is counted_hosts now, and a field of another type stops no explanation. Ruled out: the targets field of evacuation lines, a number too, which explain checks.

Tests: a failed request is explained by that line of its target and by no other target's; a line with hosts as a number. The second failed before with the same error.

--- a/src/oleanderhill/operators/explaining.py
+++ b/src/oleanderhill/operators/explaining.py
@@ -104,7 +104,8 @@
                 # Paths of requests name hosts without the start of their incarnation.
                 subjects.add(value.partition("@")[0])
     # One line lists several changed hosts, each as a list that starts with instance and group.
-    for host in line.fields.get("hosts") or ():
+    hosts = line.fields.get("hosts")
+    for host in hosts if isinstance(hosts, list) else ():
         if isinstance(host, list):
             subjects |= {str(name) for name in host[:2] if name}
     targets = line.fields.get("targets")
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -362,7 +362,7 @@
             target=target,
             failures=counts.failures,
             answers=counts.answers,
-            hosts=self._counters.hosts,
+            counted_hosts=self._counters.hosts,
         )
 
     def _apply_notice(self, incarnation: str, notice: Notice, sent_at: float) -> None:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -52,6 +52,22 @@
         ]
         self.assertEqual([f.part for f in explain_log("r1", texts)], ["dependency", "request"])
 
+    def test_failed_request_is_explained_by_the_target_that_fails_what_it_gets(self):
+        failing = {"target": "t-0@17", "failures": 3.0, "answers": 3.0, "counted_hosts": 61}
+        texts = [
+            log_line(98.0, "target", "failing", **failing),
+            log_line(98.5, "target", "failing", **{**failing, "target": "t-1@18"}),
+            log_line(99.0, "request", "answered", request_id="r1", path=["t-0@17:t-0"]),
+        ]
+        self.assertEqual([f.part for f in explain_log("r1", texts)], ["target", "request"])
+
+    def test_line_with_a_field_of_another_type_does_not_stop_the_explanation(self):
+        texts = [
+            log_line(98.0, "target", "failing", target="t-0@17", hosts=61),
+            log_line(99.0, "request", "answered", request_id="r1", path=["t-0@17:t-0"]),
+        ]
+        self.assertEqual([f.part for f in explain_log("r1", texts)], ["target", "request"])
+
     def test_refused_request_is_explained_by_the_target_that_turned_cold(self):
         texts = [
             log_line(98.0, "cold", "began", instance="i-1@1788000000123", seconds=3.0),
