Mutants of the admission and of the protection against targets that fail at once

Both parts had tests but no mutant that shows a test failing without them. Five safeguards: room, urgency, account shares, avoiding failing targets, failed requests that go on counting as load. Run once each: all five are caught by the tests they name; the whole of make mutants was not run. Beside it, from reading the change again: a constant stands with the others, and a comment no longer names one factor.

--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -35,6 +35,7 @@
 
 from ..proving import Mutant, testing
 from . import (
+    admission_mutants,
     capacity_mutants,
     cold_mutants,
     evacuation_mutants,
@@ -158,6 +159,7 @@
         *_at_size(),
         *_of_endings(),
         *_of_limits(),
+        *admission_mutants.mutants(),
         *evacuation_mutants.mutants(),
         *notice_mutants.mutants(),
         *cold_mutants.mutants(),
--- a/src/oleanderhill/serving/admission_control.py
+++ b/src/oleanderhill/serving/admission_control.py
@@ -54,6 +54,8 @@
 """Fraction of the slots that become free that rejected callers are expected to get at least, if
 first attempts take all."""
 
+MAX_FOLDED = 1_000
+"""Upper bound on the number of folded accounts that are assumed."""
 
 PredictTiming = Callable[[str, float], Prediction | None]
 
@@ -112,10 +114,6 @@
     return rates or [arriving]
 
 
-MAX_FOLDED = 1_000
-"""Upper bound on the number of folded accounts that are assumed."""
-
-
 class AdmissionControl:
     """Admission at one entry host, for all pools.
 
--- a/src/oleanderhill/serving/stall_timeout.py
+++ b/src/oleanderhill/serving/stall_timeout.py
@@ -37,7 +37,7 @@
 
 PLAIN_QUANTILE_FACTOR = 4.0
 """Multiple of that quantile after which the request moves. Few requests of a healthy target take
-this long, while a target that is twelve times slower takes longer for nearly all."""
+this long, and nearly all of one that is many times slower."""
 
 PLAIN_GOAL_FRACTION = 0.4
 """Fraction of the goal for which the request stays in any case. A second target has the rest."""
