Log whether a target failed or the links of this host did

Callers of entry hosts that were cut off from all targets were refused, and each failed attempt was logged as the fault of one target. Whether the host reached any target at that time, and whether another host reached this one, had to be put together from the logs of nine hosts.

Connections to targets now report their outcome. A line 'dependency lost' with dependency 'targets' says that several targets failed and none was reached between, 'regained' that one was reached again. Lines 'attempt failed' give the number of targets that failed since one was reached and how long ago a peer got data from this target; the gauge targets_unreachable gives the number for scrapes. No decision depends on them yet.

The stand-in site can now cut single entry hosts off from targets: refused, silent, or with open connections that live on.

--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -17,6 +17,7 @@
 from oleanderhill.platform.settings import EntrySettings
 
 from ..bench_site import free_address
+from .cut_links import CutLinks
 from .engines import (
     EngineSite,
     StandInHost,
@@ -110,11 +111,13 @@
         self.evacuated: dict[str, bytes] = {}
         self.cold_per_s = 0.0
         self.entries: list[EntryHost] = []
+        self.links = CutLinks()
         self._servers: list[Any] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self, hosts: int = 6, entries: int = 1) -> None:
         """Start all parts; the entry hosts then form the groups."""
+        self.links.start()
         self.store_address = self.listen(make_store_application(self.store))
         self.configure(1, {"hall": ["key-a"], "yard": ["key-b"]})
         for number in range(hosts):
@@ -133,6 +136,7 @@
             task.cancel()
         for server in self._servers:
             server.stop()
+        self.links.stop()
 
     def configure(self, version: int, keys: dict[str, list[str]], **more: str) -> None:
         """Write a configuration to the store, as the operator does."""
@@ -196,7 +200,8 @@
         """Start an entry host in this process."""
         settings = self.settings(name)
         entry = EntryHost(settings, os.open(os.devnull, os.O_WRONLY))
-        await entry.kernel.start()
+        with self.links.acting_as(name):
+            await entry.kernel.start()
         self.entries.append(entry)
         return entry
 
@@ -212,6 +217,11 @@
         self._servers.append(application.listen(int(port), ip))
         return address
 
+    def target_addresses(self) -> list[str]:
+        """Return the addresses of all engine hosts and plain targets."""
+        engines = [h.address for h in self.engines.host_by_instance.values()]
+        return [*engines, *(json.loads(e)["address"] for e in self._target_entries.values())]
+
     def lose_host(self, instance: str) -> None:
         """Simulate a power loss of a host: it stops replying and sends no more heartbeats."""
         self.engines.host_by_instance[instance].lose_power()
--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -159,10 +159,18 @@
         self.finished = True
 
 
+def _ignore_outcome(address: str, connected: bool) -> None:
+    """Ignore the outcome of a new connection."""
+
+
 class HttpCaller:
-    """Sends requests, and pools idle connections for calls that allow reuse."""
+    """Sends requests, and pools idle connections for calls that allow reuse.
+
+    :param on_connect: called with the address of each new connection and whether it was opened
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_connect: Callable[[str, bool], None] = _ignore_outcome) -> None:
+        self._on_connect = on_connect
         self._idle_by_address: dict[str, list[_IdleConnection]] = {}
         self.opened = 0
 
@@ -173,6 +181,7 @@
         try:
             stream = await self._connect(request)
         except (OSError, StreamClosedError, TimeoutError) as error:
+            self._on_connect(request.address, False)
             cause = getattr(error, "real_error", None) or error
             refused = isinstance(cause, ConnectionRefusedError)
             reason = str(cause) or "timeout"
@@ -242,6 +251,7 @@
             stream.close()
             raise
         self.opened += 1
+        self._on_connect(request.address, True)
         stream.set_nodelay(True)
         return stream
 
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -41,6 +41,7 @@
 from ..routing.cold_limits import ColdLimits
 from ..routing.failing_targets import ANSWERS, FAILURES, Counts, FailingTargets
 from ..routing.limit_scope import WindowBound
+from ..routing.reachability import Reachability
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
 from ..serving.admission_control import AdmissionControl
@@ -97,6 +98,9 @@
 MAX_LOGGED_VALUE_CHARS = 80
 """Longer header values are truncated in the log."""
 
+MAX_LOGGED_ADDRESSES = 8
+"""Addresses named in a log line about targets that can't be reached."""
+
 METRICS_PORT = 9464
 """Port of the metrics endpoint; the deploy file states it too."""
 
@@ -123,7 +127,8 @@
     def _assemble(self) -> None:
         s, records, rng = self._settings, self._records, self._rng
         self.kernel = Kernel()
-        self._caller = HttpCaller()
+        self._reachability = Reachability()
+        self._caller = HttpCaller(self._record_connection)
         self._store = PlatformStore(s.store, HttpCaller(), records)
         self._freshness = Freshness(s.key_removal_seconds)
         self._configuration = ConfigurationCopy(self._freshness, records)
@@ -207,7 +212,9 @@
             self.kernel, own_presence, self._store, self._presences, records, rng
         )
         self._orders = EngineOrders(
-            HttpCaller(), self._apply_notice, lambda instance: self._notices.may_contact(instance)
+            HttpCaller(self._record_connection),
+            self._apply_notice,
+            lambda instance: self._notices.may_contact(instance),
         )
         self._limits = TargetLimitTask(
             self.kernel,
@@ -255,6 +262,7 @@
             self._view.evacuated_candidates,
             self._timing,
             self._admission,
+            self._reachability,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -354,6 +362,22 @@
         self._quarantine.incarnation_ended(str(removal.instance), "removed from the host list")
         self._notices.incarnation_ended(str(removal.instance))
 
+    def _record_connection(self, address: str, connected: bool) -> None:
+        """Record the outcome of a new connection to a target, and log what it changes."""
+        now = time.monotonic()
+        links = self._reachability
+        change = links.connected(address, now) if connected else links.failed(address, now)
+        if change is not None:
+            self._records.note(
+                "dependency",
+                "lost" if change.doubtful else "regained",
+                dependency="targets",
+                unreachable=len(change.targets),
+                addresses=change.targets[:MAX_LOGGED_ADDRESSES],
+                reached="" if change.doubtful else address,
+                since_s=round(now - change.since, 3),
+            )
+
     def _log_failing(self, target: str, counts: Counts, avoided: bool) -> None:
         """Log that a target is avoided because it answers with failures, or is tried again."""
         self._records.note(
@@ -533,6 +557,11 @@
         register("probes", "Questions to engine hosts", lambda: self._orders.probes_sent)
         register("loop_held_up_seconds", "Longest so far", lambda: self.kernel.lag.longest)
         register("connections_opened", "Connections to targets", lambda: self._caller.opened)
+        register(
+            "targets_unreachable",
+            "Targets to which connections failed since one was last opened",
+            lambda: self._reachability.unreachable(time.monotonic()),
+        )
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -8,6 +8,7 @@
 from ..clients.httpcall import HttpCaller
 from ..groups.evacuations import Evacuations
 from ..records import Records
+from ..routing.reachability import Reachability
 from .admission_control import AdmissionControl
 from .forwarding import Codec
 from .notices import TargetNotices
@@ -27,6 +28,7 @@
     :param evacuated_candidates: returns those that ``candidates`` leaves out because their data
         centre is evacuated
     :param report: records route, outcome and duration in seconds of a finished request
+    :param reachability: which targets this host can't reach over its own links
     :param timing: learns from answers, and returns the usual times
     """
 
@@ -44,3 +46,4 @@
     evacuated_candidates: Callable[[str, str], Sequence[Candidate]]
     timing: Timing
     admission: AdmissionControl
+    reachability: Reachability
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -429,7 +429,8 @@
     def _log_failed_attempt(
         self, choice: Choice, reason: str, backoff: float | None = None
     ) -> None:
-        was_suspect = self.context.book.is_suspect(choice.group, time.monotonic())
+        now = time.monotonic()
+        heard = self.context.book.peer_progress_age(choice.group, now)
         self.context.records.request(
             self._incoming.facts.request_id,
             "attempt failed",
@@ -439,7 +440,9 @@
             instance=choice.head.boot_id,
             reason=reason,
             retry_after_s=backoff,
-            was_suspect=was_suspect,
+            was_suspect=self.context.book.is_suspect(choice.group, now),
+            unreachable=self.context.reachability.unreachable(now),
+            peers_heard_s=None if heard is None else round(heard, 3),
         )
 
     def _deliver(self) -> None:
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -205,6 +205,14 @@
             < within + self.peer_report_delay
         )
 
+    def peer_progress_age(self, target: str, now: float) -> float | None:
+        """Return the seconds since a target last sent something to another entry host.
+
+        :return: ``None`` if no other entry host reported so
+        """
+        at = self._peer_progress_at.get(target)
+        return None if at is None else now - at
+
     def apply_peer_update(
         self,
         peer: str,
