--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -12,8 +12,9 @@
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -36,15 +37,32 @@
 """Seconds subtracted from the server's timeout, which starts when the server ends its reply and
 must also cover the transit time of the next request."""
 
+KEEPALIVE_SECONDS = 1
+"""Seconds without data after which, and between which, a monitored connection is probed."""
+
+UNACKNOWLEDGED_TIMEOUT = 2.0
+"""Seconds without an acknowledgement after which a monitored connection is closed. Targets may be
+silent for about a second and go on."""
+
 MAX_SKIPPED_REPLIES = 3
 """Late duplicate replies skipped on one connection before it is closed."""
 
 
+CONTINUE = 100
+"""Status with which a server asks for the body of a request that announced one."""
+
+
 class FailureKind(StrEnum):
     """How an exchange failed."""
 
     NOT_CONNECTED = "not connected"
+    WITHHELD = "withheld"
+    """The observer decided against sending the request."""
+
     LOST = "connection lost"
+    PROXY_LOST = "connection to the proxy lost"
+    """The entry host that passed the request on was lost, which tells nothing of the server."""
+
     TIMEOUT = "timeout"
 
 
@@ -90,6 +108,8 @@
     :param reuse: an idle connection may be used, and this one stays open afterwards
     :param accept_close_delimited: a reply without a length, delimited by the close of its
         connection, counts as complete unless the connection was reset
+    :param expect_continue: send the body, and ask the observer whether to, only once the server
+        announced with status 100 that it will process the request
     :param is_reply_to_call: returns from a reply's headers whether it answers this call; a reply
         that doesn't is a late duplicate to an earlier call and is skipped
     """
@@ -105,6 +125,11 @@
     accept_close_delimited: bool = False
     is_reply_to_call: Callable[[HTTPHeaders], bool] | None = None
     connect_timeout: float = CONNECT_TIMEOUT
+    expect_continue: bool = False
+
+
+class _WithheldError(Exception):
+    """The observer decided against sending the body."""
 
 
 class _IdleConnection(NamedTuple):
@@ -123,12 +148,16 @@
         self.finished = False
         self.framing_accepted = False
         self.close_delimited = False
+        self.continued: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.body_sent = not request.expect_continue
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
+            if start_line.code == CONTINUE and not self.continued.done():
+                self.continued.set_result(None)
             return
         if self._request.is_reply_to_call is not None and not self._request.is_reply_to_call(
             headers
@@ -159,18 +188,25 @@
         self.finished = True
 
 
-def _ignore_outcome(address: str, connected: bool) -> None:
+def _ignore_outcome(address: str, failure: CallFailure | None) -> None:
     """Ignore the outcome of a new connection."""
 
 
 class HttpCaller:
     """Sends requests, and pools idle connections for calls that allow reuse.
 
-    :param on_connect: called with the address of each new connection and whether it was opened
+    :param on_connect: called with the address of each new connection, and with the failure if it
+        could not be opened
+    :param monitored: whether connections are probed, so that one that hangs is closed
     """
 
-    def __init__(self, on_connect: Callable[[str, bool], None] = _ignore_outcome) -> None:
+    def __init__(
+        self,
+        on_connect: Callable[[str, CallFailure | None], None] = _ignore_outcome,
+        monitored: bool = False,
+    ) -> None:
         self._on_connect = on_connect
+        self._monitored = monitored
         self._idle_by_address: dict[str, list[_IdleConnection]] = {}
         self.opened = 0
 
@@ -178,37 +214,59 @@
         self, request: Call, observer: Observer | None = None
     ) -> Result[Reply, CallFailure]:
         """Send one request and read its reply. Cancellation closes the connection immediately."""
+        opened = await self.open(request)
+        if not is_successful(opened):
+            return Failure(opened.failure())
+        return await self.exchange(opened.unwrap(), request, observer)
+
+    async def open(self, request: Call) -> Result[IOStream, CallFailure]:
+        """Return a connection for a request, an idle one if possible.
+
+        It must be passed to :meth:`exchange` or :meth:`put_back`.
+        """
         try:
-            stream = await self._connect(request)
+            return Success(await self._connect(request))
         except (OSError, StreamClosedError, TimeoutError) as error:
-            self._on_connect(request.address, False)
             cause = getattr(error, "real_error", None) or error
             refused = isinstance(cause, ConnectionRefusedError)
             reason = str(cause) or "timeout"
-            return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason, refused))
-        if observer is not None and not observer.confirm_send():
+            failure = CallFailure(FailureKind.NOT_CONNECTED, False, reason, refused)
+            self._on_connect(request.address, failure)
+            return Failure(failure)
+
+    def put_back(self, request: Call, stream: IOStream) -> None:
+        """Keep a connection on which nothing was sent for a later request."""
+        self._return_to_pool(stream, request, True, HTTPHeaders())
+
+    async def exchange(
+        self, stream: IOStream, request: Call, observer: Observer | None = None
+    ) -> Result[Reply, CallFailure]:
+        """Send a request on a connection that :meth:`open` returned, and read its reply."""
+        if not request.expect_continue and observer is not None and not observer.confirm_send():
             stream.close()
-            return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, "overtaken"))
+            return Failure(CallFailure(FailureKind.WITHHELD, False, "overtaken"))
         collector = _ReplyCollector(observer, request)
-        reusable = False
+        first, reusable = collector, False
         try:
             async with asyncio.timeout(request.timeout):
-                reusable = await self._exchange(stream, request, collector)
+                reusable = await self._exchange(stream, request, collector, observer)
                 for _ in range(MAX_SKIPPED_REPLIES):
                     if not collector.unrelated or not reusable:
                         break
                     collector = _ReplyCollector(observer, request)
                     reader = HTTP1Connection(stream, True, _params(request))
                     reusable = bool(await reader.read_response(collector))
-        except TimeoutError:
-            reason = f"no whole reply in {request.timeout} s"
-            return Failure(CallFailure(FailureKind.TIMEOUT, True, reason))
+        except _WithheldError:
+            return Failure(CallFailure(FailureKind.WITHHELD, False, "overtaken"))
+        except TimeoutError as error:
+            reason = str(error) or f"no whole reply in {request.timeout} s"
+            return Failure(CallFailure(FailureKind.TIMEOUT, first.body_sent, reason))
         except (OSError, StreamClosedError) as error:
-            return Failure(CallFailure(FailureKind.LOST, True, str(error)))
+            return Failure(CallFailure(FailureKind.LOST, first.body_sent, str(error)))
         finally:
-            self._return_to_pool(
-                stream, request, reusable and collector.finished, collector.reply_headers
-            )
+            # A server that replied before the body was sent still waits for it.
+            complete = reusable and collector.finished and first.body_sent
+            self._return_to_pool(stream, request, complete, collector.reply_headers)
         truncated = collector.close_delimited and stream.error is not None
         if (
             not collector.finished
@@ -216,7 +274,7 @@
             or collector.unrelated
             or truncated
         ):
-            return Failure(CallFailure(FailureKind.LOST, True, "the reply was cut"))
+            return Failure(CallFailure(FailureKind.LOST, first.body_sent, "the reply was cut"))
         return Success(Reply(collector.status, collector.reply_headers, b"".join(collector.chunks)))
 
     def has_idle_connection(self, address: str) -> bool:
@@ -235,13 +293,20 @@
         for idle in self._idle_by_address.pop(address, []):
             idle.stream.close()
 
-    async def _connect(self, request: Call) -> IOStream:
-        idle = self._idle_by_address.get(request.address, [])
-        while request.reuse and idle:
+    def take_idle(self, address: str) -> IOStream | None:
+        """Return an idle connection to an address, to be used like one of :meth:`open`."""
+        idle = self._idle_by_address.get(address, [])
+        while idle:
             found = idle.pop()
             if _usable(found, time.monotonic()):
                 return found.stream
             found.stream.close()
+        return None
+
+    async def _connect(self, request: Call) -> IOStream:
+        idle = self.take_idle(request.address) if request.reuse else None
+        if idle is not None:
+            return idle
         host, port = request.address.rsplit(":", 1)
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
@@ -251,11 +316,19 @@
             stream.close()
             raise
         self.opened += 1
-        self._on_connect(request.address, True)
+        self._on_connect(request.address, None)
         stream.set_nodelay(True)
+        if self._monitored:
+            _monitor(stream.socket)
         return stream
 
-    async def _exchange(self, stream: IOStream, request: Call, collector: _ReplyCollector) -> bool:
+    async def _exchange(
+        self,
+        stream: IOStream,
+        request: Call,
+        collector: _ReplyCollector,
+        observer: Observer | None,
+    ) -> bool:
         connection = HTTP1Connection(stream, True, _params(request))
         headers = HTTPHeaders({"Host": request.address})
         headers.update(request.headers)
@@ -264,12 +337,49 @@
         if not request.reuse:
             headers["Connection"] = "close"
         start = RequestStartLine(request.method, request.path, "HTTP/1.1")
+        if request.expect_continue:
+            headers["Expect"] = "100-continue"
+            headers["Content-Length"] = str(len(request.body))
+            connection.write_headers(start, headers)
+            reading = asyncio.ensure_future(connection.read_response(collector))
+            try:
+                await self._send_expected(connection, request, collector, observer, reading)
+                return bool(await reading)
+            finally:
+                reading.cancel()
         # The future of the write is not awaited: if a server answers early and closes the
         # connection, the write fails although the reply can still be read.
         connection.write_headers(start, headers, request.body or None)
         connection.finish()
         return bool(await connection.read_response(collector))
 
+    async def _send_expected(
+        self,
+        connection: HTTP1Connection,
+        request: Call,
+        collector: _ReplyCollector,
+        observer: Observer | None,
+        reading: asyncio.Future[bool],
+    ) -> None:
+        """Send the body once the server asks for it, unless it replies without.
+
+        :raises TimeoutError: if the server does neither in the connect timeout
+        """
+        awaited: set[asyncio.Future[Any]] = {reading, collector.continued}
+        await asyncio.wait(
+            awaited, timeout=request.connect_timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not collector.continued.done():
+            if not reading.done():
+                raise TimeoutError(f"not taken in {request.connect_timeout} s")
+            return
+        if observer is not None and not observer.confirm_send():
+            raise _WithheldError
+        collector.body_sent = True
+        if request.body:
+            connection.write(request.body)
+        connection.finish()
+
     def _return_to_pool(
         self, stream: IOStream, request: Call, complete: bool, headers: HTTPHeaders
     ) -> None:
@@ -288,6 +398,15 @@
             stream.close()
 
 
+def _monitor(sock: socket.socket) -> None:
+    """Let the system close a connection whose other end doesn't acknowledge anything any more."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    timeout_ms = int(UNACKNOWLEDGED_TIMEOUT * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def _params(request: Call) -> HTTP1ConnectionParameters:
     return HTTP1ConnectionParameters(max_body_size=request.max_reply)
 
--- /dev/null
+++ b/src/oleanderhill/clients/proxying.py
@@ -0,0 +1,93 @@
+"""Wire format of requests to targets that pass through another entry host.
+
+The request is sent to the peer as the target shall get it, with the target's address in a header,
+and announced with ``Expect: 100-continue``. The peer first connects to the target, and asks for the
+body only then: until it does, nothing was sent to the target. Its reply is the target's, unless
+:data:`FAILURE_HEADER` says that it is the peer's own and holds a :class:`ProxyFailure`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+from tornado.httputil import HTTPHeaders
+
+TARGET_HEADER = "Proxy-Target"
+SENDER_HEADER = "Proxy-Sender"
+FAILURE_HEADER = "Proxy-Failure"
+PROXY_HEADERS = frozenset({TARGET_HEADER, SENDER_HEADER, FAILURE_HEADER})
+
+PORT_OFFSET = 1
+"""The proxy of an entry host listens on the port after the one for reports and relayed readings.
+Nothing listens there on a host of a release without a proxy."""
+
+FAILURE_STATUS = 502
+
+
+class ProxyFailure(NamedTuple):
+    """Why a peer did not return a reply of the target.
+
+    :param about_target: the peer's own links are sound, and it did not reach the target or lost the
+        connection to it; otherwise the peer itself can't help
+    :param sent: some bytes of the request may have reached the target
+    """
+
+    about_target: bool
+    sent: bool
+    reason: str
+    refused: bool = False
+
+
+_DECODER = msgspec.msgpack.Decoder(ProxyFailure)
+
+
+def proxy_address(peers: str) -> str:
+    """Return the address of the proxy of an entry host.
+
+    :param peers: ``ip:port`` on which it receives reports of its peers
+    """
+    ip, port = peers.rsplit(":", 1)
+    return f"{ip}:{int(port) + PORT_OFFSET}"
+
+
+def proxied_headers(headers: Mapping[str, str], target: str, sender: str) -> HTTPHeaders:
+    """Return the headers of a request to a target as they are sent to a peer."""
+    sent = HTTPHeaders()
+    for name, value in _pairs(headers):
+        if name.title() not in PROXY_HEADERS:
+            sent.add(name, value)
+    sent[TARGET_HEADER], sent[SENDER_HEADER] = target, sender
+    return sent
+
+
+def without_proxy_headers(headers: HTTPHeaders, *more: str) -> HTTPHeaders:
+    """Return the headers without those that concern the hop between entry hosts.
+
+    :param more: names of further headers to leave out
+    """
+    passed = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in PROXY_HEADERS and name not in more:
+            passed.add(name, value)
+    return passed
+
+
+def encode_failure(failure: ProxyFailure) -> bytes:
+    """Encode the body of a failure."""
+    return msgspec.msgpack.encode(failure)
+
+
+def decode_failure(body: bytes) -> ProxyFailure:
+    """Decode the body of a failure; one that is malformed tells nothing about the target."""
+    try:
+        return _DECODER.decode(body)
+    except msgspec.DecodeError as error:
+        return ProxyFailure(False, True, f"malformed failure: {error}")
+
+
+def _pairs(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    if isinstance(headers, HTTPHeaders):
+        return list(headers.get_all())
+    return list(headers.items())
--- a/src/oleanderhill/groups/inventory.py
+++ b/src/oleanderhill/groups/inventory.py
@@ -111,6 +111,7 @@
         self.changes = 0
         self._grace_until: dict[Instance, float] = {}
         self._instance_by_name: dict[str, Instance] = {}
+        self._instance_by_address: dict[str, Instance] = {}
         self._newest_born: dict[str, int] = {}
         self._leaving: dict[Instance, None] = {}
         self._grace_ends = float("-inf")
@@ -248,6 +249,11 @@
         """Return the number of listed hosts by data centre."""
         return Counter(h.data_centre for h in self.by_instance.values())
 
+    def service_at(self, address: str) -> str:
+        """Return the service of the host that was last listed at an address, empty for none."""
+        instance = self._instance_by_address.get(address)
+        return "" if instance is None else self.by_instance[instance].service
+
     def engines(self, service: str) -> int:
         """Return the number of hosts of a service that are in a fabric domain."""
         return self._engines_by_service[service]
@@ -257,6 +263,8 @@
             self._drop(host.instance)
         elif before is not None:
             self._count(before, -1)
+            self._drop_address(before)
+        self._instance_by_address[host.address] = host.instance
         self.by_instance[host.instance] = host
         self._by_domain.setdefault(host.domain, {})[host.instance] = host
         self._count(host, 1)
@@ -265,6 +273,7 @@
         host = self.by_instance.pop(instance, None)
         if host is None:
             return
+        self._drop_address(host)
         hosts = self._by_domain[host.domain]
         del hosts[instance]
         self._count(host, -1)
@@ -274,6 +283,10 @@
             del self._by_domain[host.domain]
             del self._last_change_by_domain[host.domain]
 
+    def _drop_address(self, host: TargetHost) -> None:
+        if self._instance_by_address.get(host.address) == host.instance:
+            del self._instance_by_address[host.address]
+
     def _count(self, host: TargetHost, delta: int) -> None:
         self.changes += 1
         self._last_change_by_domain[host.domain] = self.changes
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -17,10 +17,11 @@
 from collections.abc import Mapping, Sequence
 
 from ..clients.freshness import Freshness
-from ..clients.httpcall import HttpCaller
+from ..clients.httpcall import CallFailure, HttpCaller
 from ..clients.keyed import KeyedCopy
 from ..clients.listening import ListenStatus, check_listening
 from ..clients.mirror import Mirror, Subscription, subscribe
+from ..clients.proxying import proxy_address
 from ..clients.relay import RelayServer
 from ..clock import boottime_seconds, processor_seconds
 from ..exceptions import OleanderhillError
@@ -41,7 +42,8 @@
 from ..routing.cold_limits import ColdLimits
 from ..routing.failing_targets import ANSWERS, FAILURES, Counts, FailingTargets
 from ..routing.limit_scope import WindowBound
-from ..routing.reachability import Reachability
+from ..routing.proxies import Peer, Proxies
+from ..routing.reachability import Heard, Reachability
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
 from ..serving.admission_control import AdmissionControl
@@ -55,12 +57,15 @@
 from ..serving.incoming import Incoming
 from ..serving.learned_timing import LearnedTiming
 from ..serving.leaving import LeavingTargets
+from ..serving.link_checks import LinkCheckTask
 from ..serving.notices import TargetNotices
 from ..serving.placement import Candidate, LoadTracker
 from ..serving.pool_capacity import pool_of
+from ..serving.proxy_server import ProxyCallbacks, ProxyServer
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
 from ..serving.shared_counters import SharedCounters
+from ..serving.target_caller import Peers, TargetCaller
 from ..serving.target_limits import StatementSource, TargetLimitTask
 from ..serving.view import ServingView
 from ..settings.catalog import Catalog, pick_backend
@@ -127,12 +132,16 @@
     def _assemble(self) -> None:
         s, records, rng = self._settings, self._records, self._rng
         self.kernel = Kernel()
-        self._reachability = Reachability()
-        self._caller = HttpCaller(self._record_connection)
+        self._inventory = Inventory()
+        self._reachability = Reachability(self._inventory.service_at)
+        self._direct = HttpCaller(self._record_connection, monitored=True)
+        self._to_peers = HttpCaller(monitored=True)
+        self._proxies = Proxies(s.data_centre, rng)
+        self._peers = Peers(s.host, self._list_peers, self._heard_by_peers)
+        self._caller = self._target_caller(self._direct)
         self._store = PlatformStore(s.store, HttpCaller(), records)
         self._freshness = Freshness(s.key_removal_seconds)
         self._configuration = ConfigurationCopy(self._freshness, records)
-        self._inventory = Inventory()
         cold_bound = WindowBound(excess=s.cold_excess, slack=s.cold_slack)
         cold_limits = ColdLimits(s.host, cold_bound)
         self._cold = ColdTargets(
@@ -212,7 +221,7 @@
             self.kernel, own_presence, self._store, self._presences, records, rng
         )
         self._orders = EngineOrders(
-            HttpCaller(self._record_connection),
+            self._target_caller(HttpCaller(self._record_connection, monitored=True)),
             self._apply_notice,
             lambda instance: self._notices.may_contact(instance),
         )
@@ -286,10 +295,25 @@
             self._counters,
         )
         relay = RelayServer(self.kernel, s.peers, self._mirror)
+        self._proxy = ProxyServer(
+            self.kernel,
+            proxy_address(s.peers),
+            self._direct,
+            self._reachability,
+            self._codec,
+            ProxyCallbacks(
+                lambda address: bool(self._inventory.service_at(address)),
+                lambda: self.front.stopping,
+            ),
+            records,
+        )
+        checks = LinkCheckTask(self.kernel, self._direct, self._reachability)
         vitals = VitalsTask(self.kernel, records, self._vitals)
         for service in (
             self.front,
             relay,
+            self._proxy,
+            checks,
             self._presence,
             self._mirror,
             self._quarantine,
@@ -334,7 +358,8 @@
         await self.front.drain()
         await self._presence.withdraw()
         await self.kernel.stop()
-        self._caller.close()
+        self._direct.close()
+        self._to_peers.close()
         self.exposition.close()
         self._records.note("process", "stop")
         flushing.cancel()
@@ -357,24 +382,51 @@
 
     def _drop_incarnation(self, removal: Removal) -> None:
         """Drop the state of an ended incarnation; requests in flight there may have crashed it."""
-        self._caller.forget(removal.address)
+        self._direct.forget(removal.address)
         self._orders.close_idle_connections(removal.address)
+        self._reachability.forget(removal.address)
         self._quarantine.incarnation_ended(str(removal.instance), "removed from the host list")
         self._notices.incarnation_ended(str(removal.instance))
 
-    def _record_connection(self, address: str, connected: bool) -> None:
+    def _target_caller(self, direct: HttpCaller) -> TargetCaller:
+        """Return a caller of targets that shares what is known of the links to them."""
+        return TargetCaller(direct, self._to_peers, self._reachability, self._proxies, self._peers)
+
+    def _list_peers(self) -> list[Peer]:
+        """Return the other entry hosts that may pass on requests."""
+        return [
+            Peer(p.name, proxy_address(p.address), p.data_centre)
+            for p in self._presence.alive().values()
+            if p.name != self._settings.host
+        ]
+
+    def _heard_by_peers(self, address: str) -> Heard:
+        target = self._view.target_at(address)
+        if not target:
+            return Heard.UNKNOWN
+        return self._book.heard_by_peers(target, time.monotonic())
+
+    def _record_connection(self, address: str, failure: CallFailure | None) -> None:
         """Record the outcome of a new connection to a target, and log what it changes."""
         now = time.monotonic()
         links = self._reachability
-        change = links.connected(address, now) if connected else links.failed(address, now)
+        if failure is None:
+            change = links.connected(address, now)
+        elif self._view.target_at(address):
+            heard = self._heard_by_peers(address)
+            change = links.failed(address, now, failure.refused, heard)
+        else:
+            # Hosts that serve nothing often fail; that tells nothing of the own links.
+            return
         if change is not None:
             self._records.note(
                 "dependency",
-                "lost" if change.doubtful else "regained",
+                "lost" if change.lost else "regained",
                 dependency="targets",
                 unreachable=len(change.targets),
                 addresses=change.targets[:MAX_LOGGED_ADDRESSES],
-                reached="" if change.doubtful else address,
+                reached="" if change.lost else address,
+                broken=links.broken,
                 since_s=round(now - change.since, 3),
             )
 
@@ -412,13 +464,21 @@
     async def _check_target(self, name: str, address: str) -> ListenStatus:
         """Check whether a target with lost connections is up and is the same incarnation."""
         incarnation = self._inventory.incarnation_of(name)
-        if incarnation is None or not self._inventory.by_instance[incarnation].domain:
-            return await check_listening(address)
-        if self._orders.may_contact(incarnation) and await self._orders.answers(
-            incarnation, address
+        if (
+            incarnation is not None
+            and self._inventory.by_instance[incarnation].domain
+            and self._orders.may_contact(incarnation)
+            and await self._orders.answers(incarnation, address, second_opinion=True)
         ):
             return ListenStatus.SAME_INCARNATION
-        return await check_listening(address)
+        found = await check_listening(address)
+        if found != ListenStatus.REFUSED:
+            return found
+        # The own links may be broken, so one host's word is not enough.
+        if await self._caller.is_running(address):
+            return ListenStatus.ACCEPTED
+        links_in_doubt = self._reachability.blames_links(address, time.monotonic())
+        return ListenStatus.SILENT if links_in_doubt else ListenStatus.REFUSED
 
     @property
     def _catalog(self) -> Catalog | None:
@@ -532,7 +592,7 @@
         """Return the values that are logged periodically for this process."""
         return {
             "store_calls": self._store.calls_by_kind,
-            "connections": self._caller.opened,
+            "connections": self._direct.opened,
             "orders": self._orders.orders_sent,
             "probes": self._orders.probes_sent,
             "in_flight": self.front.in_flight,
@@ -556,12 +616,23 @@
         )
         register("probes", "Questions to engine hosts", lambda: self._orders.probes_sent)
         register("loop_held_up_seconds", "Longest so far", lambda: self.kernel.lag.longest)
-        register("connections_opened", "Connections to targets", lambda: self._caller.opened)
+        register("connections_opened", "Connections to targets", lambda: self._direct.opened)
         register(
             "targets_unreachable",
             "Targets to which connections failed since one was last opened",
             lambda: self._reachability.unreachable(time.monotonic()),
         )
+        register(
+            "links_broken",
+            "Targets that run and that this host can't reach over its own links",
+            lambda: self._reachability.broken,
+        )
+        register(
+            "sent_through_peers", "Requests that a peer passed on", lambda: self._caller.proxied
+        )
+        register(
+            "passed_on_in_flight", "Requests of peers in flight", lambda: self._proxy.in_flight
+        )
         register("endings", "Targets that ended with requests", lambda: self._quarantine.sizes[0])
         register("quarantined", "Requests sent to nobody", lambda: self._quarantine.sizes[1])
         self._notices.show(self.exposition)
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -11,10 +11,11 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from ..clients.httpcall import Call, CallFailure, HttpCaller, Reply
+from ..clients.httpcall import Call, CallFailure, Reply
 from ..groups.actions import Close, Join, Leave, Open, Order, OrderOutcome, Stage, Warm
 from ..groups.inventory import Instance
 from ..serving.forwarding import Notice
+from ..serving.target_caller import TargetCaller
 from .decoding import decode_report
 from .headers import EXPECT_INSTANCE, WRONG_INSTANCE_STATUS, read_notice
 
@@ -84,7 +85,7 @@
 
     def __init__(
         self,
-        caller: HttpCaller,
+        caller: TargetCaller,
         on_notice: Callable[[str, Notice, float], None],
         may_contact: Callable[[Instance], bool],
     ) -> None:
@@ -121,9 +122,11 @@
         # A refused connection doesn't prove that the host is down: a partition may cause it too.
         return OrderOutcome.SILENT
 
-    async def _call_host(self, instance: Instance, call: Call) -> Result[Reply, CallFailure]:
+    async def _call_host(
+        self, instance: Instance, call: Call, second_opinion: bool = False
+    ) -> Result[Reply, CallFailure]:
         sent_at = time.monotonic()
-        found = await self._caller.call(call)
+        found = await self._caller.call(call, second_opinion=second_opinion)
         if is_successful(found) and found.unwrap().status != WRONG_INSTANCE_STATUS:
             reply = found.unwrap()
             self._on_notice(str(instance), read_notice(reply.status, reply.headers), sent_at)
@@ -133,8 +136,11 @@
         """Close the idle connections to the address of an ended host."""
         self._caller.forget(address)
 
-    async def answers(self, instance: Instance, address: str) -> bool:
-        """Probe an address and return whether this incarnation of the host answers there."""
+    async def answers(self, instance: Instance, address: str, second_opinion: bool = False) -> bool:
+        """Probe an address and return whether this incarnation of the host answers there.
+
+        :param second_opinion: whether the probe goes through a peer if it gets no connection
+        """
         self.probes_sent += 1
         headers = {EXPECT_INSTANCE: instance.name}
         call = Call(
@@ -146,7 +152,7 @@
             reuse=True,
             connect_timeout=PROBE_TIMEOUT,
         )
-        found = await self._call_host(instance, call)
+        found = await self._call_host(instance, call, second_opinion)
         if not is_successful(found) or found.unwrap().status != 200:
             return False
         try:
--- a/src/oleanderhill/requests/exchange.py
+++ b/src/oleanderhill/requests/exchange.py
@@ -309,7 +309,7 @@
             self._events.put_nowait(
                 self._quarantine_event() or attempts.ConnectFailed(number, "withheld")
             )
-        elif failure.kind == FailureKind.NOT_CONNECTED:
+        elif failure.kind in (FailureKind.NOT_CONNECTED, FailureKind.WITHHELD):
             self._finder.eject(choice, time.monotonic())
             self._events.put_nowait(attempts.ConnectFailed(number, failure.reason))
         else:
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -39,12 +39,15 @@
 
     After the attempt, ``not_sent`` states whether :meth:`confirm_send` refused to send the request,
     and ``fault`` describes the first event that was out of sequence, empty for none.
+
+    :ivar via: entry host that passes the request on, empty for this host's own links
     """
 
     def __init__(self, request: ForwardedRequest, choice: Choice) -> None:
         self._request = request
         self.choice = choice
         self.not_sent = False
+        self.via = ""
         self.longest_pause = 0.0
         self._splitter = EventSplitter()
         self.status = 0
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from ..clients.httpcall import HttpCaller
 from ..groups.evacuations import Evacuations
 from ..records import Records
 from ..routing.reachability import Reachability
@@ -14,6 +13,7 @@
 from .notices import TargetNotices
 from .placement import Candidate, LoadTracker
 from .quarantine import QuarantineTask
+from .target_caller import TargetCaller
 from .timing import Timing
 
 
@@ -33,7 +33,7 @@
     """
 
     codec: Codec
-    caller: HttpCaller
+    caller: TargetCaller
     book: LoadTracker
     records: Records
     candidates: Callable[[str, str], Sequence[Candidate]]
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -13,7 +13,7 @@
 from returns.result import Result
 from tornado.httputil import HTTPHeaders
 
-from ..clients.httpcall import Call, CallFailure, Reply
+from ..clients.httpcall import Call, CallFailure, FailureKind, Reply
 from ..outcomes import HELD_BACK, Problem, Ran, ends_targets
 from ..requests.attempts import (
     Cancel,
@@ -36,6 +36,7 @@
 )
 from ..requests.identity import identity
 from ..routing.paced_limits import Permit
+from ..routing.reachability import SILENCE_SECONDS, Heard
 from ..routing.router import Choice, NoChoice
 from ..routing.target_limits import CallKind
 from ..settings.catalog import Repeatable
@@ -60,6 +61,8 @@
 
 QUARANTINED = "quarantined"
 
+LINK_LOST = "the own link to the target is broken"
+
 TARGET_DEADLINE_STATUS = 504
 """Status with which a target ends a request at its deadline; that does not show a fault."""
 
@@ -155,6 +158,8 @@
             headers = self.context.codec.caller_reply_headers(run.reply_headers)
             self._sink.begin(run.status, headers)
         self.context.book.progress(run.choice.group, now)
+        if not run.via:
+            self.context.reachability.data_received(now)
         self.context.quarantine.progress(run.choice.head.boot_id)
         self.machine.handle(EventsReceived(self.machine.attempt, events), now)
         return self._sink.write(data)
@@ -242,7 +247,8 @@
         tracker.begin(choice.group)
         began, self._target_failed = time.monotonic(), False
         run = Attempt(self, choice)
-        task = asyncio.ensure_future(self.context.caller.call(self._call(choice), run))
+        calling = self.context.caller.call(self._call(choice), run, partial(self._set_path, run))
+        task = asyncio.ensure_future(calling)
         quarantined = self.context.quarantine.begin(self._identity)
         try:
             abandon_reason = await self._wait_for_end(task, quarantined, run, choice)
@@ -265,6 +271,11 @@
                 tracker.end(choice.group)
             self._longest_pause = max(self._longest_pause, run.longest_pause)
 
+    def _set_path(self, run: Attempt, via: str) -> None:
+        run.via = via
+        place = f"{run.choice.group}:{run.choice.head.host}"
+        self._attempt_log[-1] = f"{place} via {via}" if via else place
+
     def _call(self, choice: Choice) -> Call:
         now = time.monotonic()
         accepted = self._accepted
@@ -325,6 +336,8 @@
             if run.fault:
                 return run.fault
             idle = now - run.last_progress_at
+            if self._hangs_at_own_link(run, choice, idle >= stall_timeout, idle, now):
+                return LINK_LOST
             configured_timeout = stall_timeout_for(self._accepted.route, run.events > 0)
             if (
                 idle >= stall_timeout
@@ -333,6 +346,17 @@
             ):
                 return f"no progress in {idle:.3f} s"
 
+    def _hangs_at_own_link(
+        self, run: Attempt, choice: Choice, stalled: bool, idle: float, now: float
+    ) -> bool:
+        """Return whether an attempt waits in vain since the link of this host is broken."""
+        reachability = self.context.reachability
+        if run.via or idle < SILENCE_SECONDS:
+            return False
+        if stalled and self.context.book.heard_by_peers(choice.group, now) == Heard.RUNNING:
+            reachability.stalled(choice.head.address, now)
+        return reachability.hangs(choice.head.address) and self.machine.may_retry_elsewhere(now)
+
     def _can_retry_elsewhere(self, now: float, max_load: float = math.inf) -> bool:
         if not self.machine.may_retry_elsewhere(now):
             return False
@@ -356,6 +380,9 @@
             return self._advance(DeadlineHit())
         if abandon_reason == QUARANTINED:
             return self._fail_quarantined()
+        if abandon_reason == LINK_LOST:
+            self._log_failed_attempt(choice, abandon_reason)
+            return self._advance(Lost(attempt, abandon_reason))
         timeout = stall_timeout_for(self._accepted.route, run.events > 0)
         if run.fault or self._times.shows_failure(now - run.last_progress_at, timeout, now):
             self._suspect(choice, abandon_reason)
@@ -374,6 +401,9 @@
             return self._fail_quarantined()
         if not is_successful(result):
             failure = result.failure()
+            if failure.kind == FailureKind.PROXY_LOST:
+                self._log_failed_attempt(choice, failure.reason)
+                return self._advance(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
             self._suspect(choice, failure.reason)
             if not failure.sent:
                 return self._advance(ConnectFailed(attempt, failure.reason))
@@ -381,6 +411,8 @@
             self._record_possible_crash(choice)
             return self._advance(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
         reply = result.unwrap()
+        if run.via:
+            self.context.book.progress(choice.group, time.monotonic())
         reading = self.read_reply(reply.status, reply.headers)
         if reading.not_run:
             self._handle_rejection(choice, f"status {reply.status}", reading.notice)
@@ -424,7 +456,9 @@
 
     def _suspect(self, choice: Choice, reason: str) -> None:
         self._log_failed_attempt(choice, reason)
-        self.context.book.suspect(choice.group, time.monotonic())
+        now = time.monotonic()
+        blamed = self.context.reachability.blames_links(choice.head.address, now)
+        self.context.book.suspect(choice.group, now, reported=not blamed)
 
     def _log_failed_attempt(
         self, choice: Choice, reason: str, backoff: float | None = None
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -12,6 +12,7 @@
 from ..groups.inventory import TargetHost
 from ..routing.backoffs import Backoffs
 from ..routing.failing_targets import FailingTargets
+from ..routing.reachability import Heard
 from ..routing.target_limits import TargetLimits
 from .timing import ConfiguredTiming, Timing
 
@@ -36,6 +37,9 @@
 """Seconds by which a peer's report of a target's progress lags in a full mesh: about the interval
 between two reports. Where reports are aggregated, each hop adds an interval."""
 
+HEARD_SECONDS = 0.5
+"""Seconds without data from a target at all other entry hosts after which it counts as silent."""
+
 REMOTE_PENALTY = 0.08
 """Load difference, as a fraction of a target's slots, above which a target in another data centre
 is preferred to a local one: about one request of thirteen. Traffic between data centres costs
@@ -124,6 +128,7 @@
         self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._suspect_until: dict[str, float] = {}
         self._peer_suspect_until: dict[str, float] = {}
+        self._unreported: set[str] = set()
         self._rejected: deque[tuple[float, str]] = deque()
         self._peer_rejected: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._progress_at: dict[str, float] = {}
@@ -205,6 +210,16 @@
             < within + self.peer_report_delay
         )
 
+    def heard_by_peers(self, target: str, now: float) -> Heard:
+        """Return what the reports of other entry hosts tell about a target."""
+        age = self.peer_progress_age(target, now)
+        if age is not None and age <= HEARD_SECONDS:
+            return Heard.RUNNING
+        busy = any(
+            counts.get(target) for at, counts in self._peers.values() if now - at <= HEARD_SECONDS
+        )
+        return Heard.SILENT if busy and age is not None else Heard.UNKNOWN
+
     def peer_progress_age(self, target: str, now: float) -> float | None:
         """Return the seconds since a target last sent something to another entry host.
 
@@ -232,7 +247,9 @@
             if now - age > suspected_at:
                 del self._suspect_until[target]
         for target in suspects:
-            self._peer_suspect_until[target] = now + PEER_SUSPECT_SECONDS
+            # A peer whose own links are broken suspects targets that send data to this host.
+            if now - self._progress_at.get(target, float("-inf")) > PEER_REPORT_DELAY:
+                self._peer_suspect_until[target] = now + PEER_SUSPECT_SECONDS
 
     def drop_stale_peers(self, now: float) -> None:
         """Drop reports of peers that are too old to be used."""
@@ -241,14 +258,22 @@
             for peer in [p for p, (at, _) in table.items() if now - at > PEER_COUNTS_MAX_AGE]:
                 del table[peer]
 
-    def suspect(self, target: str, now: float) -> None:
-        """Record that a target was observed to stall or fail."""
+    def suspect(self, target: str, now: float, reported: bool = True) -> None:
+        """Record that a target was observed to stall or fail.
+
+        :param reported: whether other entry hosts are told; false if this host's links may be why
+        """
         self._suspect_until[target] = now + SUSPECT_SECONDS
+        if reported:
+            self._unreported.discard(target)
+        else:
+            self._unreported.add(target)
 
     def own_suspects(self, now: float) -> list[str]:
-        """Return the targets that this host observed to stall."""
+        """Return the targets that this host observed to stall, for other entry hosts."""
         self._suspect_until = {t: u for t, u in self._suspect_until.items() if u > now}
-        return list(self._suspect_until)
+        self._unreported &= self._suspect_until.keys()
+        return [t for t in self._suspect_until if t not in self._unreported]
 
     def own_backoffs(self, now: float) -> list[str]:
         """Return the incarnations that requested a back-off from this host."""
--- /dev/null
+++ b/src/oleanderhill/serving/target_caller.py
@@ -0,0 +1,242 @@
+"""Calls targets over the links of this entry host, or through a peer where those are broken."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+from tornado.httputil import HTTPHeaders
+
+from ..clients.httpcall import Call, CallFailure, FailureKind, HttpCaller, Observer, Reply
+from ..clients.proxying import FAILURE_HEADER, ProxyFailure, decode_failure, proxied_headers
+from ..routing.proxies import Peer, Proxies
+from ..routing.reachability import Heard, Reachability, Route
+
+TAKE_TIMEOUT = 0.25
+"""Seconds for a peer to take a request: it may need a connection to the target first."""
+
+MAX_PEERS_TRIED = 3
+"""Peers that are asked to take one request."""
+
+
+class Peers(NamedTuple):
+    """The other entry hosts.
+
+    :param name: name of this entry host
+    :param listed: returns those that may pass on requests
+    :param heard: returns what their reports tell about the target at an address
+    """
+
+    name: str
+    listed: Callable[[], Iterable[Peer]]
+    heard: Callable[[str], Heard]
+
+
+class _ProxiedObserver(Observer):
+    """Passes on what the target sent, and keeps what the peer says itself.
+
+    :param on_taken: called when the peer has a connection to the target
+    """
+
+    def __init__(self, observer: Observer | None, on_taken: Callable[[], None]) -> None:
+        self._observer = observer
+        self._on_taken = on_taken
+        self._failed = False
+        self._chunks: list[bytes] = []
+        self.begun = False
+
+    @property
+    def failure(self) -> ProxyFailure | None:
+        """Return the failure that the peer reported."""
+        return decode_failure(self.body) if self._failed else None
+
+    @property
+    def body(self) -> bytes:
+        """Return what was kept: the target's reply, unless an observer received it."""
+        return b"".join(self._chunks)
+
+    def confirm_send(self) -> bool:
+        self._on_taken()
+        return self._observer is None or self._observer.confirm_send()
+
+    def headers(self, status: int, headers: HTTPHeaders) -> None:
+        self._failed = FAILURE_HEADER in headers
+        self.begun = not self._failed
+        if self._observer is not None and not self._failed:
+            self._observer.headers(status, headers)
+
+    def data(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._observer is not None and not self._failed:
+            return self._observer.data(chunk)
+        self._chunks.append(chunk)
+        return None
+
+
+class _Withholding(Observer):
+    """Sends nothing to the target."""
+
+    def confirm_send(self) -> bool:
+        return False
+
+
+def _ignore_path(via: str) -> None:
+    """Ignore the path of a request."""
+
+
+class TargetCaller:
+    """Calls targets; takes part in what is known of the links to them.
+
+    :param direct: opens connections to targets, and reports their outcome to ``reachability``
+    :param to_peers: opens connections to the proxies of peers
+    """
+
+    def __init__(
+        self,
+        direct: HttpCaller,
+        to_peers: HttpCaller,
+        reachability: Reachability,
+        proxies: Proxies,
+        peers: Peers,
+    ) -> None:
+        self.direct = direct
+        self._to_peers = to_peers
+        self._reachability = reachability
+        self._proxies = proxies
+        self._peers = peers
+        self.proxied = 0
+
+    async def call(
+        self,
+        request: Call,
+        observer: Observer | None = None,
+        on_path: Callable[[str], None] = _ignore_path,
+        second_opinion: bool = False,
+    ) -> Result[Reply, CallFailure]:
+        """Send one request to a target and read its reply.
+
+        :param on_path: called before the request is sent, with the peer that passes it on, empty
+            for the own links
+        :param second_opinion: whether a peer is asked about any target that refuses or is silent
+        """
+        route = self._reachability.route(request.address, time.monotonic())
+        if route == Route.OPEN_CONNECTION:
+            stream = self.direct.take_idle(request.address) if request.reuse else None
+            if stream is not None:
+                on_path("")
+                return await self.direct.exchange(stream, request, observer)
+        if route != Route.DIRECT:
+            return await self._call_peers(request, observer, on_path)
+        opened = await self.direct.open(request)
+        if is_successful(opened):
+            on_path("")
+            return await self.direct.exchange(opened.unwrap(), request, observer)
+        heard = Heard.RUNNING if second_opinion else self._peers.heard(request.address)
+        if not self._reachability.may_ask_peer(request.address, heard, time.monotonic()):
+            return Failure(opened.failure())
+        return await self._call_peers(request, observer, on_path, opened.failure())
+
+    async def is_running(self, address: str) -> bool:
+        """Return whether a peer can connect to a target; nothing is sent to it."""
+        request = Call(address, "GET", "/", reuse=True, connect_timeout=TAKE_TIMEOUT)
+        outcome = await self._call_peers(request, _Withholding(), _ignore_path)
+        return not is_successful(outcome) and outcome.failure().kind == FailureKind.WITHHELD
+
+    def has_idle_connection(self, address: str) -> bool:
+        """Return whether a request to a target needs no new connection of this host."""
+        if self._reachability.route(address, time.monotonic()) == Route.PEER:
+            return True
+        return self.direct.has_idle_connection(address)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address that is no longer in use."""
+        self.direct.forget(address)
+
+    async def _call_peers(
+        self,
+        request: Call,
+        observer: Observer | None,
+        on_path: Callable[[str], None],
+        failure: CallFailure | None = None,
+    ) -> Result[Reply, CallFailure]:
+        """Send a request through the first peer that takes it.
+
+        :param failure: outcome if no peer does
+        """
+        tried: set[str] = set()
+        while len(tried) < MAX_PEERS_TRIED:
+            peer = self._proxies.choose(self._peers.listed(), tried, time.monotonic())
+            if peer is None:
+                break
+            tried.add(peer.name)
+            on_path(peer.name)
+            found = await self._call_through(peer, request, observer)
+            if found is not None:
+                return found
+        on_path("")
+        reason = f"no own link, and none of {len(tried)} peers asked reaches it"
+        return Failure(failure or CallFailure(FailureKind.NOT_CONNECTED, False, reason))
+
+    async def _call_through(
+        self, peer: Peer, request: Call, observer: Observer | None
+    ) -> Result[Reply, CallFailure] | None:
+        """Send a request through a peer; return ``None`` if it did not take the request."""
+        proxied = request._replace(
+            address=peer.address,
+            headers=proxied_headers(request.headers, request.address, self._peers.name),
+            reuse=True,
+            accept_close_delimited=False,
+            is_reply_to_call=None,
+            connect_timeout=TAKE_TIMEOUT,
+            expect_continue=True,
+        )
+        collector = _ProxiedObserver(observer, lambda: self._taken(peer, request.address))
+        self._proxies.begin(peer.name)
+        try:
+            result = await self._to_peers.call(proxied, collector)
+        finally:
+            self._proxies.end(peer.name)
+        if not is_successful(result):
+            return self._judge_failure(peer, result.failure(), collector.begun)
+        said = collector.failure
+        if said is None:
+            return Success(result.unwrap()._replace(body=collector.body))
+        return self._judge(peer, request.address, said)
+
+    def _taken(self, peer: Peer, address: str) -> None:
+        now = time.monotonic()
+        self.proxied += 1
+        self._proxies.took(peer.name, now)
+        self._reachability.reached_by_peer(address, now)
+
+    def _judge_failure(
+        self, peer: Peer, failure: CallFailure, begun: bool
+    ) -> Result[Reply, CallFailure] | None:
+        """Return the outcome of a request whose exchange with the peer failed.
+
+        :param begun: whether the target's reply had begun; then the target may have broken it off
+        """
+        if failure.kind == FailureKind.WITHHELD:
+            return Failure(failure)
+        if not begun:
+            self._proxies.avoid(peer.name, time.monotonic())
+        return _proxy_lost(peer, failure.reason) if failure.sent else None
+
+    def _judge(
+        self, peer: Peer, address: str, said: ProxyFailure
+    ) -> Result[Reply, CallFailure] | None:
+        """Return the outcome of a request for which the peer has no reply of the target."""
+        now, reason = time.monotonic(), f"{peer.name}: {said.reason}"
+        if not said.about_target:
+            self._proxies.avoid(peer.name, now)
+            return _proxy_lost(peer, said.reason) if said.sent else None
+        if said.sent:
+            return Failure(CallFailure(FailureKind.LOST, True, reason))
+        self._reachability.failed_by_peer(address, now)
+        return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason, said.refused))
+
+
+def _proxy_lost(peer: Peer, reason: str) -> Result[Reply, CallFailure]:
+    return Failure(CallFailure(FailureKind.PROXY_LOST, True, f"{peer.name}: {reason}"))
--- a/src/oleanderhill/serving/view.py
+++ b/src/oleanderhill/serving/view.py
@@ -73,6 +73,7 @@
         self._evacuated_by_service: Mapping[str, Sequence[Candidate]] = {}
         self._by_model: Mapping[str, Sequence[Candidate]] = {}
         self._by_service: Mapping[str, Sequence[Candidate]] = {}
+        self._target_by_address: Mapping[str, str] = {}
         self._demand_by_model: dict[str, float] = {}
         self._expected_by_model: Mapping[str, float] = {}
         self._slots = 1
@@ -93,6 +94,8 @@
         self._refresh_plain_services(catalog)
         self._open_by_model, self._evacuated_by_model = self._split(self._by_model)
         self._open_by_service, self._evacuated_by_service = self._split(self._by_service)
+        candidate_lists = (*self._by_model.values(), *self._by_service.values())
+        self._target_by_address = {c.host.address: c.target for f in candidate_lists for c in f}
         return True
 
     def _split(self, targets: _Targets) -> tuple[_Targets, _Targets]:
@@ -206,6 +209,10 @@
             for c in candidates
         }
 
+    def target_at(self, address: str) -> str:
+        """Return the key of the serving target at an address, empty for none."""
+        return self._target_by_address.get(address, "")
+
     def prediction(self, model: str, now: float) -> Prediction | None:
         """Return the timing of a full group of a model, ``None`` if unknown."""
         return self._timing.prediction(model, now)
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -3,13 +3,23 @@
 import asyncio
 import random
 import unittest
+from collections import Counter
 from unittest import mock
 
 from oleanderhill_dev.users.cut_links import Cut
-from oleanderhill_dev.users.site import LARGE
+from oleanderhill_dev.users.site import LARGE, until
 from returns.pipeline import is_successful
 
-from oleanderhill.routing.reachability import FAILURE_WINDOW, MIN_UNREACHABLE, Reachability
+from oleanderhill.routing.proxies import AVOID_SECONDS, Peer, Proxies
+from oleanderhill.routing.reachability import (
+    CHECK_INTERVAL,
+    CONFIRMED_SECONDS,
+    FAILURE_WINDOW,
+    MIN_UNREACHABLE,
+    Heard,
+    Reachability,
+    Route,
+)
 
 from .test_users_site import SiteTest
 
@@ -37,7 +47,7 @@
             await self.ask("/scan/x")
             await self.ask("/read/x", "POST", model=LARGE)
             self.site.links.heal("entry-0")
-            await self.ask("/scan/x")
+            await until(lambda: any(w == "regained" for _, w, _ in noted))
         changes = [f | {"what": w} for p, w, f in noted if p == "dependency"]
         self.assertEqual([c["what"] for c in changes], ["lost", "regained"])
         self.assertEqual(changes[0]["dependency"], "targets")
@@ -94,10 +104,13 @@
 
 
 class ReachabilityTest(unittest.TestCase):
-    def test_matches_an_oracle_that_replays_all_outcomes(self):
+    def setUp(self):
+        self.links = Reachability(lambda address: address[0])
+
+    def test_doubts_match_an_oracle_that_replays_all_outcomes(self):
         for seed in range(300):
             rng = random.Random(seed)
-            links, outcomes, doubtful, now = Reachability(), [], False, 0.0
+            links, outcomes, lost, now = Reachability(), [], False, 0.0
             for _ in range(80):
                 now += rng.choice((0.001, 0.5, FAILURE_WINDOW + 0.1))
                 address, opened = rng.choice("abc"), rng.random() < 0.3
@@ -109,8 +122,117 @@
                         recent = set()
                     elif now - at <= FAILURE_WINDOW:
                         recent.add(which)
-                was = doubtful
-                doubtful = not opened and (was or len(recent) >= MIN_UNREACHABLE)
-                self.assertEqual(links.doubtful, doubtful, seed)
-                self.assertEqual(change is not None, doubtful != was, seed)
+                was = lost
+                lost = not opened and (was or len(recent) >= MIN_UNREACHABLE)
+                self.assertEqual(links.lost, lost, seed)
+                self.assertEqual(change is not None, lost != was, seed)
                 self.assertEqual(links.unreachable(now), len(recent), seed)
+
+    def test_a_target_that_peers_hear_is_reached_through_them(self):
+        self.links.failed("a1", 0.0, heard=Heard.RUNNING)
+        self.assertEqual(self.links.route("a1", 0.1), Route.PEER)
+        self.assertEqual(self.links.route("a2", 0.1), Route.DIRECT)
+
+    def test_a_dead_target_is_no_broken_link(self):
+        self.links.failed("a1", 0.0, heard=Heard.SILENT)
+        self.links.failed("a2", 0.0, heard=Heard.SILENT)
+        self.assertFalse(self.links.may_ask_peer("a1", Heard.SILENT, 0.1))
+        self.assertEqual(self.links.route("a1", 0.1), Route.DIRECT)
+
+    def test_a_peer_that_fails_too_clears_the_own_links(self):
+        self.links.failed("a1", 0.0, heard=Heard.RUNNING)
+        self.links.failed_by_peer("a1", 0.1)
+        self.assertEqual(self.links.route("a1", 0.2), Route.DIRECT)
+        self.assertFalse(self.links.may_ask_peer("a1", Heard.RUNNING, 0.2))
+        self.assertTrue(self.links.may_ask_peer("a1", Heard.RUNNING, 0.2 + CONFIRMED_SECONDS))
+
+    def test_other_targets_of_a_cut_service_need_no_failed_attempt_each(self):
+        for address in ("a1", "a2"):
+            self.links.failed(address, 0.0, heard=Heard.RUNNING)
+        self.assertEqual(self.links.route("a3", 0.1), Route.PEER)
+        self.assertEqual(self.links.route("b1", 0.1), Route.DIRECT)
+        self.links.connected("a4", 0.2)
+        self.assertEqual(self.links.route("a3", 0.3), Route.DIRECT)
+
+    def test_open_connections_are_used_where_new_ones_are_refused(self):
+        self.links.failed("a1", 0.0, refused=True, heard=Heard.RUNNING)
+        self.assertEqual(self.links.route("a1", 0.1), Route.OPEN_CONNECTION)
+
+    def test_the_end_of_a_cut_is_found_at_all_targets_at_once(self):
+        for number in range(5):
+            self.links.failed(f"a{number}", 0.0, heard=Heard.RUNNING)
+        self.assertEqual(self.links.take_checks(CHECK_INTERVAL - 0.01), [])
+        self.links.connected("a0", 0.1)
+        self.assertEqual(self.links.take_checks(0.1), ["a1", "a2", "a3", "a4"])
+
+    def test_stalls_put_the_links_in_doubt_only_if_no_target_sends_anything(self):
+        for heard_at, checked in ((0.9, []), (0.0, ["a1", "a2"])):
+            links = Reachability()
+            links.data_received(heard_at)
+            for address in ("a1", "a2"):
+                links.stalled(address, 1.0)
+            self.assertEqual(sorted(links.take_checks(1.0)), checked)
+
+    def test_never_prefers_peers_for_good(self):
+        """Whatever happens, a connection that succeeds makes its target direct again."""
+        for seed in range(200):
+            rng, now = random.Random(seed), 0.0
+            links = Reachability(lambda address: address[0])
+            addresses = [f"{service}{number}" for service in "ab" for number in range(3)]
+            for _ in range(100):
+                now += rng.random()
+                address = rng.choice(addresses)
+                match rng.randrange(6):
+                    case 0 | 1:
+                        heard = rng.choice(list(Heard))
+                        links.failed(address, now, rng.random() < 0.5, heard)
+                    case 2:
+                        links.reached_by_peer(address, now)
+                    case 3:
+                        links.failed_by_peer(address, now)
+                    case 4 | 5:
+                        links.connected(address, now)
+                        self.assertEqual(links.route(address, now), Route.DIRECT, seed)
+                        self.assertFalse(links.lost, seed)
+                now += CHECK_INTERVAL
+                self.assertEqual(address in links.take_checks(now), links.is_broken(address), seed)
+
+
+class ProxiesTest(unittest.TestCase):
+    def setUp(self):
+        self.proxies = Proxies("hall", random.Random(1))
+        self.peers = [
+            Peer(f"{data_centre}-{number}", "", data_centre)
+            for data_centre in ("hall", "yard")
+            for number in range(3)
+        ]
+
+    def choose(self, now=0.0, tried=()):
+        found = self.proxies.choose(self.peers, tried, now)
+        return found and found.name
+
+    def test_the_own_data_centre_goes_first(self):
+        self.assertEqual({self.choose()[:4] for _ in range(30)}, {"hall"})
+
+    def test_a_peer_that_could_not_help_is_avoided_for_a_while(self):
+        for peer in self.peers:
+            self.proxies.avoid(peer.name, 0.0)
+        self.assertIsNone(self.choose())
+        self.assertIsNotNone(self.choose(AVOID_SECONDS))
+
+    def test_peers_that_were_tried_are_left_out(self):
+        self.assertIsNone(self.choose(tried=[p.name for p in self.peers]))
+
+    def test_one_proven_peer_does_not_take_all(self):
+        self.proxies.took("hall-0", 0.0)
+        chosen = Counter()
+        for _ in range(60):
+            name = self.choose()
+            chosen[name] += 1
+            self.proxies.begin(name)
+        self.assertEqual(len(chosen), len(self.peers))
+        self.assertLess(max(chosen.values()), 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
