Requests through peers: lost hops, the only target, stalled streams, all hosts cut

Seen with tests of the hop and of whole sites before they passed: - All but one host cut off: a peer that had not noticed its own cut reported the target as failed, so the caller got 503 (1 of 3). A peer's word against a target counts only if the peer opened a connection to a target within two seconds, else the next peer is asked. - A stream whose link was lost, with its model's only group, was cut: the target counted as tried. If no other target is left, a target whose loss the own link may explain is tried once more, through a peer; the attempt counts as any other. - A stream that hung on a silent link waited for its deadline (4.0 s): peers without requests there can't tell. Stalled requests while no target sends anything have the link checked, one connection a second at most, and a peer asked where it fails. - No host reaches the targets: 0.54 s to the refusal, as each attempt waited for a connection. A link that failed within a second, while the links are in doubt, is left to the checks. Now under 0.5 s.

Also covered: reply without a length, late replies, an abandoned request, a lost hop (unknown, sent once, no evidence against the target), a peer that drains, one of a release without a proxy, forged headers, malformed requests, flapping links, an owner that is cut off, a removed key.

--- a/src/oleanderhill/clients/proxying.py
+++ b/src/oleanderhill/clients/proxying.py
@@ -29,8 +29,8 @@
 class ProxyFailure(NamedTuple):
     """Why a peer did not return a reply of the target.
 
-    :param about_target: the peer's own links are sound, and it did not reach the target or lost the
-        connection to it; otherwise the peer itself can't help
+    :param about_target: the target failed, as the peer's own links are known to work; otherwise
+        the peer can't help or doesn't know
     :param sent: some bytes of the request may have reached the target
     """
 
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -307,7 +307,7 @@
             ),
             records,
         )
-        checks = LinkCheckTask(self.kernel, self._direct, self._reachability)
+        checks = LinkCheckTask(self.kernel, self._caller, self._reachability)
         vitals = VitalsTask(self.kernel, records, self._vitals)
         for service in (
             self.front,
--- a/src/oleanderhill/routing/reachability.py
+++ b/src/oleanderhill/routing/reachability.py
@@ -24,6 +24,13 @@
 CHECK_INTERVAL = 0.5
 """Seconds between two checks of a broken link."""
 
+FAILED_RECENTLY_SECONDS = 1.0
+"""Seconds after a failed connection in which no request tries the link again, where the links of
+this host are in doubt: the checks do, which take less."""
+
+PROOF_SECONDS = 2.0
+"""Seconds for which a connection that was opened proves that the own links work."""
+
 STALL_CHECK_INTERVAL = 1.0
 """Minimum seconds between two checks because requests stall. Each opens a connection, and requests
 also stall at targets that are merely busy."""
@@ -92,6 +99,8 @@
         self._lost = False
         self._broken: dict[str, _BrokenLink] = {}
         self._reached_at: dict[str, float] = {}
+        self._connected_at = float("-inf")
+        self._checking: set[str] = set()
         self._confirmed_until: dict[str, float] = {}
         self._stalled_at: dict[str, float] = {}
         self._data_at = float("-inf")
@@ -118,8 +127,9 @@
         """Record that a connection was opened; return the change, if any."""
         failed, self._failed_at = tuple(self._failed_at), {}
         self._refused.clear()
-        self._reached_at[self._service_of(address)] = now
+        self._reached_at[self._service_of(address)] = self._connected_at = now
         self._confirmed_until.pop(address, None)
+        self._checking.discard(address)
         if self._broken.pop(address, None) is not None:
             # The other links are probably back as well.
             self._broken = {a: b._replace(check_at=now) for a, b in self._broken.items()}
@@ -139,6 +149,9 @@
             self._first_failure = now
         self._failed_at[address] = now
         self._refused[address] = refused
+        self._checking.discard(address)
+        if heard == Heard.SILENT:
+            self._confirmed_until[address] = now + CONFIRMED_SECONDS
         if heard == Heard.RUNNING or address in self._broken:
             self._mark_broken(address, now)
         if self._lost or len(self._failed_at) < MIN_UNREACHABLE:
@@ -162,12 +175,15 @@
         self._data_at = now
         self._stalled_at.clear()
 
-    def stalled(self, address: str, now: float) -> None:
-        """Record that a target that runs sends nothing to this host's request."""
+    def stalled(self, address: str, now: float, busy: int) -> None:
+        """Record that a target sends nothing to this host's request, though it seems to run.
+
+        :param busy: number of targets that have requests of this host
+        """
         recent = {a: at for a, at in self._stalled_at.items() if now - at <= FAILURE_WINDOW}
         self._stalled_at = {**recent, address: now}
         if (
-            len(self._stalled_at) >= MIN_UNREACHABLE
+            len(self._stalled_at) >= min(MIN_UNREACHABLE, busy)
             and now - self._data_at >= SILENCE_SECONDS
             and now - self._stall_check_at >= STALL_CHECK_INTERVAL
         ):
@@ -180,19 +196,28 @@
             table.pop(address, None)
         self._stalled_at.pop(address, None)
         self._stall_checks.discard(address)
+        self._checking.discard(address)
 
     # Questions
 
     def route(self, address: str, now: float) -> Route:
         """Return how to reach a target."""
         link = self._broken.get(address) or self._presumed(address, now)
-        if link is None:
+        if link is not None:
+            return Route.OPEN_CONNECTION if link.refused else Route.PEER
+        failed_at = self._failed_at.get(address, float("-inf"))
+        just_failed = now - failed_at < FAILED_RECENTLY_SECONDS
+        if not self._lost or not just_failed or self._confirmed(address, now):
             return Route.DIRECT
-        return Route.OPEN_CONNECTION if link.refused else Route.PEER
+        return Route.OPEN_CONNECTION if self._refused[address] else Route.PEER
+
+    def proven(self, now: float) -> bool:
+        """Return whether the own links are known to work, so that a failure is the target's."""
+        return not self._lost and now - self._connected_at <= PROOF_SECONDS
 
     def may_ask_peer(self, address: str, heard: Heard, now: float) -> bool:
         """Return whether a peer might reach a target to which a connection just failed."""
-        if self._confirmed_until.get(address, 0.0) > now:
+        if self._confirmed(address, now):
             return False
         return heard == Heard.RUNNING or (heard == Heard.UNKNOWN and self._lost)
 
@@ -200,6 +225,12 @@
         """Return whether a target runs and can't be reached over the own links."""
         return address in self._broken
 
+    def is_unexplained(self, address: str, now: float) -> bool:
+        """Return whether it is not known why a target can't be reached."""
+        return address in self._failed_at and not (
+            address in self._broken or self._confirmed(address, now)
+        )
+
     def hangs(self, address: str) -> bool:
         """Return whether open connections to a target hang as well."""
         link = self._broken.get(address)
@@ -207,7 +238,7 @@
 
     def blames_links(self, address: str, now: float) -> bool:
         """Return whether the own links may be why a target can't be reached."""
-        if self._confirmed_until.get(address, 0.0) > now:
+        if self._confirmed(address, now):
             return False
         return self.route(address, now) != Route.DIRECT or (
             self._lost and address in self._failed_at
@@ -218,8 +249,16 @@
         due = [a for a, link in self._broken.items() if link.check_at <= now]
         for address in due:
             self._broken[address] = self._broken[address]._replace(check_at=now + CHECK_INTERVAL)
-        stalled, self._stall_checks = self._stall_checks, set()
-        return [*due, *(stalled - set(due))]
+        others, self._stall_checks = self._stall_checks, set()
+        if self._lost:
+            others |= {a for a, at in self._failed_at.items() if now - at >= CHECK_INTERVAL}
+        checks = [*due, *(others - set(due) - self._checking)]
+        self._checking.update(checks)
+        return checks
+
+    def _confirmed(self, address: str, now: float) -> bool:
+        """Return whether a peer could not reach a target either."""
+        return self._confirmed_until.get(address, 0.0) > now
 
     def _mark_broken(self, address: str, now: float) -> None:
         link = self._broken.get(address)
@@ -229,7 +268,7 @@
 
     def _presumed(self, address: str, now: float) -> _BrokenLink | None:
         """Return a broken link to the same service, if none of its targets was reached since."""
-        if not self._broken or self._confirmed_until.get(address, 0.0) > now:
+        if not self._broken or self._confirmed(address, now):
             return None
         service = self._service_of(address)
         reached_at = self._reached_at.get(service, float("-inf"))
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -127,6 +127,8 @@
         self._on_trial = False
         self._target_failed = False
         self._tried_targets: set[str] = set()
+        self._lost_at_own_link: set[str] = set()
+        self._ask_peers_about: set[str] = set()
         self._attempt_log: list[str] = []
 
     async def run(self) -> None:
@@ -222,6 +224,12 @@
             self.machine.attempts_sent,
         )
         selected = self._selection.select(attempting)
+        if isinstance(selected, NoChoice) and self._lost_at_own_link:
+            # No other target is left, and the link of this host may be what failed.
+            self._ask_peers_about |= self._lost_at_own_link
+            tried = self._tried_targets = self._tried_targets - self._lost_at_own_link
+            self._lost_at_own_link = set()
+            selected = self._selection.select(attempting._replace(tried=tried))
         if isinstance(selected, NoChoice):
             return selected
         self._permit, self._on_trial = selected.permit, selected.on_trial
@@ -247,7 +255,12 @@
         tracker.begin(choice.group)
         began, self._target_failed = time.monotonic(), False
         run = Attempt(self, choice)
-        calling = self.context.caller.call(self._call(choice), run, partial(self._set_path, run))
+        calling = self.context.caller.call(
+            self._call(choice),
+            run,
+            partial(self._set_path, run),
+            choice.group in self._ask_peers_about,
+        )
         task = asyncio.ensure_future(calling)
         quarantined = self.context.quarantine.begin(self._identity)
         try:
@@ -353,8 +366,9 @@
         reachability = self.context.reachability
         if run.via or idle < SILENCE_SECONDS:
             return False
-        if stalled and self.context.book.heard_by_peers(choice.group, now) == Heard.RUNNING:
-            reachability.stalled(choice.head.address, now)
+        heard = self.context.book.heard_by_peers(choice.group, now)
+        if stalled and (heard == Heard.RUNNING or (heard == Heard.UNKNOWN and run.events)):
+            reachability.stalled(choice.head.address, now, len(self.context.book.own))
         return reachability.hangs(choice.head.address) and self.machine.may_retry_elsewhere(now)
 
     def _can_retry_elsewhere(self, now: float, max_load: float = math.inf) -> bool:
@@ -381,6 +395,7 @@
         if abandon_reason == QUARANTINED:
             return self._fail_quarantined()
         if abandon_reason == LINK_LOST:
+            self._lost_at_own_link.add(choice.group)
             self._log_failed_attempt(choice, abandon_reason)
             return self._advance(Lost(attempt, abandon_reason))
         timeout = stall_timeout_for(self._accepted.route, run.events > 0)
@@ -404,6 +419,8 @@
             if failure.kind == FailureKind.PROXY_LOST:
                 self._log_failed_attempt(choice, failure.reason)
                 return self._advance(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
+            if not run.via and choice.group not in self._ask_peers_about:
+                self._lost_at_own_link.add(choice.group)
             self._suspect(choice, failure.reason)
             if not failure.sent:
                 return self._advance(ConnectFailed(attempt, failure.reason))
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -189,8 +189,8 @@
             self.in_flight += 1
             return
         failure = opened.failure()
-        sound = not self._reachability.blames_links(address, time.monotonic())
-        self._reject(request, ProxyFailure(sound, False, failure.reason, failure.refused))
+        proven = self._reachability.proven(time.monotonic())
+        self._reject(request, ProxyFailure(proven, False, failure.reason, failure.refused))
 
     def give_up(self, request: _ProxiedRequest, stream: IOStream) -> None:
         """Keep the connection of a request that was not sent."""
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -234,6 +234,7 @@
             return _proxy_lost(peer, said.reason) if said.sent else None
         if said.sent:
             return Failure(CallFailure(FailureKind.LOST, True, reason))
+        self._proxies.took(peer.name, now)
         self._reachability.failed_by_peer(address, now)
         return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason, said.refused))
 
--- /dev/null
+++ b/tests/test_proxied_requests.py
@@ -0,0 +1,373 @@
+"""Requests that reach their target through another entry host."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import time
+import unittest
+
+from oleanderhill_dev.bench_site import free_address
+from oleanderhill_dev.users.cut_links import Cut
+from oleanderhill_dev.users.site import LARGE, until
+from returns.pipeline import is_successful
+from tornado.httputil import HTTPHeaders
+
+from oleanderhill.clients.httpcall import Call, FailureKind, HttpCaller, Observer
+from oleanderhill.clients.proxying import (
+    FAILURE_HEADER,
+    PROXY_HEADERS,
+    TARGET_HEADER,
+    decode_failure,
+    proxied_headers,
+    proxy_address,
+)
+from oleanderhill.kernel import Kernel
+from oleanderhill.platform.headers import HeaderCodec
+from oleanderhill.records import Records
+from oleanderhill.routing.proxies import Peer, Proxies
+from oleanderhill.routing.reachability import Heard, Reachability
+from oleanderhill.serving.proxy_server import ProxyCallbacks, ProxyServer
+from oleanderhill.serving.target_caller import Peers, TargetCaller
+
+from .test_cut_off import CutSiteTest
+
+PROMPTLY = 0.5
+"""Seconds within which a refusal or the end of abandoned work counts as immediate."""
+
+
+class RawTarget:
+    """A target that sends prepared bytes, and records what it receives.
+
+    :ivar closed: set when the client closed a connection
+    """
+
+    def __init__(self):
+        self.address = free_address()
+        self.reply = b""
+        self.reset = False
+        self.hold = False
+        self.received = []
+        self.closed = asyncio.Event()
+        self._server = None
+
+    async def start(self):
+        ip, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = next(
+                (int(x[15:]) for x in head.split(b"\r\n") if x.startswith(b"Content-Length:")), 0
+            )
+            self.received.append((head, await reader.readexactly(length)))
+            writer.write(self.reply)
+            await writer.drain()
+            if self.hold:
+                await reader.read()
+                self.closed.set()
+        if self.reset:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+
+class Chunks(Observer):
+    def __init__(self, confirm=True):
+        self.body = b""
+        self.status = 0
+        self.confirm = confirm
+
+    def confirm_send(self):
+        return self.confirm
+
+    def headers(self, status, headers):
+        self.status = status
+
+    def data(self, chunk):
+        self.body += chunk
+
+
+class HopTest(unittest.IsolatedAsyncioTestCase):
+    """The hop between two entry hosts, with a target that speaks raw bytes."""
+
+    async def asyncSetUp(self):
+        self.target = RawTarget()
+        await self.target.start()
+        self.listed = {self.target.address}
+        self.draining = False
+        self.direct = HttpCaller()
+        self.peer_links = Reachability()
+        self.address = free_address()
+        self.server = ProxyServer(
+            Kernel(),
+            self.address,
+            self.direct,
+            self.peer_links,
+            HeaderCodec(),
+            ProxyCallbacks(lambda a: a in self.listed, lambda: self.draining),
+            Records("peer"),
+        )
+        await self.server.start()
+        self.links = Reachability()
+        self.peers = [Peer("peer", self.address, "hall")]
+        self.caller = TargetCaller(
+            HttpCaller(lambda a, f: f and self.links.failed(a, 0.0, f.refused, Heard.RUNNING)),
+            HttpCaller(),
+            self.links,
+            Proxies("hall", random.Random(1)),
+            Peers("here", lambda: self.peers, lambda address: Heard.RUNNING),
+        )
+        for number in range(2):
+            self.links.failed(f"other-{number}", 0.0, heard=Heard.RUNNING)
+
+    async def asyncTearDown(self):
+        await self.server.stop()
+        self.target.stop()
+
+    async def send(self, observer=None, **more):
+        headers = HTTPHeaders({"Attempt-Id": "r1", "X-Own": "1"})
+        call = Call(self.target.address, "POST", "/a?b=%20c", headers, b"body", timeout=5.0, **more)
+        return await self.caller.call(call, observer)
+
+    async def test_target_gets_the_request_unchanged_and_the_caller_its_reply(self):
+        self.target.reply = (
+            b"HTTP/1.1 201 Created\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n"
+            b"Proxy-Failure: forged\r\nContent-Length: 4\r\n\r\ndone"
+        )
+        seen = Chunks()
+        reply = (await self.send(seen)).unwrap()
+        self.assertEqual((reply.status, seen.status, seen.body), (201, 201, b"done"))
+        self.assertEqual(reply.headers["Response-Seal"], "s")
+        head, body = self.target.received[0]
+        self.assertTrue(head.startswith(b"POST /a?b=%20c HTTP/1.1\r\n"))
+        self.assertIn(b"X-Own: 1", head)
+        self.assertEqual(body, b"body")
+        for name in (*PROXY_HEADERS, "Expect"):
+            self.assertNotIn(name.encode(), head)
+
+    async def test_reply_without_a_length_is_complete_only_if_the_target_closed_it(self):
+        self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n\r\nwhole"
+        seen = Chunks()
+        self.assertEqual((await self.send(seen)).unwrap().status, 200)
+        self.assertEqual(seen.body, b"whole")
+        self.target.reset = True
+        failure = (await self.send(Chunks())).failure()
+        self.assertTrue(failure.sent)
+
+    async def test_late_reply_to_another_request_is_not_passed_on(self):
+        self.target.reply = (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\nContent-Length: 3\r\n\r\nold"
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 3\r\n\r\nnew"
+        )
+        seen = Chunks()
+        await self.send(seen)
+        self.assertEqual(seen.body, b"new")
+
+    async def test_nothing_reaches_the_target_if_the_sender_decides_against_it(self):
+        failure = (await self.send(Chunks(confirm=False))).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.WITHHELD, False))
+        await until(lambda: not self.server.in_flight)
+        self.assertEqual(self.target.received, [])
+
+    async def test_abandoned_request_is_abandoned_at_the_target(self):
+        self.target.hold = True
+        sending = asyncio.ensure_future(self.send(Chunks()))
+        await until(lambda: self.target.received)
+        sending.cancel()
+        await asyncio.wait_for(self.target.closed.wait(), PROMPTLY)
+        await until(lambda: not self.server.in_flight, PROMPTLY)
+
+    async def test_lost_hop_is_unknown_and_no_evidence_against_the_target(self):
+        self.target.hold = True
+        sending = asyncio.ensure_future(self.send(Chunks()))
+        await until(lambda: self.target.received)
+        await self.server.stop()
+        failure = (await sending).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.PROXY_LOST, True))
+        self.assertEqual(len(self.target.received), 1)
+
+    async def test_request_lost_at_the_target_is_reported_as_sent(self):
+        self.target.reset = True
+        failure = (await self.send(Chunks())).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.LOST, True))
+
+    async def test_target_that_a_peer_with_working_links_cannot_reach_has_failed(self):
+        self.target.stop()
+        await asyncio.sleep(0.05)
+        self.peer_links.connected("other", time.monotonic())
+        failure = (await self.send(Chunks())).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
+        self.assertTrue(failure.refused)
+        self.assertFalse(self.links.blames_links(self.target.address, time.monotonic()))
+
+    async def test_peer_that_does_not_know_its_own_links_is_no_evidence_against_the_target(self):
+        self.target.stop()
+        await asyncio.sleep(0.05)
+        failure = (await self.send(Chunks())).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
+        self.assertTrue(self.links.blames_links(self.target.address, time.monotonic()))
+
+    async def test_peer_that_drains_or_does_not_know_the_target_takes_nothing(self):
+        for change in ("draining", "unlisted"):
+            self.draining = change == "draining"
+            self.listed = set() if change == "unlisted" else {self.target.address}
+            failure = (await self.send(Chunks())).failure()
+            self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
+            self.caller._proxies._avoid_until.clear()
+        self.assertEqual(self.target.received, [])
+
+    async def test_two_hosts_that_are_both_cut_off_do_not_pass_requests_round(self):
+        for number in range(2):
+            self.peer_links.failed(f"other-{number}", 0.0, heard=Heard.RUNNING)
+        failure = (await self.send(Chunks())).failure()
+        self.assertFalse(failure.sent)
+        self.assertEqual(self.target.received, [])
+
+    async def test_host_of_a_release_without_a_proxy_takes_nothing(self):
+        self.peers[0] = self.peers[0]._replace(address=free_address())
+        failure = (await self.send(Chunks())).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
+
+    async def test_a_second_peer_takes_what_the_first_one_cannot(self):
+        self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        self.peers.insert(0, Peer("old", free_address(), "hall"))
+        for _ in range(3):
+            self.assertEqual((await self.send(Chunks())).unwrap().status, 200)
+
+    async def test_malformed_requests_get_an_answer_and_the_proxy_goes_on(self):
+        for seed in range(60):
+            rng = random.Random(seed)
+            headers = HTTPHeaders()
+            for name in ("Attempt-Id", "Deadline-Ms", "Last-Event-Id", TARGET_HEADER):
+                value = rng.choice(["", "x", "-1", "nan", "1e999", "a:b", "127.0.0.1", "9" * 300])
+                headers.add(name, value)
+            call = Call(self.address, "GET", "/", headers, timeout=2.0)
+            reply = (await HttpCaller().call(call)).unwrap()
+            self.assertIn(FAILURE_HEADER, reply.headers)
+            self.assertFalse(decode_failure(reply.body).sent)
+        self.assertEqual(self.server.in_flight, 0)
+
+
+class HeaderTest(unittest.TestCase):
+    def test_headers_of_a_caller_cannot_name_another_target(self):
+        headers = HTTPHeaders({"Proxy-Target": "forged:1", "proxy-sender": "forged", "X": "1"})
+        sent = proxied_headers(headers, "target:1", "here")
+        self.assertEqual(sent.get_list(TARGET_HEADER), ["target:1"])
+        self.assertEqual(sent.get_list("Proxy-Sender"), ["here"])
+        self.assertEqual(sent["X"], "1")
+
+    def test_malformed_failure_tells_nothing_of_the_target(self):
+        for body in (b"", b"x", b"\x93\x01"):
+            failure = decode_failure(body)
+            self.assertEqual((failure.about_target, failure.sent), (False, True))
+
+
+class CutOffHostTest(CutSiteTest):
+    async def statuses(self, count=4, entry=None, path="/scan/x", method="GET", model=""):
+        asked = [self.ask(path, method, entry=entry, model=model) for _ in range(count)]
+        found = await asyncio.gather(*asked)
+        return [r.unwrap().status if is_successful(r) else 0 for r, _ in found]
+
+    async def test_direct_again_within_a_second_after_the_cut(self):
+        self.cut_off(Cut.REFUSED, 0)
+        await self.statuses()
+        self.site.links.heal("entry-0")
+        await until(lambda: not self.entry._reachability.broken, 1.0)
+        before = self.entry._caller.proxied
+        self.assertEqual(await self.statuses(), [200] * 4)
+        self.assertEqual(self.entry._caller.proxied, before)
+
+    async def test_refused_at_once_if_no_host_reaches_the_targets(self):
+        self.cut_off(Cut.SILENT, 0, 1, 2)
+        for entry in self.site.entries:
+            await self.statuses(2, entry)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        result, _ = await self.ask("/scan/x")
+        self.assertEqual(result.unwrap().status, 503)
+        self.assertIn("Retry-After", result.unwrap().headers)
+        self.assertLess(loop.time() - began, PROMPTLY)
+
+    async def test_stream_goes_on_through_a_peer_when_its_link_is_lost(self):
+        self.site.engines.events_per_stream = 60
+        for how in (Cut.REFUSED, Cut.SILENT):
+            reading = asyncio.ensure_future(self.ask("/read/x", "POST", model=LARGE))
+            await until(lambda n=self.sent: len(self.runs(f"request-{self.sent}")) == 1)
+            await asyncio.sleep(0.2)
+            self.cut_off(how, 0)
+            result, reader = await reading
+            self.assertEqual(result.unwrap().status, 200, how)
+            self.assert_complete_stream(reader)
+            self.site.links.heal("entry-0")
+            await until(lambda: not self.entry._reachability.broken, 3.0)
+
+    async def test_a_cut_host_spreads_no_word_against_the_targets(self):
+        other = self.site.entries[1]
+        await asyncio.gather(*(self.statuses(3, e) for e in self.site.entries))
+        self.cut_off(Cut.REFUSED, 0)
+        for _ in range(10):
+            await self.statuses(3)
+            await self.statuses(3, path="/read/x", method="POST", model=LARGE)
+        loop_time = asyncio.get_running_loop().time
+        candidates = [*other.candidates("pool", LARGE), *other.candidates("desk", "")]
+        self.assertFalse(
+            [c.target for c in candidates if other._book.is_suspect(c.target, loop_time())]
+        )
+        self.assertEqual([e._quarantine.sizes for e in self.site.entries], [(0, 0)] * 3)
+
+    async def test_owner_that_is_cut_off_goes_on_with_its_domain(self):
+        owner = next(
+            number
+            for number, entry in enumerate(self.site.entries)
+            for plan in entry._plans.by_key.values()
+            if plan.owner == f"entry-{number}"
+        )
+        entry = self.site.entries[owner]
+        self.cut_off(Cut.REFUSED, owner)
+        await self.statuses(4, entry)
+        (candidate,) = entry.candidates("pool", LARGE)
+        lost = self.site.engines.host_by_instance[candidate.host.instance.name].members[2]
+        self.site.lose_host(lost)
+        self.site.store.delete(f"servers/{lost}")
+
+        def repaired():
+            found = entry.candidates("pool", LARGE)
+            return found and found[0].target != candidate.target
+
+        await until(repaired, 25.0)
+        self.assertEqual(await self.statuses(2, entry, "/read/x", "POST", LARGE), [200, 200])
+
+    async def test_links_that_flap_cost_no_request(self):
+        for _ in range(6):
+            self.cut_off(Cut.REFUSED, 0)
+            self.assertEqual(await self.statuses(3), [200] * 3)
+            self.site.links.heal("entry-0")
+            self.assertEqual(await self.statuses(3), [200] * 3)
+
+    async def test_all_but_one_host_cut_off(self):
+        self.cut_off(Cut.REFUSED, 0, 1)
+        for entry in self.site.entries:
+            self.assertEqual(await self.statuses(3, entry), [200] * 3)
+
+    async def test_removed_key_is_refused_whatever_the_path(self):
+        self.cut_off(Cut.REFUSED, 0)
+        await self.statuses()
+        self.site.configure(2, {"hall": ["key-new"]})
+        await until(lambda: self.entry._configuration.catalog.version == 2)
+        before = self.entry._caller.proxied
+        result, _ = await self.ask("/scan/x")
+        self.assertEqual(result.unwrap().status, 401)
+        self.assertEqual(self.entry._caller.proxied, before)
+
+    def test_proxy_address_is_next_to_that_for_peers(self):
+        self.assertEqual(proxy_address("10.0.0.1:7340"), "10.0.0.1:7341")
+
+
+if __name__ == "__main__":
+    unittest.main()
