Mutants of the safeguards around broken links and requests through peers

Fourteen safeguards are taken out in turn, and the proof of each fails. One was missed at first: that a refused connection counts as a crash only if a peer agrees, as no request was in flight when the test cut the host off. It has a test of its own now, with a stream in flight.

--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -40,6 +40,7 @@
     cold_mutants,
     evacuation_mutants,
     notice_mutants,
+    proxy_mutants,
     restored_mutants,
     timing_mutants,
 )
@@ -162,6 +163,7 @@
         *admission_mutants.mutants(),
         *evacuation_mutants.mutants(),
         *notice_mutants.mutants(),
+        *proxy_mutants.mutants(),
         *cold_mutants.mutants(),
         *restored_mutants.mutants(),
         *capacity_mutants.mutants(),
--- /dev/null
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -0,0 +1,144 @@
+"""The safeguards around broken links and requests through peers, each with its proof."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from oleanderhill.clients import httpcall
+from oleanderhill.platform import entry
+from oleanderhill.routing import proxies, reachability
+from oleanderhill.routing.reachability import Heard, Route
+from oleanderhill.serving import driver, link_checks, placement, proxy_server, target_caller
+
+from ..proving import Mutant, testing
+
+
+def mutants() -> list[Mutant]:
+    """Return the mutants of the choice of a path, of the hop, and of what a cut host says."""
+    return [*_of_paths(), *_of_the_hop(), *_of_words()]
+
+
+def _of_paths() -> list[Mutant]:
+    links = reachability.Reachability
+    pure = "test_cut_off.ReachabilityTest"
+    site = "test_proxied_requests.CutOffHostTest"
+    return [
+        Mutant(
+            "requests go through a peer where the own link is broken",
+            [(links, "route", lambda self, address, now: Route.DIRECT)],
+            testing(f"{pure}.test_a_target_that_peers_hear_is_reached_through_them"),
+        ),
+        Mutant(
+            "targets that are silent for all hosts are no broken links",
+            [(links, "may_ask_peer", lambda self, address, heard, now: True)],
+            testing(f"{pure}.test_a_dead_target_is_no_broken_link"),
+        ),
+        Mutant(
+            "a peer's failure clears the own link",
+            [(links, "failed_by_peer", lambda self, address, now: None)],
+            testing(f"{pure}.test_a_peer_that_fails_too_clears_the_own_links"),
+        ),
+        Mutant(
+            "broken links are checked",
+            [(link_checks.LinkCheckTask, "tick", _no_tick)],
+            testing(f"{site}.test_direct_again_within_a_second_after_the_cut"),
+        ),
+        Mutant(
+            "the only target is tried again through a peer",
+            [(driver.Exchange, "_can_ask_peers", lambda self: False)],
+            testing(f"{site}.test_stream_goes_on_through_a_peer_when_its_link_is_lost"),
+        ),
+        Mutant(
+            "links that just failed are left to the checks",
+            [(reachability, "FAILED_RECENTLY_SECONDS", 0.0)],
+            testing(f"{site}.test_refused_at_once_if_no_host_reaches_the_targets"),
+        ),
+        Mutant(
+            "peers that could not help are avoided",
+            [(proxies.Proxies, "avoid", lambda self, peer, now: None)],
+            testing(
+                "test_cut_off.ProxiesTest.test_a_peer_that_could_not_help_is_avoided_for_a_while"
+            ),
+        ),
+    ]
+
+
+def _of_the_hop() -> list[Mutant]:
+    server = proxy_server.ProxyServer
+    hop = "test_proxied_requests.HopTest"
+    return [
+        Mutant(
+            "the body is sent only once the peer has a connection to the target",
+            [(httpcall.HttpCaller, "_send_expected", _send_at_once)],
+            testing(f"{hop}.test_nothing_reaches_the_target_if_the_sender_decides_against_it"),
+        ),
+        Mutant(
+            "a lost hop is no evidence against the target",
+            [(target_caller, "_proxy_lost", _lost_at_the_target)],
+            testing(f"{hop}.test_lost_hop_is_unknown_and_no_evidence_against_the_target"),
+        ),
+        Mutant(
+            "a peer whose links may be broken is no evidence against the target",
+            [(reachability.Reachability, "proven", lambda self, now: True)],
+            testing(
+                f"{hop}.test_peer_that_does_not_know_its_own_links_is_no_evidence_against_the_target"
+            ),
+        ),
+        Mutant(
+            "draining hosts and unknown targets get nothing",
+            [(server, "_problem", lambda self, address: "")],
+            testing(f"{hop}.test_peer_that_drains_or_does_not_know_the_target_takes_nothing"),
+        ),
+        Mutant(
+            "replies to other requests are not passed on",
+            [(proxy_server.ProxyServer, "_call", _call_taking_any_reply)],
+            testing(f"{hop}.test_late_reply_to_another_request_is_not_passed_on"),
+        ),
+    ]
+
+
+def _of_words() -> list[Mutant]:
+    site = "test_proxied_requests.CutOffHostTest"
+    return [
+        Mutant(
+            "a refused connection is a crash only if a peer agrees",
+            [(entry.EntryHost, "_check_target", _believe_own_links)],
+            testing(f"{site}.test_a_lost_link_under_a_request_counts_as_no_crash"),
+        ),
+        Mutant(
+            "suspicions that the own links may explain are kept",
+            [
+                (reachability.Reachability, "blames_links", lambda self, address, now: False),
+                (placement.LoadTracker, "heard_by_peers", lambda self, target, now: Heard.SILENT),
+            ],
+            testing(f"{site}.test_a_cut_host_spreads_no_word_against_the_targets"),
+        ),
+    ]
+
+
+async def _no_tick(self: Any) -> None:
+    """Check nothing."""
+
+
+async def _send_at_once(
+    self: Any, connection: Any, request: Any, collector: Any, observer: Any, reading: Any
+) -> None:
+    collector.body_sent = True
+    connection.write(request.body)
+    connection.finish()
+
+
+def _lost_at_the_target(peer: Any, reason: str) -> Any:
+    failure = httpcall.CallFailure(httpcall.FailureKind.LOST, True, reason)
+    return target_caller.Failure(failure)
+
+
+_CALL = proxy_server.ProxyServer._call
+
+
+def _call_taking_any_reply(self: Any, request: Any, body: bytes) -> Any:
+    return _CALL(self, request, body)._replace(is_reply_to_call=None)
+
+
+async def _believe_own_links(self: Any, name: str, address: str) -> Any:
+    return await entry.check_listening(address)
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -224,8 +224,7 @@
             self.machine.attempts_sent,
         )
         selected = self._selection.select(attempting)
-        if isinstance(selected, NoChoice) and self._lost_at_own_link:
-            # No other target is left, and the link of this host may be what failed.
+        if isinstance(selected, NoChoice) and self._can_ask_peers():
             self._ask_peers_about |= self._lost_at_own_link
             tried = self._tried_targets = self._tried_targets - self._lost_at_own_link
             self._lost_at_own_link = set()
@@ -238,6 +237,10 @@
         member = Member(host.instance.name, host.address, str(host.instance))
         return Choice(target, 0, member, host.data_centre, "least busy")
 
+    def _can_ask_peers(self) -> bool:
+        """Return whether a target is left that only the link of this host may have failed."""
+        return bool(self._lost_at_own_link)
+
     def _admission_class(self) -> AdmissionClass:
         return admission_class(
             self._is_retry, self.machine.attempts_sent, self._first_event_at is not None
