The soak cuts entry hosts off from all targets

Beside the other faults, entry hosts lose their links to all targets and get them back: connections are refused, hang, or live on while new ones are refused. One host stays cut off at the end, and from three seconds on has to serve at least two thirds of what the others serve. The entry hosts run the shipped program; a wrapper of the soak redirects their connections, by a file that is read at a signal.

--- a/dev/oleanderhill_dev/users/cut_links.py
+++ b/dev/oleanderhill_dev/users/cut_links.py
@@ -1,7 +1,7 @@
-"""Cuts entry hosts that run in one process off from addresses, each entry host by itself.
+"""Cuts entry hosts off from addresses, each entry host by itself.
 
-All tasks and handlers of an entry host run in the context in which it was started. The context
-tells which entry host opens a connection.
+Of several entry hosts in one process, all tasks and handlers run in the context in which their host
+was started. The context tells which one opens a connection.
 """
 
 from __future__ import annotations
@@ -33,10 +33,12 @@
 class CutLinks:
     """The links between entry hosts and targets.
 
+    :param remember_all: whether connections outside of any context are links as well
     :ivar attempts: number of connections that were attempted across a cut
     """
 
-    def __init__(self) -> None:
+    def __init__(self, remember_all: bool = False) -> None:
+        self._remember_all = remember_all
         self._cut_by_host: dict[str, Cut] = {}
         self._addresses: Collection[tuple[str, int]] = ()
         self._open: dict[str, list[tuple[socket.socket, tuple[str, int]]]] = {}
@@ -88,7 +90,7 @@
             return
         if how is not None:
             raise ConnectionRefusedError(111, "Connection refused")
-        if host:
+        if host or self._remember_all:
             kept = self._open.setdefault(host, [])
             kept[:] = [(s, a) for s, a in kept if s.fileno() >= 0]
             kept.append((sock, address))
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -23,12 +23,15 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import msgspec
 from returns.pipeline import is_successful
 
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 
 from ..bench_site import free_address
 from ..windows import max_within_window
+from .cut_entry import CutOrder
+from .cut_links import Cut
 from .engines import StandInHost, TargetNotices
 from .faulty_link import FaultyLink, LinkState
 from .site import LARGE, SMALL, StandInSite, malformed_entry, until
@@ -82,6 +85,15 @@
 LEAVING_GRACE_SECONDS = 2.0
 """Seconds in which more requests may follow the first one that got the leaving notice."""
 
+CUT_SETTLE_SECONDS = 3.0
+"""Seconds after the start of a cut from which callers at the host are served as elsewhere."""
+
+MIN_CUT_FRACTION = 2 / 3
+"""Requests served at a host that is cut off, as a fraction of the rate at the others."""
+
+CUT_CYCLE = 3
+"""Every third seed of ``main`` has entry hosts that are cut off from the targets."""
+
 CULPRIT_CYCLE = 3
 """Consecutive seeds of ``main`` have zero, one and two crash-causing requests in turn."""
 
@@ -100,6 +112,7 @@
 
     :param numbers: numbers of the events received
     :param ended: the answer ended regularly
+    :param entry: entry host that it was sent to
     """
 
     request_id: str
@@ -109,6 +122,7 @@
     status: int
     numbers: tuple[int, ...]
     ended: bool
+    entry: str = ""
 
 
 class EntryProcess:
@@ -123,6 +137,8 @@
         self._ip = ip
         self._first = True
         self._process: subprocess.Popen[bytes] | None = None
+        self._cut_file = folder / f"{name}.cut"
+        self._program = ["deploy/run.py"]
         self.exit_expected = False
         self.unexpected_exits = 0
 
@@ -153,15 +169,43 @@
         file.write_text(json.dumps(settings))
         with open(self._folder / f"{self.name}.log", "ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "deploy/run.py"],
+                [sys.executable, *self._program],
                 cwd=ROOT,
-                env={"PATH": os.environ["PATH"], "OLEANDERHILL_SETTINGS": str(file)},
+                env={
+                    "PATH": os.environ["PATH"],
+                    "PYTHONPATH": "src:dev",
+                    "OLEANDERHILL_SETTINGS": str(file),
+                },
                 stdout=log,
                 stderr=log,
             )
         self._first = False
         self.exit_expected = False
 
+    def cut_off(self, how: Cut | None, addresses: list[str]) -> None:
+        """Cut the process off from addresses, or end the cut.
+
+        The first call has to come before the process starts.
+        """
+        order = msgspec.json.encode(CutOrder(how, addresses))
+        self._cut_file.write_bytes(order)
+        self._program = [
+            "-m",
+            "oleanderhill_dev.users.cut_entry",
+            str(self._cut_file),
+            "deploy/run.py",
+        ]
+        if self._process is not None and self.handles(signal.SIGUSR1):
+            self.signal(signal.SIGUSR1)
+
+    def handles(self, number: int) -> bool:
+        """Return whether the process has a handler for a signal yet."""
+        if self.has_exited() or self._process is None:
+            return False
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        caught = next(x for x in status.splitlines() if x.startswith("SigCgt:")).split()[1]
+        return bool(int(caught, 16) >> (number - 1) & 1)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self._process is not None and self._process.poll() is None:
@@ -212,6 +256,7 @@
     :param evacuated: a second data centre is evacuated and taken back beside the faults, and stays
         evacuated at the end, when an entry host starts again
     :param cold: engine hosts turn cold and warm again
+    :param cut_off: entry hosts are cut off from all targets beside the faults, and one stays so
     """
 
     def __init__(
@@ -224,7 +269,9 @@
         restored: bool = False,
         evacuated: bool = False,
         cold: bool = False,
+        cut_off: bool = False,
     ) -> None:
+        self._cut_off, self._cut_at = cut_off, float("inf")
         self._evacuated, self._evacuated_at = evacuated, float("inf")
         self._seed, self._culprits, self._rate_limited = seed, culprits, rate_limited
         self._send_notices, self._restored = send_notices, restored
@@ -262,6 +309,8 @@
         for number in range(ENTRIES):
             process = EntryProcess(f"entry-{number}", self._folder, self.site.store_address)
             self.processes.append(process)
+            if self._cut_off:
+                process.cut_off(None, [])
             await process.start()
         watching = asyncio.create_task(self._restart_exited())
         try:
@@ -328,6 +377,7 @@
         found += self._cold_hosts_overrun()
         found += self._notices_ignored()
         found += self._evacuation_ignored()
+        found += self._cut_host_served_less()
         since = self.call_records[-1].sent - RECOVERY_WINDOW_SECONDS
         last = [a for a in self.call_records if a.sent > since and a.key not in self.removed_at]
         answered = sum(a.status == 200 for a in last)
@@ -407,6 +457,19 @@
         late = sum(at > stopped_at for n in all_notices for at in n.arrivals)
         return [f"an evacuated data centre got {late} requests too late"] if late else []
 
+    def _cut_host_served_less(self) -> list[str]:
+        """Return whether the host that stays cut off served its callers less than the others."""
+        since = max(self._cut_at + CUT_SETTLE_SECONDS, self._faults_ended_at + SETTLE_SECONDS)
+        last = [a for a in self.call_records if a.sent > since and a.key not in self.removed_at]
+        own = [a.status == 200 for a in last if a.entry == self.processes[-1].name]
+        others = [a.status == 200 for a in last if a.entry != self.processes[-1].name]
+        if not own or not others:
+            return []
+        share, usual = sum(own) / len(own), sum(others) / len(others)
+        if share >= MIN_CUT_FRACTION * usual:
+            return []
+        return [f"the host that is cut off served {share:.2f} of its requests, others {usual:.2f}"]
+
     def _stream_faults(self, a: CallRecord) -> list[str]:
         if list(a.numbers) != list(range(len(a.numbers))):
             return [f"{a.request_id} got the event numbers {a.numbers}"]
@@ -451,8 +514,9 @@
         }
         body, sent_body = _Body(), crash_body or request_id.encode()
         method = "GET" if path.startswith("/scan/") else "POST"
+        process = rng.choice(self.processes)
         call = Call(
-            rng.choice(self.processes).caller_address,
+            process.caller_address,
             method,
             path,
             headers,
@@ -469,7 +533,9 @@
         ended = is_successful(found)
         if crash_body:
             return
-        self.call_records.append(CallRecord(request_id, path, key, sent, status, numbers, ended))
+        self.call_records.append(
+            CallRecord(request_id, path, key, sent, status, numbers, ended, process.name)
+        )
 
     def _background_tasks(self) -> list[Coroutine[None, None, None]]:
         """Return the tasks that run beside the faults, with random generators of their own."""
@@ -482,6 +548,8 @@
             background.append(self._change_notices())
         if self._evacuated:
             background.append(self._change_evacuation())
+        if self._cut_off:
+            background.append(self._change_cuts())
         if self._restored:
             background += [self._restoring.back_up(), self._restoring.restore()]
         return background
@@ -519,6 +587,23 @@
             self.site.evacuate("barn")
             self._evacuated_at = time.monotonic()
 
+    async def _change_cuts(self) -> None:
+        """Cut entry hosts off from the targets in turn; the last one stays cut off."""
+        rng = random.Random(f"{self._seed} cuts")
+        cut: set[str] = set()
+        try:
+            while True:
+                await asyncio.sleep(rng.uniform(0.3, 2.5))
+                process = rng.choice(self.processes)
+                how = None if process.name in cut else rng.choice(list(Cut))
+                cut ^= {process.name}
+                process.cut_off(how, self.site.target_addresses())
+        finally:
+            for process in self.processes[:-1]:
+                process.cut_off(None, [])
+            self.processes[-1].cut_off(rng.choice(list(Cut)), self.site.target_addresses())
+            self._cut_at = time.monotonic()
+
     async def _change_cold_hosts(self) -> None:
         """Let heads of groups turn cold and warm; the last ones stay cold until the end."""
         rng = random.Random(f"{self._seed} cold")
@@ -693,6 +778,7 @@
         f"limits={[n.limit for n, _ in soak._limits]} "
         f"backoffs={[n.backoff for n, _ in soak._backoffs]} "
         f"evacuated={soak._evacuated} "
+        f"cut={soak._cut_off} "
         f"cold={sum(bool(h.cold_until) for h in soak.site.engines.host_by_instance.values())} "
         f"generation={soak.site.store.generation} "
         f"ended={[len(t) for t in soak.site.engines.crash_times.values()]} "
@@ -712,10 +798,12 @@
     restored: bool = False,
     evacuated: bool = False,
     cold: bool = False,
+    cut_off: bool = False,
 ) -> Soak:
     """Run one seed in a temporary folder, which is kept if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, folder, culprits, rate_limited, send_notices, restored, evacuated, cold)
+    options = (rate_limited, send_notices, restored, evacuated, cold, cut_off)
+    soak = Soak(seed, folder, culprits, *options)
     asyncio.run(run_soak(soak, seed))
     if soak.violations:
         print(f"soak: seed={seed} logs in {folder}", flush=True)
@@ -733,7 +821,8 @@
         # store restores with notices. The next four have evacuations as well.
         restored = seed % 4 > 1
         cold = seed % COLD_CYCLE == 0
-        options = (not restored, seed % 2 == 1, restored, seed % 8 > 3, cold)
+        cut_off = seed % CUT_CYCLE == 0
+        options = (not restored, seed % 2 == 1, restored, seed % 8 > 3, cold, cut_off)
         soak = run_seed(seed, seed % CULPRIT_CYCLE, *options)
         failed += bool(soak.violations)
     print(f"soak: seeds={count} failed={failed}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,10 @@
         self.assertEqual(soak.violations, [])
         self.assertTrue(any(h.notices.arrivals for h in soak.turned_cold))
 
+    def test_promises_hold_while_entry_hosts_are_cut_off_from_the_targets(self):
+        soak = run_seed(4_601, cut_off=True)
+        self.assertEqual(soak.violations, [])
+
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_reload_signal_during_startup_does_not_end_the_process(self):
