--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -42,7 +42,7 @@
 from ..routing.cold_limits import ColdLimits
 from ..routing.failing_targets import ANSWERS, FAILURES, Counts, FailingTargets
 from ..routing.limit_scope import WindowBound
-from ..routing.proxies import Peer, Proxies
+from ..routing.proxies import Peer, PeerList, Proxies
 from ..routing.reachability import Heard, Reachability
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
@@ -126,6 +126,8 @@
         self._retry_detector = RetryDetector()
         self._max_entry_hosts = 1
         self._request_seen = False
+        self._listed_alive: Mapping[str, Presence] = {}
+        self._peer_list = PeerList()
         self.exposition = Exposition()
         self._assemble()
 
@@ -392,13 +394,20 @@
         """Return a caller of targets that shares what is known of the links to them."""
         return TargetCaller(direct, self._to_peers, self._reachability, self._proxies, self._peers)
 
-    def _list_peers(self) -> list[Peer]:
+    def _list_peers(self) -> PeerList:
         """Return the other entry hosts that may pass on requests."""
-        return [
-            Peer(p.name, proxy_address(p.address), p.data_centre)
-            for p in self._presence.alive().values()
-            if p.name != self._settings.host
-        ]
+        alive = self._presence.alive()
+        if alive is not self._listed_alive:
+            self._listed_alive = alive
+            own = self._settings.data_centre
+            peers = [
+                Peer(p.name, proxy_address(p.address), p.data_centre)
+                for p in alive.values()
+                if p.name != self._settings.host
+            ]
+            local = [p for p in peers if p.data_centre == own]
+            self._peer_list = PeerList(local, [p for p in peers if p.data_centre != own])
+        return self._peer_list
 
     def _heard_by_peers(self, address: str) -> Heard:
         target = self._view.target_at(address)
--- a/src/oleanderhill/routing/proxies.py
+++ b/src/oleanderhill/routing/proxies.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 AVOID_SECONDS = 1.0
@@ -24,6 +24,11 @@
 preferred: traffic between data centres costs money, yet often most of a data centre is cut off."""
 
 
+SAMPLE_SIZE = 6
+"""Peers of each part of the list that are considered for a request, beside those that are proven.
+All hosts that are cut off choose at the same time, and each should try others."""
+
+
 class Peer(NamedTuple):
     """An entry host that may pass on requests.
 
@@ -35,6 +40,16 @@
     data_centre: str
 
 
+class PeerList(NamedTuple):
+    """The other entry hosts.
+
+    :param local: those of the same data centre
+    """
+
+    local: Sequence[Peer] = ()
+    remote: Sequence[Peer] = ()
+
+
 class Proxies:
     """Tracks the peers through which requests were sent.
 
@@ -45,17 +60,18 @@
         self._data_centre = data_centre
         self._rng = rng
         self._avoid_until: dict[str, float] = {}
-        self._proven_at: dict[str, float] = {}
+        self._proven: dict[Peer, float] = {}
         self._in_flight: Counter[str] = Counter()
 
-    def choose(self, peers: Iterable[Peer], tried: Collection[str], now: float) -> Peer | None:
+    def choose(self, peers: PeerList, tried: Collection[str], now: float) -> Peer | None:
         """Return the peer for a request, ``None`` if none is worth trying."""
-        usable = [
-            p for p in peers if p.name not in tried and self._avoid_until.get(p.name, 0.0) <= now
-        ]
+        self._proven = {p: at for p, at in self._proven.items() if now - at <= PROVEN_SECONDS}
+        proven = [p for p in self._proven if p in peers.local or p in peers.remote]
+        considered = [*proven, *self._sample(peers.local, now), *self._sample(peers.remote, now)]
+        usable = [p for p in considered if p.name not in tried and self._may_try(p, now)]
         if not usable:
             return None
-        return min(usable, key=lambda p: (self._rank(p, now), self._rng.random()))
+        return min(usable, key=lambda p: (self._rank(p), self._rng.random()))
 
     def begin(self, peer: str) -> None:
         """Count a request that is sent through a peer."""
@@ -67,18 +83,28 @@
         if self._in_flight[peer] <= 0:
             del self._in_flight[peer]
 
-    def took(self, peer: str, now: float) -> None:
+    def took(self, peer: Peer, now: float) -> None:
         """Record that a peer took a request."""
-        self._proven_at[peer] = now
-        self._avoid_until.pop(peer, None)
+        self._proven[peer] = now
+        self._avoid_until.pop(peer.name, None)
 
-    def avoid(self, peer: str, now: float) -> None:
+    def avoid(self, peer: Peer, now: float) -> None:
         """Record that a peer can't help."""
         self._avoid_until = {p: until for p, until in self._avoid_until.items() if until > now}
-        self._avoid_until[peer] = now + AVOID_SECONDS
-        self._proven_at.pop(peer, None)
+        self._avoid_until[peer.name] = now + AVOID_SECONDS
+        self._proven.pop(peer, None)
+
+    def _may_try(self, peer: Peer, now: float) -> bool:
+        return self._avoid_until.get(peer.name, 0.0) <= now
+
+    def _sample(self, peers: Sequence[Peer], now: float) -> Sequence[Peer]:
+        """Return some of the peers, of those that may be tried if these are few."""
+        found = self._rng.sample(peers, min(SAMPLE_SIZE, len(peers)))
+        if any(self._may_try(p, now) for p in found):
+            return found
+        return [p for p in peers if self._may_try(p, now)][:SAMPLE_SIZE]
 
-    def _rank(self, peer: Peer, now: float) -> float:
-        proven = now - self._proven_at.get(peer.name, float("-inf")) <= PROVEN_SECONDS
+    def _rank(self, peer: Peer) -> float:
         remote = REMOTE_PENALTY if peer.data_centre != self._data_centre else 0.0
-        return self._in_flight[peer.name] + remote + (0.0 if proven else UNPROVEN_PENALTY)
+        unproven = 0.0 if peer in self._proven else UNPROVEN_PENALTY
+        return self._in_flight[peer.name] + remote + unproven
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from returns.pipeline import is_successful
@@ -12,7 +12,7 @@
 
 from ..clients.httpcall import Call, CallFailure, FailureKind, HttpCaller, Observer, Reply
 from ..clients.proxying import FAILURE_HEADER, ProxyFailure, decode_failure, proxied_headers
-from ..routing.proxies import Peer, Proxies
+from ..routing.proxies import Peer, PeerList, Proxies
 from ..routing.reachability import Heard, Reachability, Route
 
 TAKE_TIMEOUT = 0.25
@@ -31,7 +31,7 @@
     """
 
     name: str
-    listed: Callable[[], Iterable[Peer]]
+    listed: Callable[[], PeerList]
     heard: Callable[[str], Heard]
 
 
@@ -208,7 +208,7 @@
     def _taken(self, peer: Peer, address: str) -> None:
         now = time.monotonic()
         self.proxied += 1
-        self._proxies.took(peer.name, now)
+        self._proxies.took(peer, now)
         self._reachability.reached_by_peer(address, now)
 
     def _judge_failure(
@@ -221,7 +221,7 @@
         if failure.kind == FailureKind.WITHHELD:
             return Failure(failure)
         if not begun:
-            self._proxies.avoid(peer.name, time.monotonic())
+            self._proxies.avoid(peer, time.monotonic())
         return _proxy_lost(peer, failure.reason) if failure.sent else None
 
     def _judge(
@@ -230,11 +230,11 @@
         """Return the outcome of a request for which the peer has no reply of the target."""
         now, reason = time.monotonic(), f"{peer.name}: {said.reason}"
         if not said.about_target:
-            self._proxies.avoid(peer.name, now)
+            self._proxies.avoid(peer, now)
             return _proxy_lost(peer, said.reason) if said.sent else None
         if said.sent:
             return Failure(CallFailure(FailureKind.LOST, True, reason))
-        self._proxies.took(peer.name, now)
+        self._proxies.took(peer, now)
         self._reachability.failed_by_peer(address, now)
         return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason, said.refused))
 
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -10,7 +10,7 @@
 from oleanderhill_dev.users.site import LARGE, until
 from returns.pipeline import is_successful
 
-from oleanderhill.routing.proxies import AVOID_SECONDS, Peer, Proxies
+from oleanderhill.routing.proxies import AVOID_SECONDS, Peer, PeerList, Proxies
 from oleanderhill.routing.reachability import (
     CHECK_INTERVAL,
     CONFIRMED_SECONDS,
@@ -203,11 +203,9 @@
 class ProxiesTest(unittest.TestCase):
     def setUp(self):
         self.proxies = Proxies("hall", random.Random(1))
-        self.peers = [
-            Peer(f"{data_centre}-{number}", "", data_centre)
-            for data_centre in ("hall", "yard")
-            for number in range(3)
-        ]
+        self.peers = PeerList(
+            *([Peer(f"{dc}-{number}", "", dc) for number in range(3)] for dc in ("hall", "yard"))
+        )
 
     def choose(self, now=0.0, tried=()):
         found = self.proxies.choose(self.peers, tried, now)
@@ -217,24 +215,43 @@
         self.assertEqual({self.choose()[:4] for _ in range(30)}, {"hall"})
 
     def test_a_peer_that_could_not_help_is_avoided_for_a_while(self):
-        for peer in self.peers:
-            self.proxies.avoid(peer.name, 0.0)
+        for peer in (*self.peers.local, *self.peers.remote):
+            self.proxies.avoid(peer, 0.0)
         self.assertIsNone(self.choose())
         self.assertIsNotNone(self.choose(AVOID_SECONDS))
 
     def test_peers_that_were_tried_are_left_out(self):
-        self.assertIsNone(self.choose(tried=[p.name for p in self.peers]))
+        tried = [p.name for p in (*self.peers.local, *self.peers.remote)]
+        self.assertIsNone(self.choose(tried=tried))
 
     def test_one_proven_peer_does_not_take_all(self):
-        self.proxies.took("hall-0", 0.0)
+        self.proxies.took(self.peers.local[0], 0.0)
         chosen = Counter()
         for _ in range(60):
             name = self.choose()
             chosen[name] += 1
             self.proxies.begin(name)
-        self.assertEqual(len(chosen), len(self.peers))
+        self.assertEqual(len(chosen), 6)
         self.assertLess(max(chosen.values()), 20)
 
+    def test_the_only_peer_that_helps_is_found_among_many(self):
+        peers = PeerList([Peer(f"hall-{number}", "", "hall") for number in range(200)])
+        now, found = 0.0, None
+        for _ in range(300):
+            now += 0.001
+            peer = self.proxies.choose(peers, (), now)
+            if peer is not None and peer.name == "hall-150":
+                found = peer
+                self.proxies.took(peer, now)
+            elif peer is not None:
+                self.proxies.avoid(peer, now)
+        self.assertIsNotNone(found)
+        self.assertEqual(self.proxies.choose(peers, (), now), found)
+
+    def test_a_proven_peer_that_is_gone_is_not_chosen(self):
+        self.proxies.took(Peer("hall-9", "", "hall"), 0.0)
+        self.assertNotIn("hall-9", {self.choose() for _ in range(30)})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -28,7 +28,7 @@
 from oleanderhill.kernel import Kernel
 from oleanderhill.platform.headers import HeaderCodec
 from oleanderhill.records import Records
-from oleanderhill.routing.proxies import Peer, Proxies
+from oleanderhill.routing.proxies import Peer, PeerList, Proxies
 from oleanderhill.routing.reachability import Heard, Reachability
 from oleanderhill.serving.proxy_server import ProxyCallbacks, ProxyServer
 from oleanderhill.serving.target_caller import Peers, TargetCaller
@@ -123,7 +123,7 @@
             HttpCaller(),
             self.links,
             Proxies("hall", random.Random(1)),
-            Peers("here", lambda: self.peers, lambda address: Heard.RUNNING),
+            Peers("here", lambda: PeerList(self.peers), lambda address: Heard.RUNNING),
         )
         for number in range(2):
             self.links.failed(f"other-{number}", 0.0, heard=Heard.RUNNING)
