Split the links out of the entry host and the log out of the request; proxies drain

platform/entry.py kept the callers of targets, the list of peers and their metrics: they are serving/target_links now. serving/driver.py wrote its log lines itself: they are serving/request_log. No decision changes by the moves.

Two gaps seen while reading: a host that stops waited for the requests of its own callers only, and cut off what it passed on for peers (test: it waits, within the grace time); and an attempt that had sent nothing yet, while peers were asked in turn, could be abandoned as stalled and count as a possible crash (it is left to the timeouts of connecting).

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -17,7 +17,7 @@
 from collections.abc import Mapping, Sequence
 
 from ..clients.freshness import Freshness
-from ..clients.httpcall import CallFailure, HttpCaller
+from ..clients.httpcall import HttpCaller
 from ..clients.keyed import KeyedCopy
 from ..clients.listening import ListenStatus, check_listening
 from ..clients.mirror import Mirror, Subscription, subscribe
@@ -42,8 +42,7 @@
 from ..routing.cold_limits import ColdLimits
 from ..routing.failing_targets import ANSWERS, FAILURES, Counts, FailingTargets
 from ..routing.limit_scope import WindowBound
-from ..routing.proxies import Peer, PeerList, Proxies
-from ..routing.reachability import Heard, Reachability
+from ..routing.reachability import Heard
 from ..routing.target_limits import CallKind, TargetLimits
 from ..serving.admission import RetryDetector, admit
 from ..serving.admission_control import AdmissionControl
@@ -52,7 +51,7 @@
 from ..serving.context import ForwardingContext
 from ..serving.driver import Exchange
 from ..serving.forwarding import Notice
-from ..serving.front import CallerSink, Front, ServeCallbacks
+from ..serving.front import EXIT_MARGIN, CallerSink, Front, ServeCallbacks
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
 from ..serving.learned_timing import LearnedTiming
@@ -65,8 +64,8 @@
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
 from ..serving.shared_counters import SharedCounters
-from ..serving.target_caller import Peers, TargetCaller
 from ..serving.target_limits import StatementSource, TargetLimitTask
+from ..serving.target_links import TargetLinks
 from ..serving.view import ServingView
 from ..settings.catalog import Catalog, pick_backend
 from ..vitals import VitalsTask
@@ -103,9 +102,6 @@
 MAX_LOGGED_VALUE_CHARS = 80
 """Longer header values are truncated in the log."""
 
-MAX_LOGGED_ADDRESSES = 8
-"""Addresses named in a log line about targets that can't be reached."""
-
 METRICS_PORT = 9464
 """Port of the metrics endpoint; the deploy file states it too."""
 
@@ -126,8 +122,6 @@
         self._retry_detector = RetryDetector()
         self._max_entry_hosts = 1
         self._request_seen = False
-        self._listed_alive: Mapping[str, Presence] = {}
-        self._peer_list = PeerList()
         self.exposition = Exposition()
         self._assemble()
 
@@ -135,12 +129,15 @@
         s, records, rng = self._settings, self._records, self._rng
         self.kernel = Kernel()
         self._inventory = Inventory()
-        self._reachability = Reachability(self._inventory.service_at)
-        self._direct = HttpCaller(self._record_connection, monitored=True)
-        self._to_peers = HttpCaller(monitored=True)
-        self._proxies = Proxies(s.data_centre, rng)
-        self._peers = Peers(s.host, self._list_peers, self._heard_by_peers)
-        self._caller = self._target_caller(self._direct)
+        own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
+        self._links = TargetLinks(
+            own_presence,
+            lambda: self._presence.alive(),
+            self._inventory.service_at,
+            self._heard_by_peers,
+            rng,
+            records,
+        )
         self._store = PlatformStore(s.store, HttpCaller(), records)
         self._freshness = Freshness(s.key_removal_seconds)
         self._configuration = ConfigurationCopy(self._freshness, records)
@@ -183,7 +180,6 @@
             self._view.prediction,
             self.exposition.admission,
         )
-        own_presence = Presence(s.host, secrets.token_hex(4), s.peers, s.data_centre, s.strength)
         self._quarantine = QuarantineTask(
             self.kernel,
             own_presence,
@@ -223,7 +219,7 @@
             self.kernel, own_presence, self._store, self._presences, records, rng
         )
         self._orders = EngineOrders(
-            self._target_caller(HttpCaller(self._record_connection, monitored=True)),
+            self._links.separate_caller(),
             self._apply_notice,
             lambda instance: self._notices.may_contact(instance),
         )
@@ -260,7 +256,7 @@
         self._codec = HeaderCodec(self._log_unknown_header)
         self._context = ForwardingContext(
             self._codec,
-            self._caller,
+            self._links.caller,
             self._book,
             records,
             self._view.candidates,
@@ -273,7 +269,7 @@
             self._view.evacuated_candidates,
             self._timing,
             self._admission,
-            self._reachability,
+            self._links.reachability,
         )
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
@@ -300,8 +296,8 @@
         self._proxy = ProxyServer(
             self.kernel,
             proxy_address(s.peers),
-            self._direct,
-            self._reachability,
+            self._links.direct,
+            self._links.reachability,
             self._codec,
             ProxyCallbacks(
                 lambda address: bool(self._inventory.service_at(address)),
@@ -309,7 +305,7 @@
             ),
             records,
         )
-        checks = LinkCheckTask(self.kernel, self._caller, self._reachability)
+        checks = LinkCheckTask(self.kernel, self._links.caller, self._links.reachability)
         vitals = VitalsTask(self.kernel, records, self._vitals)
         for service in (
             self.front,
@@ -357,11 +353,12 @@
             self.exposition.listen(s.ip, METRICS_PORT)
         await self.kernel.start()
         await stop.wait()
+        stopping_at = time.monotonic()
         await self.front.drain()
+        await self._proxy.drain(stopping_at + s.grace_seconds - EXIT_MARGIN)
         await self._presence.withdraw()
         await self.kernel.stop()
-        self._direct.close()
-        self._to_peers.close()
+        self._links.close()
         self.exposition.close()
         self._records.note("process", "stop")
         flushing.cancel()
@@ -384,60 +381,14 @@
 
     def _drop_incarnation(self, removal: Removal) -> None:
         """Drop the state of an ended incarnation; requests in flight there may have crashed it."""
-        self._direct.forget(removal.address)
+        self._links.forget(removal.address)
         self._orders.close_idle_connections(removal.address)
-        self._reachability.forget(removal.address)
         self._quarantine.incarnation_ended(str(removal.instance), "removed from the host list")
         self._notices.incarnation_ended(str(removal.instance))
 
-    def _target_caller(self, direct: HttpCaller) -> TargetCaller:
-        """Return a caller of targets that shares what is known of the links to them."""
-        return TargetCaller(direct, self._to_peers, self._reachability, self._proxies, self._peers)
-
-    def _list_peers(self) -> PeerList:
-        """Return the other entry hosts that may pass on requests."""
-        alive = self._presence.alive()
-        if alive is not self._listed_alive:
-            self._listed_alive = alive
-            own = self._settings.data_centre
-            peers = [
-                Peer(p.name, proxy_address(p.address), p.data_centre)
-                for p in alive.values()
-                if p.name != self._settings.host
-            ]
-            local = [p for p in peers if p.data_centre == own]
-            self._peer_list = PeerList(local, [p for p in peers if p.data_centre != own])
-        return self._peer_list
-
-    def _heard_by_peers(self, address: str) -> Heard:
+    def _heard_by_peers(self, address: str) -> Heard | None:
         target = self._view.target_at(address)
-        if not target:
-            return Heard.UNKNOWN
-        return self._book.heard_by_peers(target, time.monotonic())
-
-    def _record_connection(self, address: str, failure: CallFailure | None) -> None:
-        """Record the outcome of a new connection to a target, and log what it changes."""
-        now = time.monotonic()
-        links = self._reachability
-        if failure is None:
-            change = links.connected(address, now)
-        elif self._view.target_at(address):
-            heard = self._heard_by_peers(address)
-            change = links.failed(address, now, failure.refused, heard)
-        else:
-            # Hosts that serve nothing often fail; that tells nothing of the own links.
-            return
-        if change is not None:
-            self._records.note(
-                "dependency",
-                "lost" if change.lost else "regained",
-                dependency="targets",
-                unreachable=len(change.targets),
-                addresses=change.targets[:MAX_LOGGED_ADDRESSES],
-                reached="" if change.lost else address,
-                broken=links.broken,
-                since_s=round(now - change.since, 3),
-            )
+        return self._book.heard_by_peers(target, time.monotonic()) if target else None
 
     def _log_failing(self, target: str, counts: Counts, avoided: bool) -> None:
         """Log that a target is avoided because it answers with failures, or is tried again."""
@@ -484,9 +435,9 @@
         if found != ListenStatus.REFUSED:
             return found
         # The own links may be broken, so one host's word is not enough.
-        if await self._caller.is_running(address):
+        if await self._links.caller.is_running(address):
             return ListenStatus.ACCEPTED
-        links_in_doubt = self._reachability.blames_links(address, time.monotonic())
+        links_in_doubt = self._links.reachability.blames_links(address, time.monotonic())
         return ListenStatus.SILENT if links_in_doubt else ListenStatus.REFUSED
 
     @property
@@ -601,7 +552,7 @@
         """Return the values that are logged periodically for this process."""
         return {
             "store_calls": self._store.calls_by_kind,
-            "connections": self._direct.opened,
+            "connections": self._links.direct.opened,
             "orders": self._orders.orders_sent,
             "probes": self._orders.probes_sent,
             "in_flight": self.front.in_flight,
@@ -625,20 +576,7 @@
         )
         register("probes", "Questions to engine hosts", lambda: self._orders.probes_sent)
         register("loop_held_up_seconds", "Longest so far", lambda: self.kernel.lag.longest)
-        register("connections_opened", "Connections to targets", lambda: self._direct.opened)
-        register(
-            "targets_unreachable",
-            "Targets to which connections failed since one was last opened",
-            lambda: self._reachability.unreachable(time.monotonic()),
-        )
-        register(
-            "links_broken",
-            "Targets that run and that this host can't reach over its own links",
-            lambda: self._reachability.broken,
-        )
-        register(
-            "sent_through_peers", "Requests that a peer passed on", lambda: self._caller.proxied
-        )
+        self._links.show(self.exposition)
         register(
             "passed_on_in_flight", "Requests of peers in flight", lambda: self._proxy.in_flight
         )
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable
 from functools import partial
 from typing import Any
 
@@ -49,6 +49,7 @@
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
 from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS
+from .request_log import RequestLog
 from .request_times import RequestTimes
 from .retries import SharedRetryBudget
 from .selection import Attempting, TargetSelection
@@ -121,7 +122,6 @@
         self._times = RequestTimes(context.timing, subject, route.generates)
         self._connection_lost = False
         self._first_event_at: float | None = None
-        self._longest_pause = 0.0
         self._permit: Permit | None = None
         self._hold_reason = ""
         self._on_trial = False
@@ -129,7 +129,7 @@
         self._tried_targets: set[str] = set()
         self._lost_at_own_link: set[str] = set()
         self._ask_peers_about: set[str] = set()
-        self._attempt_log: list[str] = []
+        self._log = RequestLog(context, incoming, accepted, self._identity)
 
     async def run(self) -> None:
         """Run the request up to its final response."""
@@ -155,6 +155,7 @@
         now = time.monotonic()
         if self._first_event_at is None:
             self._first_event_at = now
+            self._log.first_event(now)
             self._times.first_event(now)
             # The caller gets the first target's headers, also if another target resumes the stream.
             headers = self.context.codec.caller_reply_headers(run.reply_headers)
@@ -254,7 +255,7 @@
     async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
         tracker = self.context.book
         self._tried_targets.add(choice.group)
-        self._attempt_log.append(f"{choice.group}:{choice.head.host}")
+        self._log.attempt_begun(choice)
         tracker.begin(choice.group)
         began, self._target_failed = time.monotonic(), False
         run = Attempt(self, choice)
@@ -285,12 +286,11 @@
                 tracker.end_failed(choice.group, began + seconds)
             else:
                 tracker.end(choice.group)
-            self._longest_pause = max(self._longest_pause, run.longest_pause)
+            self._log.paused(run.longest_pause)
 
     def _set_path(self, run: Attempt, via: str) -> None:
         run.via = via
-        place = f"{run.choice.group}:{run.choice.head.host}"
-        self._attempt_log[-1] = f"{place} via {via}" if via else place
+        self._log.path_taken(run.choice, via)
 
     def _call(self, choice: Choice) -> Call:
         now = time.monotonic()
@@ -357,6 +357,7 @@
             configured_timeout = stall_timeout_for(self._accepted.route, run.events > 0)
             if (
                 idle >= stall_timeout
+                and self.machine.sent
                 and not tracker.recently_progressed(choice.group, now, stall_timeout)
                 and self._can_retry_elsewhere(now, max_load_elsewhere(idle, configured_timeout))
             ):
@@ -399,13 +400,13 @@
             return self._fail_quarantined()
         if abandon_reason == LINK_LOST:
             self._lost_at_own_link.add(choice.group)
-            self._log_failed_attempt(choice, abandon_reason)
+            self._log.attempt_failed(choice, abandon_reason)
             return self._advance(Lost(attempt, abandon_reason))
         timeout = stall_timeout_for(self._accepted.route, run.events > 0)
         if run.fault or self._times.shows_failure(now - run.last_progress_at, timeout, now):
             self._suspect(choice, abandon_reason)
         else:
-            self._log_failed_attempt(choice, abandon_reason)
+            self._log.attempt_failed(choice, abandon_reason)
         self._record_possible_crash(choice)
         return self._advance(Lost(attempt, abandon_reason))
 
@@ -420,7 +421,7 @@
         if not is_successful(result):
             failure = result.failure()
             if failure.kind == FailureKind.PROXY_LOST:
-                self._log_failed_attempt(choice, failure.reason)
+                self._log.attempt_failed(choice, failure.reason)
                 return self._advance(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
             if not run.via and choice.group not in self._ask_peers_about:
                 self._lost_at_own_link.add(choice.group)
@@ -470,58 +471,39 @@
         The target becomes a suspect only if the rejection states no back-off and no rate limit.
         """
         if notice.backoff:
-            self._log_failed_attempt(choice, reason, notice.backoff)
+            self._log.attempt_failed(choice, reason, notice.backoff)
         elif notice.limit is None:
             self._suspect(choice, reason)
 
     def _suspect(self, choice: Choice, reason: str) -> None:
-        self._log_failed_attempt(choice, reason)
+        self._log.attempt_failed(choice, reason)
         now = time.monotonic()
         blamed = self.context.reachability.blames_links(choice.head.address, now)
         self.context.book.suspect(choice.group, now, reported=not blamed)
 
-    def _log_failed_attempt(
-        self, choice: Choice, reason: str, backoff: float | None = None
-    ) -> None:
-        now = time.monotonic()
-        heard = self.context.book.peer_progress_age(choice.group, now)
-        self.context.records.request(
-            self._incoming.facts.request_id,
-            "attempt failed",
-            False,
-            same_as=self._identity,
-            target=choice.group,
-            instance=choice.head.boot_id,
-            reason=reason,
-            retry_after_s=backoff,
-            was_suspect=self.context.book.is_suspect(choice.group, now),
-            unreachable=self.context.reachability.unreachable(now),
-            peers_heard_s=None if heard is None else round(heard, 3),
-        )
-
     def _deliver(self) -> None:
         self.context.admission.completed(self._selection.pool, time.monotonic())
         if self._sink.started:
             self._sink.end()
-            self._log_outcome("answered", True, 200)
+            self._log_end("answered", True, 200)
             return
         reply = self._buffered_reply
         assert reply is not None
         headers = self.context.codec.caller_reply_headers(reply.headers)
         self._sink.reply(reply.status, headers, reply.body)
-        self._log_outcome("answered", reply.status < 500, reply.status)
+        self._log_end("answered", reply.status < 500, reply.status)
 
     def _fail(self, problem: Problem) -> None:
         if self._sink.started:
             self._sink.abort()
-            self._log_outcome("cut", False, problem.status, reason=problem.detail)
+            self._log_end("cut", False, problem.status, reason=problem.detail)
             return
         if self._buffered_reply is not None:
             self._deliver()
             return
         problem = self._without_unproven_claims(problem)
         self._sink.reject(problem)
-        self._log_outcome(problem.kind, False, problem.status, reason=problem.detail)
+        self._log_end(problem.kind, False, problem.status, reason=problem.detail)
 
     def _without_unproven_claims(self, problem: Problem) -> Problem:
         """Return the problem, adjusted to what is known about the execution.
@@ -539,25 +521,6 @@
             after = self.context.retry_delay(self._service, self._incoming.facts.model)
         return problem._replace(status=503, ran=Ran.NO, retry_after=after)
 
-    def _log_outcome(self, outcome: str, success: bool, status: int, **more: object) -> None:
-        now = time.monotonic()
-        first_event_at = self._first_event_at
-        fields: Mapping[str, object] = {
-            "route": self._accepted.route.name,
-            "status": status,
-            "same_as": self._identity,
-            "standing": self._admission_class().value,
-            "path": self._attempt_log,
-            "ms": round((now - self._incoming.arrived) * 1000),
-            "first_ms": (
-                None
-                if first_event_at is None
-                else round((first_event_at - self._incoming.arrived) * 1000)
-            ),
-            "pause_ms": round(self._longest_pause * 1000),
-            "goal_ms": round(self._accepted.route.latency_goal * 1000),
-            "last_event": self.order.last,
-            **more,
-        }
-        self.context.records.request(self._incoming.facts.request_id, outcome, success, **fields)
-        self.context.report(self._accepted.route.name, outcome, now - self._incoming.arrived)
+    def _log_end(self, outcome: str, success: bool, status: int, reason: str | None = None) -> None:
+        standing = self._admission_class()
+        self._log.ended(outcome, success, status, standing, self.order.last, reason)
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -51,6 +51,8 @@
 MAX_IN_FLIGHT = 512
 """Requests of peers at a time. An entry host bears several times as many requests."""
 
+DRAIN_POLL_SECONDS = 0.05
+
 HOP_HEADERS = ("Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Expect", "Te")
 """Headers of one connection, which aren't passed on."""
 
@@ -176,6 +178,11 @@
         await self._http.close_all_connections()
         await super().stop()
 
+    async def drain(self, until: float) -> None:
+        """Return when the requests of peers have ended, at the latest at a monotonic time."""
+        while self.in_flight and time.monotonic() < until:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def take(self, request: _ProxiedRequest) -> None:
         """Connect to the target of a request, or reject the request before its body is sent."""
         address = request.headers.get(TARGET_HEADER, "")
--- a/tests/test_capacity_follows.py
+++ b/tests/test_capacity_follows.py
@@ -312,7 +312,7 @@
 class EncodingTest(unittest.IsolatedAsyncioTestCase):
     async def test_head_is_closed_in_the_mode_that_finishes_its_queue(self):
         class Caller:
-            async def call(self, call):
+            async def call(self, call, second_opinion):
                 self.body = json.loads(call.body)
                 return Success(Reply(202, HTTPHeaders(), b""))
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -10,7 +10,6 @@
 from hypothesis import strategies as st
 from oleanderhill_dev.users.site import LARGE, SMALL, configuration, until
 
-from oleanderhill.clients.httpcall import HttpCaller
 from oleanderhill.clients.keyed import KeyedCopy
 from oleanderhill.groups.actions import OrderOutcome
 from oleanderhill.groups.engine_hosts import EngineHosts
@@ -326,8 +325,8 @@
     async def test_probe_of_an_ended_life_is_not_answered_by_the_new_one(self):
         # The head still accepts requests for its group, and a host answers at the member's address,
         # but as another incarnation. If its answer counted, the group would appear complete.
-        caller = HttpCaller()
-        self.addCleanup(caller.close)
+        caller = self.entry._links.separate_caller()
+        self.addCleanup(caller.direct.close)
         orders = EngineOrders(caller, lambda *args: None, lambda instance: True)
         host_ = self.site.engines.host_by_instance["i-0"]
         old = Instance("i-0", host_.born)
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -224,6 +224,16 @@
             self.caller._proxies._avoid_until.clear()
         self.assertEqual(self.target.received, [])
 
+    async def test_request_under_way_ends_before_the_peer_does(self):
+        self.target.hold = True
+        sending = asyncio.ensure_future(self.send(Chunks()))
+        await until(lambda: self.target.received)
+        draining = asyncio.ensure_future(self.server.drain(time.monotonic() + 5.0))
+        await asyncio.sleep(0.2)
+        self.assertFalse(draining.done())
+        sending.cancel()
+        await asyncio.wait_for(draining, PROMPTLY)
+
     async def test_two_hosts_that_are_both_cut_off_do_not_pass_requests_round(self):
         for number in range(2):
             self.peer_links.failed(f"other-{number}", 0.0, heard=Heard.RUNNING)
@@ -281,10 +291,10 @@
         await self.statuses()
         self.site.links.heal("entry-0")
         await asyncio.sleep(1.0)
-        self.assertEqual(self.entry._reachability.broken, 0)
-        before = self.entry._caller.proxied
+        self.assertEqual(self.entry._links.reachability.broken, 0)
+        before = self.entry._links.caller.proxied
         self.assertEqual(await self.statuses(), [200] * 4)
-        self.assertEqual(self.entry._caller.proxied, before)
+        self.assertEqual(self.entry._links.caller.proxied, before)
 
     async def test_refused_at_once_if_no_host_reaches_the_targets(self):
         self.cut_off(Cut.SILENT, 0, 1, 2)
@@ -308,7 +318,7 @@
             self.assertTrue(is_successful(result), how)
             self.assert_complete_stream(reader)
             self.site.links.heal("entry-0")
-            await until(lambda: not self.entry._reachability.broken, 3.0)
+            await until(lambda: not self.entry._links.reachability.broken, 3.0)
 
     async def test_a_cut_host_spreads_no_word_against_the_targets(self):
         other = self.site.entries[1]
@@ -373,10 +383,10 @@
         await self.statuses()
         self.site.configure(2, {"hall": ["key-new"]})
         await until(lambda: self.entry._configuration.catalog.version == 2)
-        before = self.entry._caller.proxied
+        before = self.entry._links.caller.proxied
         result, _ = await self.ask("/scan/x")
         self.assertEqual(result.unwrap().status, 401)
-        self.assertEqual(self.entry._caller.proxied, before)
+        self.assertEqual(self.entry._links.caller.proxied, before)
 
     def test_proxy_address_is_next_to_that_for_peers(self):
         self.assertEqual(proxy_address("10.0.0.1:7340"), "10.0.0.1:7341")
