A link counts as broken only once a peer reached its target

Found by reading: a connection that fails to a target from which peers got data within half a second marked the own link as broken. So did each host at a target that had just crashed: suspicions were not reported, so the owner of its group was not told, and peers declined to pass requests on as their own links seemed broken, for as long as the target was listed.

What peers hear now only decides whether one is asked. A peer says whether it declined, could not connect, could not connect while its links are known to work, or lost the request; two that could not connect are enough to take the target for failed. Plain replies count as data over the own links too.

Run: test_proxied_requests and test_cut_off, 48 passed.

--- a/src/oleanderhill/clients/proxying.py
+++ b/src/oleanderhill/clients/proxying.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from enum import StrEnum
 from typing import NamedTuple
 
 import msgspec
@@ -26,16 +27,29 @@
 FAILURE_STATUS = 502
 
 
+class ProxyFault(StrEnum):
+    """What kept a peer from returning a reply of the target."""
+
+    DECLINED = "declined"
+    """The peer did not try."""
+
+    NOT_REACHED = "not reached"
+    """It could not connect to the target, which may be due to its own links."""
+
+    TARGET_DOWN = "target down"
+    """It could not connect to the target, and its own links are known to work."""
+
+    LOST = "lost"
+    """It lost the connection after bytes of the request were sent."""
+
+
 class ProxyFailure(NamedTuple):
     """Why a peer did not return a reply of the target.
 
-    :param about_target: the target failed, as the peer's own links are known to work; otherwise
-        the peer can't help or doesn't know
-    :param sent: some bytes of the request may have reached the target
+    :param refused: whether the target's address refused the connection
     """
 
-    about_target: bool
-    sent: bool
+    fault: ProxyFault
     reason: str
     refused: bool = False
 
@@ -80,11 +94,11 @@
 
 
 def decode_failure(body: bytes) -> ProxyFailure:
-    """Decode the body of a failure; one that is malformed tells nothing about the target."""
+    """Decode the body of a failure; after one that is malformed the request may have run."""
     try:
         return _DECODER.decode(body)
     except msgspec.DecodeError as error:
-        return ProxyFailure(False, True, f"malformed failure: {error}")
+        return ProxyFailure(ProxyFault.LOST, f"malformed failure: {error}")
 
 
 def _pairs(headers: Mapping[str, str]) -> list[tuple[str, str]]:
--- a/src/oleanderhill/routing/reachability.py
+++ b/src/oleanderhill/routing/reachability.py
@@ -1,8 +1,9 @@
 """Whether a target that can't be reached failed, or the links of this entry host to it did.
 
 Decides without I/O. Both look alike in one failed connection. They differ in what other entry hosts
-see: a target that peers get data from, or that a peer connects to, is running. Requests to a target
-behind a broken link go through a peer until a connection over the own links succeeds.
+see. A peer is asked about a target that it may reach; a link is broken once a peer connected to
+its target. Requests to that target then go through a peer until a connection over the own links
+succeeds.
 """
 
 from __future__ import annotations
@@ -152,7 +153,7 @@
         self._checking.discard(address)
         if heard == Heard.SILENT:
             self._confirmed_until[address] = now + CONFIRMED_SECONDS
-        if heard == Heard.RUNNING or address in self._broken:
+        if address in self._broken:
             self._mark_broken(address, now)
         if self._lost or len(self._failed_at) < MIN_UNREACHABLE:
             return None
@@ -221,9 +222,9 @@
             return False
         return heard == Heard.RUNNING or (heard == Heard.UNKNOWN and self._lost)
 
-    def is_broken(self, address: str) -> bool:
-        """Return whether a target runs and can't be reached over the own links."""
-        return address in self._broken
+    def is_broken(self, address: str, now: float) -> bool:
+        """Return whether a target runs, or seems to, and can't be reached over the own links."""
+        return address in self._broken or self._presumed(address, now) is not None
 
     def is_unexplained(self, address: str, now: float) -> bool:
         """Return whether it is not known why a target can't be reached."""
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -434,6 +434,8 @@
         reply = result.unwrap()
         if run.via:
             self.context.book.progress(choice.group, time.monotonic())
+        else:
+            self.context.reachability.data_received(time.monotonic())
         reading = self.read_reply(reply.status, reply.headers)
         if reading.not_run:
             self._handle_rejection(choice, f"status {reply.status}", reading.notice)
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -32,6 +32,7 @@
     SENDER_HEADER,
     TARGET_HEADER,
     ProxyFailure,
+    ProxyFault,
     encode_failure,
     without_proxy_headers,
 )
@@ -187,8 +188,8 @@
         """Connect to the target of a request, or reject the request before its body is sent."""
         address = request.headers.get(TARGET_HEADER, "")
         problem = self._problem(address)
-        if problem:
-            self._reject(request, ProxyFailure(False, False, problem))
+        if problem is not None:
+            self._reject(request, problem)
             return
         opened = await self._caller.open(self._call(request, b""))
         if is_successful(opened):
@@ -197,7 +198,8 @@
             return
         failure = opened.failure()
         proven = self._reachability.proven(time.monotonic())
-        self._reject(request, ProxyFailure(proven, False, failure.reason, failure.refused))
+        fault = ProxyFault.TARGET_DOWN if proven else ProxyFault.NOT_REACHED
+        self._reject(request, ProxyFailure(fault, failure.reason, failure.refused))
 
     def give_up(self, request: _ProxiedRequest, stream: IOStream) -> None:
         """Keep the connection of a request that was not sent."""
@@ -229,17 +231,20 @@
                 ms=round((time.monotonic() - began) * 1000),
             )
 
-    def _problem(self, address: str) -> str:
-        """Return why requests to a target aren't passed on, empty if they are."""
+    def _problem(self, address: str) -> ProxyFailure | None:
+        """Return why a request isn't passed on, ``None`` if it is."""
+        now = time.monotonic()
         if self._callbacks.draining():
-            return "draining"
+            return ProxyFailure(ProxyFault.DECLINED, "draining")
         if self.in_flight >= MAX_IN_FLIGHT:
-            return "too many requests of peers"
+            return ProxyFailure(ProxyFault.DECLINED, "too many requests of peers")
         if not self._callbacks.is_target(address):
-            return "no such target"
-        if self._reachability.route(address, time.monotonic()) == Route.PEER:
-            return "its own link is broken"
-        return ""
+            return ProxyFailure(ProxyFault.DECLINED, "no such target")
+        if self._reachability.is_broken(address, now):
+            return ProxyFailure(ProxyFault.DECLINED, "its own link is broken")
+        if self._reachability.route(address, now) == Route.PEER:
+            return ProxyFailure(ProxyFault.NOT_REACHED, "it could not connect just now")
+        return None
 
     def _call(self, request: _ProxiedRequest, body: bytes) -> Call:
         request_id = self._codec.read_request(request.headers).request_id
@@ -264,12 +269,12 @@
             if isinstance(request.connection, HTTP1Connection):
                 request.connection.close()
             return
-        self._reject(request, ProxyFailure(True, failure.sent, failure.reason, failure.refused))
+        self._reject(request, ProxyFailure(ProxyFault.LOST, failure.reason, failure.refused))
 
     def _reject(self, request: _ProxiedRequest, failure: ProxyFailure) -> None:
         body = encode_failure(failure)
         headers = HTTPHeaders({FAILURE_HEADER: "1", "Content-Length": str(len(body))})
-        if not failure.sent:
+        if failure.fault != ProxyFault.LOST:
             # The body of the request was not read and won't be.
             headers["Connection"] = "close"
         start = ResponseStartLine("HTTP/1.1", FAILURE_STATUS, responses[FAILURE_STATUS])
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -11,7 +11,13 @@
 from tornado.httputil import HTTPHeaders
 
 from ..clients.httpcall import Call, CallFailure, FailureKind, HttpCaller, Observer, Reply
-from ..clients.proxying import FAILURE_HEADER, ProxyFailure, decode_failure, proxied_headers
+from ..clients.proxying import (
+    FAILURE_HEADER,
+    ProxyFailure,
+    ProxyFault,
+    decode_failure,
+    proxied_headers,
+)
 from ..routing.proxies import Peer, PeerList, Proxies
 from ..routing.reachability import Heard, Reachability, Route
 
@@ -21,6 +27,10 @@
 MAX_PEERS_TRIED = 3
 """Peers that are asked to take one request."""
 
+MAX_NOT_REACHED = 2
+"""Peers that could not connect to a target either, after which the target is taken to have failed.
+Each may take the whole time of a connection."""
+
 
 class Peers(NamedTuple):
     """The other entry hosts.
@@ -166,23 +176,29 @@
         :param failure: outcome if no peer does
         """
         tried: set[str] = set()
-        while len(tried) < MAX_PEERS_TRIED:
+        not_reached: list[CallFailure] = []
+        while len(tried) < MAX_PEERS_TRIED and len(not_reached) < MAX_NOT_REACHED:
             peer = self._proxies.choose(self._peers.listed(), tried, time.monotonic())
             if peer is None:
                 break
             tried.add(peer.name)
             on_path(peer.name)
             found = await self._call_through(peer, request, observer)
-            if found is not None:
+            if isinstance(found, Result):
                 return found
+            if found.fault == ProxyFault.NOT_REACHED:
+                not_reached.append(_not_connected(peer, found))
         on_path("")
+        if not_reached:
+            self._reachability.failed_by_peer(request.address, time.monotonic())
+            return Failure(not_reached[-1])
         reason = f"no own link, and none of {len(tried)} peers asked reaches it"
         return Failure(failure or CallFailure(FailureKind.NOT_CONNECTED, False, reason))
 
     async def _call_through(
         self, peer: Peer, request: Call, observer: Observer | None
-    ) -> Result[Reply, CallFailure] | None:
-        """Send a request through a peer; return ``None`` if it did not take the request."""
+    ) -> Result[Reply, CallFailure] | ProxyFailure:
+        """Send a request through a peer; return its failure if it did not take the request."""
         proxied = request._replace(
             address=peer.address,
             headers=proxied_headers(request.headers, request.address, self._peers.name),
@@ -213,7 +229,7 @@
 
     def _judge_failure(
         self, peer: Peer, failure: CallFailure, begun: bool
-    ) -> Result[Reply, CallFailure] | None:
+    ) -> Result[Reply, CallFailure] | ProxyFailure:
         """Return the outcome of a request whose exchange with the peer failed.
 
         :param begun: whether the target's reply had begun; then the target may have broken it off
@@ -222,22 +238,28 @@
             return Failure(failure)
         if not begun:
             self._proxies.avoid(peer, time.monotonic())
-        return _proxy_lost(peer, failure.reason) if failure.sent else None
+        if not failure.sent:
+            return ProxyFailure(ProxyFault.DECLINED, failure.reason)
+        reason = f"{peer.name}: {failure.reason}"
+        return Failure(CallFailure(FailureKind.PROXY_LOST, True, reason))
 
     def _judge(
         self, peer: Peer, address: str, said: ProxyFailure
-    ) -> Result[Reply, CallFailure] | None:
+    ) -> Result[Reply, CallFailure] | ProxyFailure:
         """Return the outcome of a request for which the peer has no reply of the target."""
-        now, reason = time.monotonic(), f"{peer.name}: {said.reason}"
-        if not said.about_target:
-            self._proxies.avoid(peer, now)
-            return _proxy_lost(peer, said.reason) if said.sent else None
-        if said.sent:
-            return Failure(CallFailure(FailureKind.LOST, True, reason))
-        self._proxies.took(peer, now)
-        self._reachability.failed_by_peer(address, now)
-        return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason, said.refused))
-
-
-def _proxy_lost(peer: Peer, reason: str) -> Result[Reply, CallFailure]:
-    return Failure(CallFailure(FailureKind.PROXY_LOST, True, f"{peer.name}: {reason}"))
+        now = time.monotonic()
+        match said.fault:
+            case ProxyFault.LOST:
+                reason = f"{peer.name}: {said.reason}"
+                return Failure(CallFailure(FailureKind.LOST, True, reason))
+            case ProxyFault.TARGET_DOWN:
+                self._proxies.took(peer, now)
+                self._reachability.failed_by_peer(address, now)
+                return Failure(_not_connected(peer, said))
+        self._proxies.avoid(peer, now)
+        return said
+
+
+def _not_connected(peer: Peer, said: ProxyFailure) -> CallFailure:
+    reason = f"{peer.name}: {said.reason}"
+    return CallFailure(FailureKind.NOT_CONNECTED, False, reason, said.refused)
