--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -8,7 +8,7 @@
 from oleanderhill.platform import entry
 from oleanderhill.routing import proxies, reachability
 from oleanderhill.routing.reachability import Heard, Route
-from oleanderhill.serving import driver, link_checks, placement, proxy_server
+from oleanderhill.serving import driver, link_checks, placement, proxy_server, target_caller
 
 from ..proving import Mutant, testing
 
@@ -74,7 +74,7 @@
         ),
         Mutant(
             "a lost hop is no evidence against the target",
-            [(httpcall.FailureKind, "PROXY_LOST", httpcall.FailureKind.LOST)],
+            [(target_caller.TargetCaller, "_judge_failure", _lost_at_the_target)],
             testing(f"{hop}.test_lost_hop_is_unknown_and_no_evidence_against_the_target"),
         ),
         Mutant(
@@ -126,6 +126,10 @@
     connection.finish()
 
 
+def _lost_at_the_target(self: Any, peer: Any, failure: Any, begun: bool) -> Any:
+    return target_caller.Failure(failure._replace(kind=httpcall.FailureKind.LOST))
+
+
 _CALL = proxy_server.ProxyServer._call
 
 
