A connection that opens while the process is held up is no failure of the target

Cause, by reading: the timeout of a connection, 0.12 s, ran out while this process did nothing, and the event that it was open waited to be handled. The task was cancelled first, the target was suspect here and at all peers, and counted as unreachable. The connection is waited for, and used if it is open when the wait ends. Test: a connection with 0.05 s while the process sleeps for 0.1 s; failed before, passes 3 of 3.

--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -310,8 +310,13 @@
         host, port = request.address.rsplit(":", 1)
         stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         try:
-            async with asyncio.timeout(request.connect_timeout):
-                await stream.connect((host, int(port)))
+            connecting = stream.connect((host, int(port)))
+            # Unlike a timeout around the connection, this finds one that was opened while this
+            # process was held up.
+            await asyncio.wait({connecting}, timeout=request.connect_timeout)
+            if not connecting.done():
+                raise TimeoutError
+            connecting.result()
         except BaseException:
             stream.close()
             raise
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -11,6 +11,7 @@
 
 from oleanderhill_dev import engine_standin, service_standin
 from oleanderhill_dev.bench_site import free_address
+from returns.pipeline import is_successful
 
 from oleanderhill import outcomes
 from oleanderhill.clients import httpcall
@@ -333,6 +334,21 @@
         failure = await self.failure_for(b"HTTP/1.1 200 OK\r\n\r\nmaybe all")
         self.assertTrue(failure.sent)
 
+    async def test_connection_that_opens_while_this_process_is_held_up_is_used(self):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        address = free_address()
+        ip, port = address.rsplit(":", 1)
+        server = await asyncio.start_server(serve, ip, int(port))
+        call = Call(address, "GET", "/", connect_timeout=0.05)
+        calling = asyncio.ensure_future(HttpCaller().call(call))
+        await asyncio.sleep(0)
+        time.sleep(0.1)
+        self.assertTrue(is_successful(await calling))
+        server.close()
+
     async def test_refused_connection_sent_nothing(self):
         result = await HttpCaller().call(Call(free_address(), "GET", "/"))
         self.assertFalse(result.failure().sent)
