Releasing a crash-causing request puts no blame on those that ran beside it

Callers saw: a harmless request that had been in flight at several crashes of a crash-causing one is refused with 502 for ten minutes, once an operator (or the loss of its record) releases the culprit.

Cause: a release removed the request from its crashes, and these then counted as unexplained. Requests that were in flight at the same crashes became the only ones left to explain them.

A crash that a quarantined request explained stays explained after its release. A peer's repeated update that names the released request in such a crash no longer quarantines it again either.

--- a/src/oleanderhill/routing/crashes.py
+++ b/src/oleanderhill/routing/crashes.py
@@ -125,11 +125,15 @@
 
 
 class _Crash:
-    """The loss of an incarnation, ``confirmed`` as a crash once it is known to have ended."""
+    """The loss of an incarnation, ``confirmed`` as a crash once it is known to have ended.
+
+    :ivar explained: a request caused it that was quarantined and released since
+    """
 
     def __init__(self, at: float) -> None:
         self.at = at
         self.confirmed = False
+        self.explained = False
         self.in_flight: dict[str, float] = {}
         self.changed_at = at
 
@@ -252,7 +256,8 @@
             return
         self._incarnations_by_quarantined.pop(identity, None)
         for crash in self._crash_by_incarnation.values():
-            crash.in_flight.pop(identity, None)
+            # Requests that ran beside it must not be blamed for its crashes.
+            crash.explained |= crash.in_flight.pop(identity, None) is not None
         _put_bounded(self._probation_until, identity, now + QUARANTINE_SECONDS, MAX_QUARANTINED)
 
     # Queries
@@ -427,7 +432,7 @@
         unexplained = {
             incarnation: c
             for incarnation, c in confirmed.items()
-            if not c.in_flight.keys() & self._quarantined_at.keys()
+            if not c.explained and not c.in_flight.keys() & self._quarantined_at.keys()
         }
         all_by_identity = _incarnations_by_identity(confirmed)
         own_by_identity = _incarnations_by_identity(unexplained)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -310,6 +310,19 @@
         for part in self.tracker.pending_updates("a-host-with-quite-a-long-name", 30.0, True):
             self.assertLess(len(msgspec.msgpack.encode(part)), 1400)
 
+    def test_release_of_the_culprit_puts_no_blame_on_its_companions(self):
+        for number, life in enumerate("abcde"):
+            self.end(life, 1.0 + 2 * number, "culprit", "companion", "other")
+        self.assertEqual(self.end("f", 11.0, "culprit"), ["culprit"])
+        told = self.tracker.pending_updates("peer", 11.1, True)
+        self.tracker.release("culprit", 12.0)
+        self.assertEqual(self.tracker.answered("other", 12.1), (True, []))
+        for part in told:
+            if part.endings:
+                self.assertEqual(self.tracker.apply_peer_update(part, 12.2), [])
+        self.assertIsNone(self.tracker.quarantined("companion"))
+        self.assertEqual(self.end("g", 13.0, "culprit", "companion"), ["culprit"])
+
     def test_after_its_time_it_is_tried_once_and_one_ending_quarantines_it_again(self):
         for life, now in (("a", 1.0), ("b", 1.2), ("c", 1.4)):
             self.end(life, now, "r")
