Requests don't wait for targets to which this host and a peer just failed to connect

Callers saw: where all entry hosts are cut off silently, each request is refused after 0.27 to 0.41 s (0.25 s for a peer that tries to connect, 0.125 s for the own connection), though the answer is known.

Cause: once a peer had failed too, the target counted as failed and was tried directly again, by each request and at each peer that was asked.

Such a target has a route of its own now, *unreachable*: requests and peers' requests fail at once, and the checks try it each half second. It needs a peer that tried; a target that merely sends peers nothing is tried as before, and so is one that refuses connections, which takes no time.

Ruled out: that load alone made it slow. New tests: the route, and that all hosts serve again within a second after such a cut.

--- a/src/oleanderhill/routing/reachability.py
+++ b/src/oleanderhill/routing/reachability.py
@@ -60,6 +60,8 @@
     """Over a connection that is open, otherwise through a peer."""
 
     PEER = "peer"
+    UNREACHABLE = "unreachable"
+    """Neither this host nor a peer could connect just now; the checks try again."""
 
 
 class LinkChange(NamedTuple):
@@ -86,6 +88,19 @@
     check_at: float
 
 
+class _Confirmed(NamedTuple):
+    """What peers see shows that a target failed.
+
+    :param tried: a peer could not connect to it either; otherwise peers get no data from it
+    """
+
+    until: float
+    tried: bool
+
+
+_NOT_CONFIRMED = _Confirmed(float("-inf"), False)
+
+
 class Reachability:
     """What is known of the links to targets.
 
@@ -102,7 +117,7 @@
         self._reached_at: dict[str, float] = {}
         self._connected_at = float("-inf")
         self._checking: set[str] = set()
-        self._confirmed_until: dict[str, float] = {}
+        self._confirmed_by_address: dict[str, _Confirmed] = {}
         self._stalled_at: dict[str, float] = {}
         self._data_at = float("-inf")
         self._stall_check_at = float("-inf")
@@ -129,7 +144,7 @@
         failed, self._failed_at = tuple(self._failed_at), {}
         self._refused.clear()
         self._reached_at[self._service_of(address)] = self._connected_at = now
-        self._confirmed_until.pop(address, None)
+        self._confirmed_by_address.pop(address, None)
         self._checking.discard(address)
         if self._broken.pop(address, None) is not None:
             # The other links are probably back as well.
@@ -152,7 +167,7 @@
         self._refused[address] = refused
         self._checking.discard(address)
         if heard == Heard.SILENT:
-            self._confirmed_until[address] = now + CONFIRMED_SECONDS
+            self._confirm(address, now, False)
         if address in self._broken:
             self._mark_broken(address, now)
         if self._lost or len(self._failed_at) < MIN_UNREACHABLE:
@@ -162,14 +177,14 @@
 
     def reached_by_peer(self, address: str, now: float) -> None:
         """Record that a peer connected to a target which this host failed to reach."""
-        self._confirmed_until.pop(address, None)
+        self._confirmed_by_address.pop(address, None)
         if address in self._failed_at:
             self._mark_broken(address, now)
 
     def failed_by_peer(self, address: str, now: float) -> None:
         """Record that a peer, whose own links are sound, could not connect to a target."""
         self._broken.pop(address, None)
-        self._confirmed_until[address] = now + CONFIRMED_SECONDS
+        self._confirm(address, now, True)
 
     def data_received(self, now: float) -> None:
         """Record that any target sent something over the own links."""
@@ -193,7 +208,7 @@
 
     def forget(self, address: str) -> None:
         """Drop what is known of an address whose target is gone."""
-        for table in (self._failed_at, self._refused, self._broken, self._confirmed_until):
+        for table in (self._failed_at, self._refused, self._broken, self._confirmed_by_address):
             table.pop(address, None)
         self._stalled_at.pop(address, None)
         self._stall_checks.discard(address)
@@ -208,8 +223,11 @@
             return Route.OPEN_CONNECTION if link.refused else Route.PEER
         failed_at = self._failed_at.get(address, float("-inf"))
         just_failed = now - failed_at < FAILED_RECENTLY_SECONDS
-        if not self._lost or not just_failed or self._confirmed(address, now):
+        if not self._lost or not just_failed:
             return Route.DIRECT
+        if self._confirmed(address, now):
+            unreachable = self._confirmed_by_address[address].tried and not self._refused[address]
+            return Route.UNREACHABLE if unreachable else Route.DIRECT
         return Route.OPEN_CONNECTION if self._refused[address] else Route.PEER
 
     def proven(self, now: float) -> bool:
@@ -258,8 +276,11 @@
         return checks
 
     def _confirmed(self, address: str, now: float) -> bool:
-        """Return whether a peer could not reach a target either."""
-        return self._confirmed_until.get(address, 0.0) > now
+        """Return whether what peers see shows that a target failed."""
+        return self._confirmed_by_address.get(address, _NOT_CONFIRMED).until > now
+
+    def _confirm(self, address: str, now: float, tried: bool) -> None:
+        self._confirmed_by_address[address] = _Confirmed(now + CONFIRMED_SECONDS, tried)
 
     def _mark_broken(self, address: str, now: float) -> None:
         link = self._broken.get(address)
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -242,7 +242,7 @@
             return ProxyFailure(ProxyFault.DECLINED, "no such target")
         if self._reachability.is_broken(address, now):
             return ProxyFailure(ProxyFault.DECLINED, "its own link is broken")
-        if self._reachability.route(address, now) == Route.PEER:
+        if self._reachability.route(address, now) in (Route.PEER, Route.UNREACHABLE):
             return ProxyFailure(ProxyFault.NOT_REACHED, "it could not connect just now")
         return None
 
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -132,6 +132,9 @@
         :param second_opinion: whether a peer is asked about any target that refuses or is silent
         """
         route = self._reachability.route(request.address, time.monotonic())
+        if route == Route.UNREACHABLE:
+            reason = "neither this host nor a peer could connect just now"
+            return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason))
         if route == Route.OPEN_CONNECTION:
             stream = self.direct.take_idle(request.address) if request.reuse else None
             if stream is not None:
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -161,6 +161,15 @@
         self.assertFalse(self.links.may_ask_peer("a1", Heard.RUNNING, 0.2))
         self.assertTrue(self.links.may_ask_peer("a1", Heard.RUNNING, 0.2 + CONFIRMED_SECONDS))
 
+    def test_targets_that_no_host_reaches_are_left_to_the_checks(self):
+        for address in ("a1", "a2"):
+            self.links.failed(address, 0.0)
+            self.links.failed_by_peer(address, 0.1)
+        self.assertEqual(self.links.route("a1", 0.2), Route.UNREACHABLE)
+        self.assertIn("a1", self.links.take_checks(CHECK_INTERVAL))
+        self.links.connected("a2", CHECK_INTERVAL)
+        self.assertEqual(self.links.route("a1", CHECK_INTERVAL), Route.DIRECT)
+
     def test_other_targets_of_a_cut_service_need_no_failed_attempt_each(self):
         self.break_links("a1", "a2")
         self.assertEqual(self.links.route("a3", 0.1), Route.PEER)
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -314,6 +314,16 @@
         self.assertIn("Retry-After", result.unwrap().headers)
         self.assertLess(loop.time() - began, PROMPTLY)
 
+    async def test_served_within_a_second_after_all_hosts_were_cut_off(self):
+        self.cut_off(Cut.SILENT, 0, 1, 2)
+        for entry in self.site.entries:
+            await self.statuses(2, entry)
+        for entry in self.site.entries:
+            self.site.links.heal(entry._settings.host)
+        await asyncio.sleep(1.0)
+        for entry in self.site.entries:
+            self.assertEqual(await self.statuses(2, entry), [200] * 2)
+
     async def test_stream_goes_on_through_a_peer_when_its_link_is_lost(self):
         self.site.engines.events_per_stream = 60
         for how in (Cut.REFUSED, Cut.SILENT):
