--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -35,7 +35,7 @@
         ),
         Mutant(
             "a peer's failure clears the own link",
-            [(links, "failed_by_peer", lambda self, address, now: None)],
+            [(links, "failed_by_peer", lambda self, address, now, others_left=False: None)],
             testing(f"{pure}.test_a_peer_that_fails_too_clears_the_own_links"),
         ),
         Mutant(
--- a/src/oleanderhill/routing/reachability.py
+++ b/src/oleanderhill/routing/reachability.py
@@ -61,7 +61,7 @@
 
     PEER = "peer"
     UNREACHABLE = "unreachable"
-    """Neither this host nor a peer could connect just now; the checks try again."""
+    """Neither this host nor any peer could connect just now; the checks try again."""
 
 
 class LinkChange(NamedTuple):
@@ -91,11 +91,11 @@
 class _Confirmed(NamedTuple):
     """What peers see shows that a target failed.
 
-    :param tried: a peer could not connect to it either; otherwise peers get no data from it
+    :param certain: no peer is left that might reach it
     """
 
     until: float
-    tried: bool
+    certain: bool
 
 
 _NOT_CONFIRMED = _Confirmed(float("-inf"), False)
@@ -181,10 +181,14 @@
         if address in self._failed_at:
             self._mark_broken(address, now)
 
-    def failed_by_peer(self, address: str, now: float) -> None:
-        """Record that a peer, whose own links are sound, could not connect to a target."""
+    def failed_by_peer(self, address: str, now: float, others_left: bool = False) -> None:
+        """Record that peers could not connect to a target either.
+
+        :param others_left: whether the links of these peers may be broken too, and others were not
+            asked
+        """
         self._broken.pop(address, None)
-        self._confirm(address, now, True)
+        self._confirm(address, now, not others_left)
 
     def data_received(self, now: float) -> None:
         """Record that any target sent something over the own links."""
@@ -226,7 +230,7 @@
         if not self._lost or not just_failed:
             return Route.DIRECT
         if self._confirmed(address, now):
-            unreachable = self._confirmed_by_address[address].tried and not self._refused[address]
+            unreachable = self._confirmed_by_address[address].certain and not self._refused[address]
             return Route.UNREACHABLE if unreachable else Route.DIRECT
         return Route.OPEN_CONNECTION if self._refused[address] else Route.PEER
 
@@ -279,8 +283,8 @@
         """Return whether what peers see shows that a target failed."""
         return self._confirmed_by_address.get(address, _NOT_CONFIRMED).until > now
 
-    def _confirm(self, address: str, now: float, tried: bool) -> None:
-        self._confirmed_by_address[address] = _Confirmed(now + CONFIRMED_SECONDS, tried)
+    def _confirm(self, address: str, now: float, certain: bool) -> None:
+        self._confirmed_by_address[address] = _Confirmed(now + CONFIRMED_SECONDS, certain)
 
     def _mark_broken(self, address: str, now: float) -> None:
         link = self._broken.get(address)
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -133,7 +133,7 @@
         """
         route = self._reachability.route(request.address, time.monotonic())
         if route == Route.UNREACHABLE:
-            reason = "neither this host nor a peer could connect just now"
+            reason = "neither this host nor any peer could connect just now"
             return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, reason))
         if route == Route.OPEN_CONNECTION:
             stream = self.direct.take_idle(request.address) if request.reuse else None
@@ -193,7 +193,9 @@
                 not_reached.append(_not_connected(peer, found))
         on_path("")
         if not_reached:
-            self._reachability.failed_by_peer(request.address, time.monotonic())
+            now = time.monotonic()
+            others_left = self._proxies.choose(self._peers.listed(), tried, now) is not None
+            self._reachability.failed_by_peer(request.address, now, others_left)
             return Failure(not_reached[-1])
         reason = f"no own link, and none of {len(tried)} peers asked reaches it"
         return Failure(failure or CallFailure(FailureKind.NOT_CONNECTED, False, reason))
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -170,6 +170,12 @@
         self.links.connected("a2", CHECK_INTERVAL)
         self.assertEqual(self.links.route("a1", CHECK_INTERVAL), Route.DIRECT)
 
+    def test_a_target_that_other_peers_may_reach_is_not_given_up(self):
+        for address in ("a1", "a2"):
+            self.links.failed(address, 0.0)
+            self.links.failed_by_peer(address, 0.1, others_left=True)
+        self.assertEqual(self.links.route("a1", 0.2), Route.DIRECT)
+
     def test_other_targets_of_a_cut_service_need_no_failed_attempt_each(self):
         self.break_links("a1", "a2")
         self.assertEqual(self.links.route("a3", 0.1), Route.PEER)
