A silent target takes no peer away from a host that is cut off

Its requests failed with *none of 0 peers asked reaches it*, 180 times in eight seconds.

Cause: an attempt through a peer that ended by its own time limit counted as the loss of that peer, which was then avoided for a second. The host owned a domain and probed two engine hosts that had just been lost; 44 of these probes ended so at the peers (*proxy aborted* after 0.4 and 0.8 s, no request id), which took both peers away again and again.

A time limit that passes after the peer asked for the body, so after it had reached the target, is now the target's failure.

The new test failed before (*connection to the proxy lost* instead of *timeout*, and no peer for the next request).

--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -241,6 +241,9 @@
         """
         if failure.kind == FailureKind.WITHHELD:
             return Failure(failure)
+        if failure.kind == FailureKind.TIMEOUT and failure.sent:
+            # The peer reached the target, which may be what is silent.
+            return Failure(failure._replace(reason=f"{peer.name}: {failure.reason}"))
         if not begun:
             self._proxies.avoid(peer, time.monotonic())
         if not failure.sent:
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -183,6 +183,15 @@
         await until(lambda: not self.server.in_flight)
         self.assertEqual(self.target.received, [])
 
+    async def test_a_silent_target_takes_no_peer_away(self):
+        self.target.hold = True
+        probe = Call(self.target.address, "GET", "/", reuse=True, timeout=0.1)
+        failure = (await self.caller.call(probe)).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.TIMEOUT, True))
+        self.target.hold = False
+        self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual((await self.send()).unwrap().status, 200)
+
     async def test_abandoned_request_is_abandoned_at_the_target(self):
         self.target.hold = True
         sending = asyncio.ensure_future(self.send(Chunks()))
