A peer that can't reach one target is asked about others

Declining, which says that the peer can't help at all, counts as before.

Ruled out: letting data from targets prove the links of a peer. In the first second of a cut of many hosts it would make peers that are cut off themselves report running targets as failed.

New tests of the rule; the tests of links and of the hop pass.

--- a/src/oleanderhill/routing/proxies.py
+++ b/src/oleanderhill/routing/proxies.py
@@ -13,6 +13,10 @@
 AVOID_SECONDS = 1.0
 """Seconds for which a peer that could not help is avoided."""
 
+MIN_NOT_REACHED = 2
+"""Targets that a peer could not reach, and none between, from which it is avoided for all targets.
+One target that failed doesn't tell that the links of the peer did."""
+
 PROVEN_SECONDS = 5.0
 """Seconds after its last request for which a peer is known to help."""
 
@@ -60,15 +64,24 @@
         self._data_centre = data_centre
         self._rng = rng
         self._avoid_until: dict[str, float] = {}
+        self._not_reached_until: dict[str, dict[str, float]] = {}
         self._proven: dict[Peer, float] = {}
         self._in_flight: Counter[str] = Counter()
 
-    def choose(self, peers: PeerList, tried: Collection[str], now: float) -> Peer | None:
-        """Return the peer for a request, ``None`` if none is worth trying."""
+    def choose(
+        self, peers: PeerList, tried: Collection[str], address: str, now: float
+    ) -> Peer | None:
+        """Return the peer for a request to an address, ``None`` if none is worth trying."""
         self._proven = {p: at for p, at in self._proven.items() if now - at <= PROVEN_SECONDS}
         proven = [p for p in self._proven if p in peers.local or p in peers.remote]
         considered = [*proven, *self._sample(peers.local, now), *self._sample(peers.remote, now)]
-        usable = [p for p in considered if p.name not in tried and self._may_try(p, now)]
+        usable = [
+            p
+            for p in considered
+            if p.name not in tried
+            and self._may_try(p, now)
+            and self._not_reached_until.get(p.name, {}).get(address, 0.0) <= now
+        ]
         if not usable:
             return None
         return min(usable, key=lambda p: (self._rank(p), self._rng.random()))
@@ -84,9 +97,10 @@
             del self._in_flight[peer]
 
     def took(self, peer: Peer, now: float) -> None:
-        """Record that a peer took a request."""
+        """Record that a peer reached a target."""
         self._proven[peer] = now
         self._avoid_until.pop(peer.name, None)
+        self._not_reached_until.pop(peer.name, None)
 
     def avoid(self, peer: Peer, now: float) -> None:
         """Record that a peer can't help."""
@@ -94,6 +108,17 @@
         self._avoid_until[peer.name] = now + AVOID_SECONDS
         self._proven.pop(peer, None)
 
+    def not_reached(self, peer: Peer, address: str, now: float) -> None:
+        """Record that a peer could not connect to an address."""
+        self._not_reached_until.setdefault(peer.name, {})[address] = now + AVOID_SECONDS
+        self._not_reached_until = {
+            name: recent
+            for name, known in self._not_reached_until.items()
+            if (recent := {a: until for a, until in known.items() if until > now})
+        }
+        if len(self._not_reached_until[peer.name]) >= MIN_NOT_REACHED:
+            self.avoid(peer, now)
+
     def _may_try(self, peer: Peer, now: float) -> bool:
         return self._avoid_until.get(peer.name, 0.0) <= now
 
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 from returns.pipeline import is_successful
@@ -181,7 +181,7 @@
         tried: set[str] = set()
         not_reached: list[CallFailure] = []
         while len(tried) < MAX_PEERS_TRIED and len(not_reached) < MAX_NOT_REACHED:
-            peer = self._proxies.choose(self._peers.listed(), tried, time.monotonic())
+            peer = self._choose_peer(tried, request.address)
             if peer is None:
                 break
             tried.add(peer.name)
@@ -193,13 +193,15 @@
                 not_reached.append(_not_connected(peer, found))
         on_path("")
         if not_reached:
-            now = time.monotonic()
-            others_left = self._proxies.choose(self._peers.listed(), tried, now) is not None
-            self._reachability.failed_by_peer(request.address, now, others_left)
+            others_left = self._choose_peer(tried, request.address) is not None
+            self._reachability.failed_by_peer(request.address, time.monotonic(), others_left)
             return Failure(not_reached[-1])
         reason = f"no own link, and none of {len(tried)} peers asked reaches it"
         return Failure(failure or CallFailure(FailureKind.NOT_CONNECTED, False, reason))
 
+    def _choose_peer(self, tried: Collection[str], address: str) -> Peer | None:
+        return self._proxies.choose(self._peers.listed(), tried, address, time.monotonic())
+
     async def _call_through(
         self, peer: Peer, request: Call, observer: Observer | None
     ) -> Result[Reply, CallFailure] | ProxyFailure:
@@ -264,7 +266,10 @@
                 self._proxies.took(peer, now)
                 self._reachability.failed_by_peer(address, now)
                 return Failure(_not_connected(peer, said))
-        self._proxies.avoid(peer, now)
+            case ProxyFault.NOT_REACHED:
+                self._proxies.not_reached(peer, address, now)
+            case ProxyFault.DECLINED:
+                self._proxies.avoid(peer, now)
         return said
 
 
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -235,8 +235,8 @@
             *([Peer(f"{dc}-{number}", "", dc) for number in range(3)] for dc in ("hall", "yard"))
         )
 
-    def choose(self, now=0.0, tried=()):
-        found = self.proxies.choose(self.peers, tried, now)
+    def choose(self, now=0.0, tried=(), address="a1"):
+        found = self.proxies.choose(self.peers, tried, address, now)
         return found and found.name
 
     def test_the_own_data_centre_goes_first(self):
@@ -248,6 +248,21 @@
         self.assertIsNone(self.choose())
         self.assertIsNotNone(self.choose(AVOID_SECONDS))
 
+    def test_peers_that_fail_at_one_target_are_asked_about_others(self):
+        for peer in (*self.peers.local, *self.peers.remote):
+            self.proxies.not_reached(peer, "a1", 0.0)
+        self.assertIsNone(self.choose())
+        self.assertIsNotNone(self.choose(address="a2"))
+        self.assertIsNotNone(self.choose(AVOID_SECONDS))
+
+    def test_peers_that_fail_at_several_targets_are_avoided(self):
+        for peer in (*self.peers.local, *self.peers.remote):
+            self.proxies.not_reached(peer, "a1", 0.0)
+            self.proxies.not_reached(peer, "a2", 0.1)
+        self.assertIsNone(self.choose(0.2, address="a3"))
+        self.proxies.took(self.peers.local[0], 0.3)
+        self.assertEqual(self.choose(0.3, address="a3"), "hall-0")
+
     def test_peers_that_were_tried_are_left_out(self):
         tried = [p.name for p in (*self.peers.local, *self.peers.remote)]
         self.assertIsNone(self.choose(tried=tried))
@@ -267,14 +282,14 @@
         now, found = 0.0, None
         for _ in range(300):
             now += 0.001
-            peer = self.proxies.choose(peers, (), now)
+            peer = self.proxies.choose(peers, (), "a1", now)
             if peer is not None and peer.name == "hall-150":
                 found = peer
                 self.proxies.took(peer, now)
             elif peer is not None:
                 self.proxies.avoid(peer, now)
         self.assertIsNotNone(found)
-        self.assertEqual(self.proxies.choose(peers, (), now), found)
+        self.assertEqual(self.proxies.choose(peers, (), "a1", now), found)
 
     def test_a_proven_peer_that_is_gone_is_not_chosen(self):
         self.proxies.took(Peer("hall-9", "", "hall"), 0.0)
