A request without a body waits for its sender at a peer too

Found through a line in the output of the soak tests (KeyError: 'Attempt-Id' in the stand-in of a target: a GET without any header of ours).

Cause: a peer asks for the body with status 100 and passes the request on once it has all of it. Of an empty body it has all at once. So a request without a body reached the target before its sender had confirmed it. If the sender decided against it then, or the hop was lost, it counted as not sent: it could run at another target as well, also a once-only request, and *not run* was untrue. The question whether a target runs, which is a request that is never confirmed, sent it a GET.

Each body that is sent to a peer ends with one more byte now, which the peer takes off; a request without it is declined.

Tests that failed before: nothing reaches the target if the sender decides against a request, now also without a body; the question whether a target runs sends it nothing. Further: the target gets no body where there was none; a request that is not confirmed is declined.

--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 from oleanderhill.clients import httpcall
@@ -72,6 +73,19 @@
             [(httpcall.HttpCaller, "_send_expected", _send_at_once)],
             testing(f"{hop}.test_nothing_reaches_the_target_if_the_sender_decides_against_it"),
         ),
+        Mutant(
+            "a request without a body waits for its sender",
+            [
+                (target_caller, "proxied_body", lambda body: body),
+                (proxy_server, "confirmed_body", lambda received: received),
+            ],
+            testing(f"{hop}.test_nothing_reaches_the_target_if_the_sender_decides_against_it"),
+        ),
+        Mutant(
+            "a silent target takes no peer away",
+            [(target_caller.TargetCaller, "_judge_failure", _lost_at_the_peer)],
+            testing(f"{hop}.test_a_silent_target_takes_no_peer_away"),
+        ),
         Mutant(
             "a lost hop is no evidence against the target",
             [(target_caller.TargetCaller, "_judge_failure", _lost_at_the_target)],
@@ -126,6 +140,11 @@
     connection.finish()
 
 
+def _lost_at_the_peer(self: Any, peer: Any, failure: Any, begun: bool) -> Any:
+    self._proxies.avoid(peer, time.monotonic())
+    return target_caller.Failure(failure._replace(kind=httpcall.FailureKind.PROXY_LOST))
+
+
 def _lost_at_the_target(self: Any, peer: Any, failure: Any, begun: bool) -> Any:
     return target_caller.Failure(failure._replace(kind=httpcall.FailureKind.LOST))
 
--- a/src/oleanderhill/clients/proxying.py
+++ b/src/oleanderhill/clients/proxying.py
@@ -2,7 +2,8 @@
 
 The request is sent to the peer as the target shall get it, with the target's address in a header,
 and announced with ``Expect: 100-continue``. The peer first connects to the target, and asks for the
-body only then: until it does, nothing was sent to the target. Its reply is the target's, unless
+body only then: until it does, nothing was sent to the target. One more byte ends the body, so that
+a request without a body waits for its sender too. The peer's reply is the target's, unless
 :data:`FAILURE_HEADER` says that it is the peer's own and holds a :class:`ProxyFailure`.
 """
 
@@ -26,6 +27,9 @@
 
 FAILURE_STATUS = 502
 
+CONFIRMATION = b"\n"
+"""End of a body that is sent to a peer, not part of the request."""
+
 
 class ProxyFault(StrEnum):
     """What kept a peer from returning a reply of the target."""
@@ -88,6 +92,16 @@
     return passed
 
 
+def proxied_body(body: bytes) -> bytes:
+    """Return the body of a request as it is sent to a peer."""
+    return body + CONFIRMATION
+
+
+def confirmed_body(received: bytes) -> bytes | None:
+    """Return the body for the target, ``None`` if the sender did not confirm the request."""
+    return received.removesuffix(CONFIRMATION) if received.endswith(CONFIRMATION) else None
+
+
 def encode_failure(failure: ProxyFailure) -> bytes:
     """Encode the body of a failure."""
     return msgspec.msgpack.encode(failure)
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -33,6 +33,7 @@
     TARGET_HEADER,
     ProxyFailure,
     ProxyFault,
+    confirmed_body,
     encode_failure,
     without_proxy_headers,
 )
@@ -113,9 +114,14 @@
     def finish(self) -> None:
         if self.to_target is None:
             return  # it was rejected
+        body = confirmed_body(b"".join(self.chunks))
+        if body is None:
+            stream, self.to_target = self.to_target, None
+            self._server.reject_unconfirmed(self, stream)
+            return
         if isinstance(self.connection, HTTP1Connection):
             self.connection.set_close_callback(self.on_connection_close)
-        self._task = self._server.spawn(self._server.forward(self, self.to_target))
+        self._task = self._server.spawn(self._server.forward(self, body, self.to_target))
 
     def on_connection_close(self) -> None:
         if self._task is not None:
@@ -206,11 +212,16 @@
         self.in_flight -= 1
         self._caller.put_back(self._call(request, b""), stream)
 
-    async def forward(self, request: _ProxiedRequest, stream: IOStream) -> None:
+    def reject_unconfirmed(self, request: _ProxiedRequest, stream: IOStream) -> None:
+        """Reject a request whose body lacks the confirmation of its sender."""
+        self.give_up(request, stream)
+        self._reject(request, ProxyFailure(ProxyFault.DECLINED, "not confirmed"))
+
+    async def forward(self, request: _ProxiedRequest, body: bytes, stream: IOStream) -> None:
         """Send a request to its target and the reply to the peer."""
         began = time.monotonic()
         forwarder = _ReplyForwarder(request.connection)
-        call = self._call(request, b"".join(request.chunks))
+        call = self._call(request, body)
         outcome = "proxy aborted"
         try:
             result = await self._caller.exchange(stream, call, forwarder)
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -16,6 +16,7 @@
     ProxyFailure,
     ProxyFault,
     decode_failure,
+    proxied_body,
     proxied_headers,
 )
 from ..routing.proxies import Peer, PeerList, Proxies
@@ -209,6 +210,7 @@
         proxied = request._replace(
             address=peer.address,
             headers=proxied_headers(request.headers, request.address, self._peers.name),
+            body=proxied_body(request.body),
             reuse=True,
             accept_close_delimited=False,
             is_reply_to_call=None,
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -138,9 +138,9 @@
         await self.server.stop()
         self.target.stop()
 
-    async def send(self, observer=None, **more):
+    async def send(self, observer=None, body=b"body", **more):
         headers = HTTPHeaders({"Attempt-Id": "r1", "X-Own": "1"})
-        call = Call(self.target.address, "POST", "/a?b=%20c", headers, b"body", timeout=5.0, **more)
+        call = Call(self.target.address, "POST", "/a?b=%20c", headers, body, timeout=5.0, **more)
         return await self.caller.call(call, observer)
 
     async def test_target_gets_the_request_unchanged_and_the_caller_its_reply(self):
@@ -178,11 +178,30 @@
         self.assertEqual(seen.body, b"new")
 
     async def test_nothing_reaches_the_target_if_the_sender_decides_against_it(self):
-        failure = (await self.send(Chunks(confirm=False))).failure()
-        self.assertEqual((failure.kind, failure.sent), (FailureKind.WITHHELD, False))
+        for body in (b"body", b""):
+            with self.subTest(body=body):
+                failure = (await self.send(Chunks(confirm=False), body)).failure()
+                self.assertEqual((failure.kind, failure.sent), (FailureKind.WITHHELD, False))
+                await until(lambda: not self.server.in_flight)
+                self.assertEqual(self.target.received, [])
+
+    async def test_question_whether_a_target_runs_sends_it_nothing(self):
+        self.assertTrue(await self.caller.is_running(self.target.address))
         await until(lambda: not self.server.in_flight)
         self.assertEqual(self.target.received, [])
 
+    async def test_request_that_its_sender_did_not_confirm_is_declined(self):
+        headers = proxied_headers({}, self.target.address, "here")
+        call = Call(self.address, "POST", "/a", headers, b"", timeout=5.0, expect_continue=True)
+        reply = (await HttpCaller().call(call)).unwrap()
+        self.assertEqual(decode_failure(reply.body).fault, ProxyFault.DECLINED)
+        self.assertEqual((self.target.received, self.server.in_flight), ([], 0))
+
+    async def test_request_without_a_body_reaches_the_target_without_one(self):
+        self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual((await self.send(body=b"")).unwrap().status, 200)
+        self.assertEqual([body for _, body in self.target.received], [b""])
+
     async def test_a_silent_target_takes_no_peer_away(self):
         self.target.hold = True
         probe = Call(self.target.address, "GET", "/", reuse=True, timeout=0.1)
