An owner that is cut off forms groups also where none serves yet

All entry hosts had just been killed; the one that owned the domain then was cut off. It wrote plans, and all 28 orders to join, leave and warm were *silent* at once, for eight seconds.

Cause: failed connections count against the links only where the target serves, as hosts that serve nothing often fail. Where no group serves there is no such target, so the links never came into doubt, and no peer was asked to carry an order.

While no own connection was opened for two seconds, an order or probe that gets no connection is carried by a peer now. A host with sound links opens several a second, so it asks nobody about a host that is down.

Ruled out: hosts of two sources that misunderstood each other: no request was declined as not confirmed in its logs, and no order had reached a peer at all. New test of the rule, seen failing; the stand-in caller of the test of encodings has the new question.

--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -126,7 +126,9 @@
         self, instance: Instance, call: Call, second_opinion: bool = False
     ) -> Result[Reply, CallFailure]:
         sent_at = time.monotonic()
-        found = await self._caller.call(call, second_opinion=second_opinion)
+        # Peers report nothing of hosts that don't serve, so only own connections tell of the links.
+        in_doubt = second_opinion or not self._caller.links_proven()
+        found = await self._caller.call(call, second_opinion=in_doubt)
         if is_successful(found) and found.unwrap().status != WRONG_INSTANCE_STATUS:
             reply = found.unwrap()
             self._on_notice(str(instance), read_notice(reply.status, reply.headers), sent_at)
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -152,6 +152,10 @@
             return Failure(opened.failure())
         return await self._call_peers(request, observer, on_path, opened.failure())
 
+    def links_proven(self) -> bool:
+        """Return whether a connection over the own links was opened lately."""
+        return self._reachability.proven(time.monotonic())
+
     async def is_running(self, address: str) -> bool:
         """Return whether a peer can connect to a target; nothing is sent to it."""
         request = Call(address, "GET", "/", reuse=True, connect_timeout=TAKE_TIMEOUT)
--- a/tests/test_capacity_follows.py
+++ b/tests/test_capacity_follows.py
@@ -312,6 +312,9 @@
 class EncodingTest(unittest.IsolatedAsyncioTestCase):
     async def test_head_is_closed_in_the_mode_that_finishes_its_queue(self):
         class Caller:
+            def links_proven(self):
+                return True
+
             async def call(self, call, second_opinion):
                 self.body = json.loads(call.body)
                 return Success(Reply(202, HTTPHeaders(), b""))
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -13,9 +13,10 @@
 from oleanderhill_dev.users.cut_links import Cut
 from oleanderhill_dev.users.site import LARGE, until
 from returns.pipeline import is_successful
+from returns.result import Failure
 from tornado.httputil import HTTPHeaders
 
-from oleanderhill.clients.httpcall import Call, FailureKind, HttpCaller, Observer
+from oleanderhill.clients.httpcall import Call, CallFailure, FailureKind, HttpCaller, Observer
 from oleanderhill.clients.listening import CHECK_DELAYS
 from oleanderhill.clients.proxying import (
     FAILURE_HEADER,
@@ -26,8 +27,11 @@
     proxied_headers,
     proxy_address,
 )
+from oleanderhill.groups.actions import Leave, OrderOutcome
+from oleanderhill.groups.inventory import Instance
 from oleanderhill.kernel import Kernel
 from oleanderhill.platform.headers import HeaderCodec
+from oleanderhill.platform.orders import EngineOrders
 from oleanderhill.records import Records
 from oleanderhill.routing.proxies import Peer, PeerList, Proxies
 from oleanderhill.routing.reachability import Heard, Reachability
@@ -96,6 +100,13 @@
         self.body += chunk
 
 
+class RefusedCaller(HttpCaller):
+    """Finds that nothing listens anywhere."""
+
+    async def open(self, request):
+        return Failure(CallFailure(FailureKind.NOT_CONNECTED, False, "refused", True))
+
+
 class HopTest(unittest.IsolatedAsyncioTestCase):
     """The hop between two entry hosts, with a target that speaks raw bytes."""
 
@@ -211,6 +222,19 @@
         self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n"
         self.assertEqual((await self.send()).unwrap().status, 200)
 
+    async def test_orders_go_through_a_peer_until_an_own_link_is_proven(self):
+        links = Reachability()
+        peers = Peers("here", lambda: PeerList(self.peers), lambda address: Heard.UNKNOWN)
+        proxies = Proxies("hall", random.Random(1))
+        caller = TargetCaller(RefusedCaller(), HttpCaller(), links, proxies, peers)
+        orders = EngineOrders(caller, lambda *args: None, lambda instance: True)
+        self.target.reply = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+        order = Leave("d.1", 1, Instance("i-1", 1))
+        self.assertEqual(await orders.send(order, self.target.address, 3), OrderOutcome.DONE)
+        links.connected("another target", time.monotonic())
+        self.assertEqual(await orders.send(order, self.target.address, 3), OrderOutcome.SILENT)
+        self.assertEqual(len(self.target.received), 1)
+
     async def test_abandoned_request_is_abandoned_at_the_target(self):
         self.target.hold = True
         sending = asyncio.ensure_future(self.send(Chunks()))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -60,6 +60,14 @@
         soak = run_seed(4_601, cut_off=True)
         self.assertEqual(soak.violations, [])
 
+    def test_a_host_that_is_cut_off_is_not_left_by_its_peers_while_targets_are_lost(self):
+        soak = run_seed(5_130, restored=True, cold=True, cut_off=True)
+        self.assertEqual(soak.violations, [])
+
+    def test_an_owner_that_is_cut_off_before_any_group_serves_forms_groups(self):
+        soak = run_seed(5_145, 0, True, True, cold=True, cut_off=True)
+        self.assertEqual(soak.violations, [])
+
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_reload_signal_during_startup_does_not_end_the_process(self):
