The soak's entry hosts with cuts ignore a reload signal from their first line

Cause: with cuts, a wrapper of the soak starts the program. It imported its modules before the program ignores SIGHUP, so the signal ended the process. Shown: SIGHUP 0.08 to 0.2 s after the start ended it four of four times before, none of four after. The program itself ignores the signal in its first line and is not changed.

The signal is ignored only where the wrapper is the program: a soak that imports it would hand an ignored signal to its processes and hide the fault that the soak looks for.

--- a/dev/oleanderhill_dev/users/cut_entry.py
+++ b/dev/oleanderhill_dev/users/cut_entry.py
@@ -5,14 +5,19 @@
 
 from __future__ import annotations
 
-import runpy
 import signal
-import sys
-from pathlib import Path
 
-import msgspec
+if __name__ == "__main__":
+    # As the program does first of all: a reload signal during the imports must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import runpy  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import msgspec  # noqa: E402
 
-from .cut_links import Cut, CutLinks
+from .cut_links import Cut, CutLinks  # noqa: E402
 
 
 class CutOrder(msgspec.Struct):
