--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -86,6 +86,26 @@
             [(target_caller.TargetCaller, "_judge_failure", _lost_at_the_peer)],
             testing(f"{hop}.test_a_silent_target_takes_no_peer_away"),
         ),
+        Mutant(
+            "orders that get no connection are carried by a peer",
+            [(target_caller.TargetCaller, "links_proven", lambda self: True)],
+            testing(f"{hop}.test_orders_go_through_a_peer_until_an_own_link_is_proven"),
+        ),
+        Mutant(
+            "a target is given up only if no peer is left",
+            [(reachability.Reachability, "_confirm", _confirm_for_certain)],
+            testing(
+                "test_cut_off.ReachabilityTest"
+                ".test_a_target_that_other_peers_may_reach_is_not_given_up"
+            ),
+        ),
+        Mutant(
+            "a peer that fails at one target is asked about others",
+            [(proxies, "MIN_NOT_REACHED", 1)],
+            testing(
+                "test_cut_off.ProxiesTest.test_peers_that_fail_at_one_target_are_asked_about_others"
+            ),
+        ),
         Mutant(
             "a lost hop is no evidence against the target",
             [(target_caller.TargetCaller, "_judge_failure", _lost_at_the_target)],
@@ -140,6 +160,10 @@
     connection.finish()
 
 
+def _confirm_for_certain(self: Any, address: str, now: float, certain: bool) -> None:
+    self._confirmed_by_address[address] = reachability._Confirmed(now + 1.0, True)
+
+
 def _lost_at_the_peer(self: Any, peer: Any, failure: Any, begun: bool) -> Any:
     self._proxies.avoid(peer, time.monotonic())
     return target_caller.Failure(failure._replace(kind=httpcall.FailureKind.PROXY_LOST))
