A host that was held up doesn't take its own pause for silence of targets

What callers saw: after a pause of an entry host's process (overload, suspension) requests that the host had just sent were abandoned for "no progress" and sent to another target. Plain requests and streams ran twice, and each move was recorded as a possible crash of the first target and spread to peers.

Cause: the time without progress was taken from the clock alone. After a pause the timer of the stall check and the bytes that had arrived meanwhile become ready together, and the timer's task runs first. Time before the request was sent counted as well, though the learnt times count from the send: in the trace a request was abandoned 11 ms after its send.

Ruled out: a confirmed crash and a refused link (no loss came from _handle_end, all from _handle_abandoned).

Now a stall check that fires 0.05 s late or more waits once for as long as it was late, at most a stall timeout, before it decides; once per progress, so that a process which is always late still notices stalls. The time without progress starts at the send.

The project's own interface (requests/exchange.py) judges silence in the same way; not mended here.

--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -15,6 +15,9 @@
 
 EVENT_STREAM = "text/event-stream"
 
+HELD_UP_SECONDS = 0.05
+"""Seconds by which a timer fires late if this process was held up."""
+
 
 class ForwardedRequest(Protocol):
     """The request that an attempt belongs to."""
@@ -41,6 +44,7 @@
     and ``fault`` describes the first event that was out of sequence, empty for none.
 
     :ivar via: entry host that passes the request on, empty for this host's own links
+    :ivar last_progress_at: when the target last sent anything or, until then, was sent the request
     """
 
     def __init__(self, request: ForwardedRequest, choice: Choice) -> None:
@@ -56,12 +60,14 @@
         self.chunks: list[bytes] = []
         self.events = 0
         self.last_progress_at = time.monotonic()
+        self._allowed_for: float | None = None
         self.fault = ""
 
     def confirm_send(self) -> bool:
         if not self._request.confirm_send():
             self.not_sent = True
             return False
+        self.last_progress_at = time.monotonic()
         return True
 
     def headers(self, status: int, headers: HTTPHeaders) -> None:
@@ -97,6 +103,18 @@
         self.events += len(complete)
         return self._request.forward_events(self, b"".join(complete), len(complete))
 
+    def time_held_up(self, late: float) -> float:
+        """Return the seconds to wait for data that may have arrived while the process was held up.
+
+        They are granted once after each progress, so that a busy process still notices stalls.
+
+        :param late: seconds by which a timer fired late
+        """
+        if late < HELD_UP_SECONDS or self._allowed_for == self.last_progress_at:
+            return 0.0
+        self._allowed_for = self.last_progress_at
+        return late
+
     @property
     def truncated(self) -> bool:
         """Return whether the stream ended within an event."""
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -333,12 +333,14 @@
             target from a crash
         """
         tracker = self.context.book
+        not_before = 0.0
         while True:
             now = time.monotonic()
             deadline = self.machine.request.deadline
             quantile = partial(self._times.time_quantile, now=now)
             stall_timeout = stall_timeout_for(self._accepted.route, run.events > 0, quantile)
-            next_check = min(deadline, max(run.last_progress_at + stall_timeout, now + 0.02))
+            stalled_at = max(run.last_progress_at + stall_timeout, not_before)
+            next_check = min(deadline, max(stalled_at, now + 0.02))
             wait = max(0.0, next_check - now)
             awaited: set[asyncio.Future[Any]] = {task, quarantined}
             await asyncio.wait(awaited, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
@@ -351,6 +353,10 @@
                 return "deadline"
             if run.fault:
                 return run.fault
+            late = run.time_held_up(now - next_check)
+            not_before = max(not_before, now + min(late, stall_timeout))
+            if now < not_before:
+                continue
             idle = now - run.last_progress_at
             if self._hangs_at_own_link(run, choice, idle >= stall_timeout, idle, now):
                 return LINK_LOST
