The own interface doesn't take its own pause for silence of a target either

What callers saw: after a pause of an entry host's process that is longer than a stall limit (1 to 15 s, a suspension), its idempotent streams were taken for stalled, moved to another group, and their group ejected, though their next events had arrived.

By reading; shown with an exchange without a target: the event was put 0.05 s after the check was due, in the middle of a pause of 0.5 s; Lost('stalled for 0.6 s') came in place of it. After: the event. A target that stays silent is still noticed, one check later.

The rule moves to clock.LateTimer, which both interfaces use; for the users' platform nothing else changes.

--- a/src/oleanderhill/requests/exchange.py
+++ b/src/oleanderhill/requests/exchange.py
@@ -17,6 +17,7 @@
 
 from ..clients.httpcall import Call, FailureKind, HttpCaller, Observer, Reply
 from ..clients.targets import TargetClient
+from ..clock import LateTimer
 from ..decisions import Decisions
 from ..outcomes import Problem
 from ..routing.router import Choice, NoChoice, Requirements
@@ -37,6 +38,9 @@
 DONE_EVENT = b"data: [DONE]"
 MAX_EVENT_BYTES = 1024 * 1024
 
+STALL_CHECK_INTERVAL = 0.25
+"""Seconds between checks whether an attempt stalls."""
+
 
 class Sink(Protocol):
     """Receives the answer of a request."""
@@ -151,6 +155,7 @@
         self._selected_at = 0.0
         self._reply: Reply | None = None
         self._last_progress_at = 0.0
+        self._timer = LateTimer()
         self._final_effects: list[Effect] = []
         self._cancel_tasks: list[asyncio.Task[None]] = []
 
@@ -188,11 +193,15 @@
     async def _next_event(self) -> Event:
         """Return the next event, or a :class:`~.attempts.Lost` event if the attempt stalls."""
         while True:
+            due_at = time.monotonic() + STALL_CHECK_INTERVAL
             try:
-                async with asyncio.timeout(0.25):
+                async with asyncio.timeout(STALL_CHECK_INTERVAL):
                     return await self._events.get()
             except TimeoutError:
-                stalled = self._check_stall(time.monotonic())
+                now = time.monotonic()
+                if self._timer.extension(now - due_at, self._last_progress_at):
+                    continue
+                stalled = self._check_stall(now)
                 if stalled is not None:
                     return stalled
 
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -9,15 +9,13 @@
 from tornado.httputil import HTTPHeaders
 
 from ..clients.httpcall import Observer
+from ..clock import LateTimer
 from ..routing.router import Choice
 from .events import EventSequence, EventSplitter
 from .forwarding import ReplyInfo
 
 EVENT_STREAM = "text/event-stream"
 
-HELD_UP_SECONDS = 0.05
-"""Seconds by which a timer fires late if this process was held up."""
-
 
 class ForwardedRequest(Protocol):
     """The request that an attempt belongs to."""
@@ -45,6 +43,7 @@
 
     :ivar via: entry host that passes the request on, empty for this host's own links
     :ivar last_progress_at: when the target last sent anything or, until then, was sent the request
+    :ivar timer: the timer that notices stalls
     """
 
     def __init__(self, request: ForwardedRequest, choice: Choice) -> None:
@@ -60,7 +59,7 @@
         self.chunks: list[bytes] = []
         self.events = 0
         self.last_progress_at = time.monotonic()
-        self._allowed_for: float | None = None
+        self.timer = LateTimer()
         self.fault = ""
 
     def confirm_send(self) -> bool:
@@ -103,18 +102,6 @@
         self.events += len(complete)
         return self._request.forward_events(self, b"".join(complete), len(complete))
 
-    def time_held_up(self, late: float) -> float:
-        """Return the seconds to wait for data that may have arrived while the process was held up.
-
-        They are granted once after each progress, so that a busy process still notices stalls.
-
-        :param late: seconds by which a timer fired late
-        """
-        if late < HELD_UP_SECONDS or self._allowed_for == self.last_progress_at:
-            return 0.0
-        self._allowed_for = self.last_progress_at
-        return late
-
     @property
     def truncated(self) -> bool:
         """Return whether the stream ended within an event."""
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -353,7 +353,7 @@
                 return "deadline"
             if run.fault:
                 return run.fault
-            late = run.time_held_up(now - next_check)
+            late = run.timer.extension(now - next_check, run.last_progress_at)
             not_before = max(not_before, now + min(late, stall_timeout))
             if now < not_before:
                 continue
