--- a/dev/oleanderhill_dev/bench_site.py
+++ b/dev/oleanderhill_dev/bench_site.py
@@ -13,6 +13,7 @@
 import os
 import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -28,6 +29,12 @@
 FIRST_NETWORK, NETWORK_COUNT = 20, 200
 """Second octets of the loopback networks of :func:`free_address`; sites use those below."""
 
+SITE_NETWORKS = range(220, 255)
+"""Second octets of the loopback networks of :func:`reserve_network`."""
+
+RESERVATION_PORT = 7099
+_reservations: list[socket.socket] = []
+
 
 class EntryAddress(NamedTuple):
     """Addresses of one entry host."""
@@ -257,6 +264,26 @@
     return f"127.{network}.{number // 250}.{1 + number % 250}:7100"
 
 
+def reserve_network() -> int:
+    """Return the second octet of a loopback network that no other process has reserved.
+
+    The reservation is a listening socket that stays open until this process ends.
+
+    :raises RuntimeError: if all are taken
+    """
+    for octet in SITE_NETWORKS:
+        marker = socket.socket()
+        try:
+            marker.bind((f"127.{octet}.255.1", RESERVATION_PORT))
+        except OSError:
+            marker.close()
+            continue
+        marker.listen()
+        _reservations.append(marker)
+        return octet
+    raise RuntimeError("all loopback networks for sites are reserved")
+
+
 def new_key() -> str:
     """Return a random bearer key."""
     return secrets.token_urlsafe(24)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,7 +8,7 @@
 import unittest
 from pathlib import Path
 
-from oleanderhill_dev.bench_site import Site, SiteConfig
+from oleanderhill_dev.bench_site import Site, SiteConfig, reserve_network
 from oleanderhill_dev.engine_standin import token
 
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
@@ -21,7 +21,6 @@
     {("hall", "fabric-a"): 5},
     prefill=0.05,
     host_prefix="t",
-    second_octet=7,
 )
 
 
@@ -55,9 +54,13 @@
 
 
 class ProcessesTest(unittest.IsolatedAsyncioTestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.config = SITE_CONFIG._replace(second_octet=reserve_network())
+
     async def asyncSetUp(self):
         self.folder = tempfile.TemporaryDirectory()
-        self.site = Site(SITE_CONFIG, Path(self.folder.name), PROGRAM)
+        self.site = Site(self.config, Path(self.folder.name), PROGRAM)
         # Cleanups run even if the set-up fails, unlike a tear-down. Processes left running would
         # keep the addresses, and the next run would connect to them.
         self.addCleanup(self.folder.cleanup)
