RelayTest waits for the question instead of sleeping for 0.05 s

The test counted on the question reaching the reader within 0.05 s; it failed twice beside other work with one reading missing. It now waits until the reader was asked. The check is as it was.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -384,6 +385,19 @@
         self.peer = PeerSource("near", address, HttpCaller())
         self.addAsyncCleanup(self.server.stop)
 
+    async def ask_and_wait_for_arrival(self, after, now):
+        """Ask for changes; return the pending answer once the reader has nothing to send yet."""
+        waiting, wait = asyncio.Event(), self.reader_mirror.wait_for_changes
+
+        def wait_for_changes(since, timeout):
+            waiting.set()
+            return wait(since, timeout)
+
+        with mock.patch.object(self.reader_mirror, "wait_for_changes", wait_for_changes):
+            asked = asyncio.ensure_future(self.peer.read(after, now))
+            await asyncio.wait_for(waiting.wait(), 5.0)
+        return asked
+
     async def test_proof_is_never_younger_for_having_been_passed_on(self):
         # The reader last verified its content 2 s ago and answers slowly. If a peer took the time
         # of the answer for that of the check, a removed key would be accepted beyond the bound.
@@ -431,8 +445,7 @@
         self.reader_mirror._apply_reading(
             ReadResult(rev(7), True, [Change("k", b"1", rev(7))], now, now)
         )
-        asked = asyncio.ensure_future(self.peer.read(rev(9), now))
-        await asyncio.sleep(0.05)
+        asked = await self.ask_and_wait_for_arrival(rev(9), now)
         self.reader_mirror._apply_reading(ReadResult(rev(8), False, [], now, now))
         found = (await asked).unwrap()
         self.assertEqual((found.revision, list(found.changes)), (rev(9), []))
