The soak excuses a removed key only where nobody could know of the removal

All entry hosts were killed (last lines 354.63 to 354.79) while the store began to be silent; their next processes got their first answer at 356.03, from a backup in which version 2 was the newest (generation 2, revision 16), put it into force and served its key until the operator's rewritten version 4 arrived at 356.67. The store is the only place that outlives the entry hosts, and it named the key; no host that had seen the removal was left. So the case is allowed, and the check was wrong.

It is narrowed to exactly this: a restore at which no running entry host had put a configuration into force, only for removals before it, and only until the rewritten entries are older than the bound for removed keys. Requests outside of it are checked as before (RemovalForgottenTest).

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -35,7 +35,7 @@
 from .engines import StandInHost, TargetNotices
 from .faulty_link import FaultyLink, LinkState
 from .site import LARGE, SMALL, StandInSite, malformed_entry, until
-from .soak_store import RestoredStore
+from .soak_store import RestoredStore, removal_forgotten
 
 ROOT = Path(__file__).resolve().parents[3]
 ENTRIES = 3
@@ -137,6 +137,7 @@
         self._ip = ip
         self._first = True
         self._process: subprocess.Popen[bytes] | None = None
+        self._log_offset = 0
         self._cut_file = folder / f"{name}.cut"
         self._program = ["deploy/run.py"]
         self.exit_expected = False
@@ -168,6 +169,7 @@
         file = self._folder / f"{self.name}.json"
         file.write_text(json.dumps(settings))
         with open(self._folder / f"{self.name}.log", "ab") as log:
+            self._log_offset = log.tell()
             self._process = subprocess.Popen(
                 [sys.executable, *self._program],
                 cwd=ROOT,
@@ -223,6 +225,14 @@
         """Return the output of the process so far, over all its runs."""
         return (self._folder / f"{self.name}.log").read_text()
 
+    def holds_configuration(self) -> bool:
+        """Return whether the process runs and has put a configuration into force."""
+        if self.has_exited():
+            return False
+        with open(self._folder / f"{self.name}.log", "rb") as log:
+            log.seek(self._log_offset)
+            return b'"what":"in force"' in log.read()
+
     def has_exited(self) -> bool:
         """Return whether the process has exited."""
         return self._process is None or self._process.poll() is not None
@@ -284,7 +294,12 @@
         self.site.cold_per_s = COLD_PER_SECOND if cold else 0.0
         self.turned_cold: list[StandInHost] = []
         rng = random.Random(f"{seed} copies")
-        self._restoring = RestoredStore(self.site.store, rng, self.site.rewrite_external_entries)
+        self._restoring = RestoredStore(
+            self.site.store,
+            rng,
+            self.site.rewrite_external_entries,
+            lambda: any(p.holds_configuration() for p in self.processes),
+        )
         self.processes: list[EntryProcess] = []
         self.call_records: list[CallRecord] = []
         self.removed_at: dict[str, float] = {}
@@ -370,6 +385,9 @@
                 removed_at is not None
                 and a.sent > removed_at + KEY_REMOVAL_SECONDS
                 and ran[a.request_id]
+                and not removal_forgotten(
+                    self._restoring.restores, removed_at, a.sent, KEY_REMOVAL_SECONDS
+                )
             ):
                 found.append(f"{a.request_id} ran with a key that had been removed too long before")
         found += self._excess_crashes()
--- a/dev/oleanderhill_dev/users/soak_store.py
+++ b/dev/oleanderhill_dev/users/soak_store.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import random
+import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from .store import StandInStore, StoreBackup
 
@@ -20,18 +22,52 @@
 """Maximum seconds until the operator and the plain targets rewrite lost entries."""
 
 
+class Restore(NamedTuple):
+    """A restore of the store from a backup; times are monotonic.
+
+    :param remembered: whether any entry host held a configuration at that moment
+    :param rewritten_at: when the lost entries of the operator were rewritten
+    """
+
+    at: float
+    remembered: bool
+    rewritten_at: float
+
+
+def removal_forgotten(
+    restores: Sequence[Restore], removed_at: float, sent: float, settle_seconds: float
+) -> bool:
+    """Return whether nobody could know of a removal at the time of a request.
+
+    The backup was older than the removal, and all entry hosts had just started.
+
+    :param settle_seconds: seconds from the rewritten entries until the removal applies again
+    """
+    return any(
+        not r.remembered and removed_at <= r.at <= sent <= r.rewritten_at + settle_seconds
+        for r in restores
+    )
+
+
 class RestoredStore:
     """Backs a store up periodically and restores it from random backups.
 
     :param rewrite_external_entries: rewrites the entries of the operator and the plain targets
+    :param remembered: returns whether any entry host holds a configuration
     """
 
     def __init__(
-        self, store: StandInStore, rng: random.Random, rewrite_external_entries: Callable[[], None]
+        self,
+        store: StandInStore,
+        rng: random.Random,
+        rewrite_external_entries: Callable[[], None],
+        remembered: Callable[[], bool],
     ) -> None:
         self._store = store
         self._rng = rng
         self._rewrite_external_entries = rewrite_external_entries
+        self._remembered = remembered
+        self.restores: list[Restore] = []
         self._backups: deque[StoreBackup] = deque(maxlen=MAX_BACKUPS)
 
     async def back_up(self) -> None:
@@ -44,10 +80,11 @@
         """Restore the oldest backup and rewrite the external entries immediately."""
         if self._backups:
             self.restore_from(self._backups[0])
-            self._rewrite_external_entries()
+            self._rewrite()
 
     def restore_from(self, backup: StoreBackup) -> None:
         """Restore a backup."""
+        self.restores.append(Restore(time.monotonic(), self._remembered(), float("inf")))
         self._store.restore(backup)
         # Later backups belong to the discarded history, so they must not be restored any more.
         self._backups.clear()
@@ -64,4 +101,8 @@
                 self._store.faults.silent = False
             self.restore_from(self._rng.choice(self._backups))
             await asyncio.sleep(self._rng.uniform(0.0, MAX_REWRITE_DELAY_SECONDS))
-            self._rewrite_external_entries()
+            self._rewrite()
+
+    def _rewrite(self) -> None:
+        self._rewrite_external_entries()
+        self.restores[-1] = self.restores[-1]._replace(rewritten_at=time.monotonic())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from oleanderhill_dev.users.soak import EntryProcess, run_seed
+from oleanderhill_dev.users.soak_store import Restore, removal_forgotten
 
 
 class SoakTest(unittest.TestCase):
@@ -68,6 +69,27 @@
         soak = run_seed(5_145, 0, True, True, cold=True, cut_off=True)
         self.assertEqual(soak.violations, [])
 
+    def test_removed_keys_while_all_entry_hosts_start_on_a_restored_store(self):
+        soak = run_seed(5_346, restored=True, cut_off=True)
+        self.assertEqual(soak.violations, [])
+
+
+class RemovalForgottenTest(unittest.TestCase):
+    def test_only_a_restore_that_nobody_remembers_excuses_a_removed_key(self):
+        forgotten, remembered = Restore(5.0, False, 5.5), Restore(5.0, True, 5.5)
+        for restores, removed_at, sent, expected in (
+            ([forgotten], 4.0, 5.2, True),
+            ([forgotten], 4.0, 6.4, True),
+            ([forgotten], 4.0, 6.6, False),
+            ([forgotten], 4.0, 4.9, False),
+            ([forgotten], 5.1, 5.4, False),
+            ([remembered], 4.0, 5.2, False),
+            ([], 4.0, 5.2, False),
+            ([forgotten, remembered], 4.0, 5.2, True),
+        ):
+            found = removal_forgotten(restores, removed_at, sent, 1.0)
+            self.assertEqual(found, expected, (restores, removed_at, sent))
+
 
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_reload_signal_during_startup_does_not_end_the_process(self):
