Hosts of a data centre that is cut off whole find peers elsewhere at once

What callers would see: where all entry hosts of a data centre lose their links to the targets and there are dozens of them, most requests to them are refused, for as long as the cut lasts.

Cause: a request asked up to three peers, those of its own data centre first, six of them drawn at random. All of these were cut off as well and declined. Nothing was learnt of the data centre, only of each peer for one second, so 64 peers could be asked again and again before one elsewhere. And where few peers help, each request to a busy one tried unknown peers first, with all of its tries.

Now the share of peers of a data centre that could not help, of those tried lately, counts against its other unproven peers; once one peer declined, a proven one is preferred; and up to eight peers are asked, within 0.75 s in all, since those that know they are cut off decline at once.

--- a/src/oleanderhill/routing/proxies.py
+++ b/src/oleanderhill/routing/proxies.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 AVOID_SECONDS = 1.0
@@ -27,6 +27,9 @@
 """Requests in flight at a peer of the same data centre from which one of another data centre is
 preferred: traffic between data centres costs money, yet often most of a data centre is cut off."""
 
+DOUBT_PENALTY = 16.0
+"""Requests in flight at a proven peer from which one of a data centre is preferred where all peers
+that were tried could not help."""
 
 SAMPLE_SIZE = 6
 """Peers of each part of the list that are considered for a request, beside those that are proven.
@@ -66,6 +69,7 @@
         self._avoid_until: dict[str, float] = {}
         self._not_reached_until: dict[str, dict[str, float]] = {}
         self._proven: dict[Peer, float] = {}
+        self._failed_by_data_centre: dict[str, set[str]] = {}
         self._in_flight: Counter[str] = Counter()
 
     def choose(
@@ -82,9 +86,12 @@
             and self._may_try(p, now)
             and self._not_reached_until.get(p.name, {}).get(address, 0.0) <= now
         ]
+        if tried:
+            usable = [p for p in usable if p in self._proven] or usable
         if not usable:
             return None
-        return min(usable, key=lambda p: (self._rank(p), self._rng.random()))
+        doubts = {d: self._doubt(d) for d in {p.data_centre for p in usable}}
+        return min(usable, key=lambda p: (self._rank(p, doubts), self._rng.random()))
 
     def begin(self, peer: str) -> None:
         """Count a request that is sent through a peer."""
@@ -99,6 +106,7 @@
     def took(self, peer: Peer, now: float) -> None:
         """Record that a peer reached a target."""
         self._proven[peer] = now
+        self._failed_by_data_centre.get(peer.data_centre, set()).discard(peer.name)
         self._avoid_until.pop(peer.name, None)
         self._not_reached_until.pop(peer.name, None)
 
@@ -106,6 +114,7 @@
         """Record that a peer can't help."""
         self._avoid_until = {p: until for p, until in self._avoid_until.items() if until > now}
         self._avoid_until[peer.name] = now + AVOID_SECONDS
+        self._record_failure(peer)
         self._proven.pop(peer, None)
 
     def not_reached(self, peer: Peer, address: str, now: float) -> None:
@@ -116,6 +125,7 @@
             for name, known in self._not_reached_until.items()
             if (recent := {a: until for a, until in known.items() if until > now})
         }
+        self._record_failure(peer)
         if len(self._not_reached_until[peer.name]) >= MIN_NOT_REACHED:
             self.avoid(peer, now)
 
@@ -129,7 +139,19 @@
             return found
         return [p for p in peers if self._may_try(p, now)][:SAMPLE_SIZE]
 
-    def _rank(self, peer: Peer) -> float:
+    def _record_failure(self, peer: Peer) -> None:
+        """Count a peer that could not help, and drop those that may be tried again."""
+        failed = self._failed_by_data_centre.setdefault(peer.data_centre, set())
+        failed.intersection_update([*self._avoid_until, *self._not_reached_until])
+        failed.add(peer.name)
+
+    def _doubt(self, data_centre: str) -> float:
+        """Return the share of the peers of a data centre that could not help, of those tried."""
+        failed = len(self._failed_by_data_centre.get(data_centre, ()))
+        proven = sum(p.data_centre == data_centre for p in self._proven)
+        return failed / (failed + proven + 1)
+
+    def _rank(self, peer: Peer, doubts: Mapping[str, float]) -> float:
         remote = REMOTE_PENALTY if peer.data_centre != self._data_centre else 0.0
-        unproven = 0.0 if peer in self._proven else UNPROVEN_PENALTY
-        return self._in_flight[peer.name] + remote + unproven
+        unproven = UNPROVEN_PENALTY + DOUBT_PENALTY * doubts[peer.data_centre]
+        return self._in_flight[peer.name] + remote + (0.0 if peer in self._proven else unproven)
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -25,8 +25,11 @@
 TAKE_TIMEOUT = 0.25
 """Seconds for a peer to take a request: it may need a connection to the target first."""
 
-MAX_PEERS_TRIED = 3
-"""Peers that are asked to take one request."""
+MAX_PEERS_TRIED = 8
+"""Peers that are asked to take one request. Those that are cut off too decline at once."""
+
+MAX_ASK_SECONDS = 0.75
+"""Seconds after which no further peer is asked to take a request."""
 
 MAX_NOT_REACHED = 2
 """Peers that could not connect to a target either, after which the target is taken to have failed.
@@ -185,7 +188,10 @@
         """
         tried: set[str] = set()
         not_reached: list[CallFailure] = []
+        ask_until = time.monotonic() + MAX_ASK_SECONDS
         while len(tried) < MAX_PEERS_TRIED and len(not_reached) < MAX_NOT_REACHED:
+            if time.monotonic() >= ask_until:
+                break
             peer = self._choose_peer(tried, request.address)
             if peer is None:
                 break
