--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -106,6 +106,13 @@
                 "test_cut_off.ProxiesTest.test_peers_that_fail_at_one_target_are_asked_about_others"
             ),
         ),
+        Mutant(
+            "peers of other data centres are asked where those of the own could not help",
+            [(proxies, "DOUBT_PENALTY", 0.0)],
+            testing(
+                "test_many_cut_off.ManyCutOffTest.test_a_whole_data_centre_is_served_through_the_others"
+            ),
+        ),
         Mutant(
             "a lost hop is no evidence against the target",
             [(target_caller.TargetCaller, "_judge_failure", _lost_at_the_target)],
