Whole sites with a data centre of eight entry hosts cut off, served by two others

The path with real connections beside the simulation of the choice: eight entry hosts of one data centre are cut off, two of another are not; each of the eight gets a GET and a once-only POST, without any warning. Stand-in entry hosts can be in any data centre now.

--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -74,12 +74,14 @@
     return json.dumps(body).encode()
 
 
-def entry_settings(name: str, callers: str, balancer: str, peers: str, store: str) -> EntrySettings:
+def entry_settings(
+    name: str, callers: str, balancer: str, peers: str, store: str, data_centre: str = "hall"
+) -> EntrySettings:
     """Return the settings of an entry host with the bounds of the users' standard deployments."""
     return EntrySettings(
         host=name,
         ip="127.0.0.1",
-        data_centre="hall",
+        data_centre=data_centre,
         callers=callers,
         readiness_address=balancer,
         peers=peers,
@@ -196,19 +198,19 @@
         self.targets.append(target)
         return target
 
-    async def add_entry(self, name: str) -> EntryHost:
+    async def add_entry(self, name: str, data_centre: str = "hall") -> EntryHost:
         """Start an entry host in this process."""
-        settings = self.settings(name)
+        settings = self.settings(name, data_centre)
         entry = EntryHost(settings, os.open(os.devnull, os.O_WRONLY))
         with self.links.acting_as(name):
             await entry.kernel.start()
         self.entries.append(entry)
         return entry
 
-    def settings(self, name: str) -> EntrySettings:
+    def settings(self, name: str, data_centre: str = "hall") -> EntrySettings:
         """Return the settings of an entry host on free addresses."""
         callers, balancer, peers = free_address(), free_address(), free_address()
-        return entry_settings(name, callers, balancer, peers, self.store_address)
+        return entry_settings(name, callers, balancer, peers, self.store_address, data_centre)
 
     def listen(self, application: Application) -> str:
         """Serve an application on a free address and return it."""
--- a/tests/test_many_cut_off.py
+++ b/tests/test_many_cut_off.py
@@ -1,13 +1,19 @@
-"""Choice of peers where many entry hosts are cut off from all targets at once; no network."""
+"""Many entry hosts that are cut off from all targets at once."""
 
+import asyncio
 import heapq
 import random
 import unittest
 from collections import Counter
 
+from oleanderhill_dev.users.cut_links import Cut
+from returns.pipeline import is_successful
+
 from oleanderhill.routing.proxies import Peer, PeerList, Proxies
 from oleanderhill.serving.target_caller import MAX_NOT_REACHED, MAX_PEERS_TRIED
 
+from .test_cut_off import CutSiteTest
+
 REQUESTS_PER_SECOND = 10.0
 """Requests that callers send to each entry host."""
 
@@ -23,7 +29,7 @@
 
 
 class CutFleet:
-    """Entry hosts of which some are cut off; the requests of these go through the others.
+    """A simulation of entry hosts; requests to those that are cut off go through the others.
 
     :param cut_share: share of the hosts outside of the first data centre that are cut off
     :ivar served: share of the requests to hosts that are cut off, by second
@@ -114,5 +120,34 @@
             self.assertGreaterEqual(min(shares[2:]), 0.99, (hosts, shares))
 
 
+class CutDataCentreTest(CutSiteTest):
+    entries = 8
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        others = [await self.site.add_entry(f"entry-{n}", "yard") for n in (8, 9)]
+        for entry in others:
+            while not entry.candidates("desk", ""):
+                await asyncio.sleep(0.05)
+
+    async def serve(self, entry):
+        asked = [self.ask("/scan/x", entry=entry), self.ask("/pay/x", "POST", entry=entry)]
+        return [
+            result.unwrap().status if is_successful(result) else 0
+            for result, _ in await asyncio.gather(*asked)
+        ]
+
+    async def assert_all_served(self, how):
+        self.cut_off(how, *range(self.entries))
+        for entry in self.site.entries[: self.entries]:
+            self.assertEqual(await self.serve(entry), [200] * 2, entry._settings.host)
+
+    async def test_served_through_two_others_where_connections_are_refused(self):
+        await self.assert_all_served(Cut.REFUSED)
+
+    async def test_served_through_two_others_where_connections_hang(self):
+        await self.assert_all_served(Cut.SILENT)
+
+
 if __name__ == "__main__":
     unittest.main()
