The soak excuses a removed key only if the restored backup still had it

Found by reading the change once more: the narrowed check excused any key removed before a restore that no entry host remembered, also one whose removal the backup held. A host that served such a key against the store's own word would have passed.

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -386,7 +386,7 @@
                 and a.sent > removed_at + KEY_REMOVAL_SECONDS
                 and ran[a.request_id]
                 and not removal_forgotten(
-                    self._restoring.restores, removed_at, a.sent, KEY_REMOVAL_SECONDS
+                    self._restoring.restores, a.key, removed_at, a.sent, KEY_REMOVAL_SECONDS
                 )
             ):
                 found.append(f"{a.request_id} ran with a key that had been removed too long before")
--- a/dev/oleanderhill_dev/users/soak_store.py
+++ b/dev/oleanderhill_dev/users/soak_store.py
@@ -26,25 +26,29 @@
     """A restore of the store from a backup; times are monotonic.
 
     :param remembered: whether any entry host held a configuration at that moment
+    :param configuration: the operator's configuration in the backup
     :param rewritten_at: when the lost entries of the operator were rewritten
     """
 
     at: float
     remembered: bool
-    rewritten_at: float
+    configuration: bytes
+    rewritten_at: float = float("inf")
 
 
 def removal_forgotten(
-    restores: Sequence[Restore], removed_at: float, sent: float, settle_seconds: float
+    restores: Sequence[Restore], key: str, removed_at: float, sent: float, settle_seconds: float
 ) -> bool:
-    """Return whether nobody could know of a removal at the time of a request.
+    """Return whether nobody could know of the removal of a key at the time of a request.
 
-    The backup was older than the removal, and all entry hosts had just started.
+    The backup still had the key, and all entry hosts had just started.
 
     :param settle_seconds: seconds from the rewritten entries until the removal applies again
     """
     return any(
-        not r.remembered and removed_at <= r.at <= sent <= r.rewritten_at + settle_seconds
+        not r.remembered
+        and f'"{key}"'.encode() in r.configuration
+        and removed_at <= r.at <= sent <= r.rewritten_at + settle_seconds
         for r in restores
     )
 
@@ -84,7 +88,8 @@
 
     def restore_from(self, backup: StoreBackup) -> None:
         """Restore a backup."""
-        self.restores.append(Restore(time.monotonic(), self._remembered(), float("inf")))
+        configuration = backup.items["op/config"].value
+        self.restores.append(Restore(time.monotonic(), self._remembered(), configuration))
         self._store.restore(backup)
         # Later backups belong to the discarded history, so they must not be restored any more.
         self._backups.clear()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,7 +76,9 @@
 
 class RemovalForgottenTest(unittest.TestCase):
     def test_only_a_restore_that_nobody_remembers_excuses_a_removed_key(self):
-        forgotten, remembered = Restore(5.0, False, 5.5), Restore(5.0, True, 5.5)
+        held = b'{"api_keys": ["old"]}'
+        forgotten, remembered = Restore(5.0, False, held, 5.5), Restore(5.0, True, held, 5.5)
+        newer = forgotten._replace(configuration=b'{"api_keys": ["older"]}')
         for restores, removed_at, sent, expected in (
             ([forgotten], 4.0, 5.2, True),
             ([forgotten], 4.0, 6.4, True),
@@ -84,10 +86,11 @@
             ([forgotten], 4.0, 4.9, False),
             ([forgotten], 5.1, 5.4, False),
             ([remembered], 4.0, 5.2, False),
+            ([newer], 4.0, 5.2, False),
             ([], 4.0, 5.2, False),
             ([forgotten, remembered], 4.0, 5.2, True),
         ):
-            found = removal_forgotten(restores, removed_at, sent, 1.0)
+            found = removal_forgotten(restores, "old", removed_at, sent, 1.0)
             self.assertEqual(found, expected, (restores, removed_at, sent))
 
 
