--- a/dev/oleanderhill_dev/users/losses.py
+++ b/dev/oleanderhill_dev/users/losses.py
@@ -19,7 +19,7 @@
 
 ON_TIME = "on time"
 
-INTERMEDIATE_LINES = {"attempt failed", "suspect", "cleared"}
+INTERMEDIATE_LINES = {"attempt failed", "suspect", "cleared", "retry", "retry refused"}
 """Log lines that are written before a request has its outcome."""
 
 
--- a/src/oleanderhill/exposition.py
+++ b/src/oleanderhill/exposition.py
@@ -48,12 +48,22 @@
             ["outcome", "priority"],
             registry=self._registry,
         )
+        self._retries = Counter(
+            "oleanderhill_retries",
+            "Decisions of the retry budget",
+            ["service", "outcome"],
+            registry=self._registry,
+        )
         self._server: HTTPServer | None = None
 
     def admission(self, outcome: str, priority: int) -> None:
         """Count an admission decision."""
         self._admissions.labels(outcome, priority).inc()
 
+    def retry(self, service: str, allowed: bool) -> None:
+        """Count a decision of the retry budget."""
+        self._retries.labels(service, "allowed" if allowed else "refused").inc()
+
     def request(self, route: str, outcome: str, seconds: float) -> None:
         """Record the outcome and the duration of a request."""
         self._outcomes.labels(route, outcome).inc()
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -263,6 +263,7 @@
             lambda model, goal: self._view.max_waiting(model, goal, time.monotonic()),
             self._retry_delay,
             self.exposition.request,
+            self.exposition.retry,
             self._quarantine,
             self._notices,
             self._evacuations,
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -28,6 +28,7 @@
     :param evacuated_candidates: returns those that ``candidates`` leaves out because their data
         centre is evacuated
     :param report: records route, outcome and duration in seconds of a finished request
+    :param count_retry: counts a decision on a retry, by service and whether it was allowed
     :param reachability: which targets this host can't reach over its own links
     :param timing: learns from answers, and returns the usual times
     """
@@ -40,6 +41,7 @@
     max_waiting: Callable[[str, float], float | None]
     retry_delay: Callable[[str, str], float]
     report: Callable[[str, str, float], None]
+    count_retry: Callable[[str, bool], None]
     quarantine: QuarantineTask
     notices: TargetNotices
     evacuations: Evacuations
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -51,7 +51,7 @@
 from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS
 from .request_log import RequestLog
 from .request_times import RequestTimes
-from .retries import SharedRetryBudget
+from .retries import RecordedBudget, SharedRetryBudget
 from .selection import Attempting, TargetSelection
 from .stall_timeout import max_load_elsewhere, stall_timeout_for
 from .target_limits import StatementSource
@@ -101,7 +101,6 @@
         request = Request(
             incoming.facts.request_id, route.is_retryable, stream, deadline, route.max_attempts
         )
-        self.machine = RequestMachine(request, budget)
         self.order = EventSequence(incoming.facts.last_event)
         account = accepted.account.name if accepted.account is not None else ""
         self._identity = identity(
@@ -130,6 +129,8 @@
         self._lost_at_own_link: set[str] = set()
         self._ask_peers_about: set[str] = set()
         self._log = RequestLog(context, incoming, accepted, self._identity)
+        recorded = RecordedBudget(budget, partial(self._log.retry_decided, service))
+        self.machine = RequestMachine(request, recorded)
 
     async def run(self) -> None:
         """Run the request up to its final response."""
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -9,6 +9,7 @@
 from .admission_class import AdmissionClass
 from .context import ForwardingContext
 from .incoming import Incoming
+from .retries import BudgetState
 
 
 class RequestLog:
@@ -66,6 +67,25 @@
             peers_heard_s=None if heard is None else round(heard, 3),
         )
 
+    def retry_decided(self, service: str, budget: BudgetState, taken: bool) -> None:
+        """Log whether the retry budget of a service allowed another attempt, and why."""
+        own, pooled, age = budget.own, budget.pooled, budget.peers_age
+        self._context.records.request(
+            self._incoming.facts.request_id,
+            "retry" if taken else "retry refused",
+            False,
+            service=service,
+            remaining=round(budget.remaining, 2),
+            own_requests=own.requests,
+            own_retries=own.retries,
+            pooled_hosts=pooled.hosts,
+            pooled_requests=pooled.requests,
+            pooled_retries=pooled.retries,
+            peers_age_s=None if age is None else round(age, 3),
+            hosts=budget.hosts,
+        )
+        self._context.count_retry(service, taken)
+
     def ended(
         self,
         outcome: str,
--- a/src/oleanderhill/serving/retries.py
+++ b/src/oleanderhill/serving/retries.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 SLACK_FRACTION = 0.6
@@ -46,6 +46,23 @@
     retries: int = 0
 
 
+class BudgetState(NamedTuple):
+    """What a decision on a retry is based on.
+
+    :param own: this host's count
+    :param pooled: sum of this host's count and of the peers' counts in use
+    :param peers_age: age of the oldest of these peers' counts in seconds, ``None`` for none
+    :param hosts: entry hosts that the slack is divided by
+    :param remaining: retries that this host may take
+    """
+
+    own: RetryCount
+    pooled: RetryCount
+    peers_age: float | None
+    hosts: int
+    remaining: float
+
+
 def sum_counts(counts: Iterable[RetryCount]) -> RetryCount:
     """Return the sum of counts."""
     return RetryCount(*(sum(column) for column in zip(*counts, strict=True)))
@@ -84,7 +101,11 @@
         self._peer_counts[sender] = (now, count)
 
     def remaining(self, now: float) -> float:
-        """Return how many retries this host may still take.
+        """Return how many retries this host may still take."""
+        return self.state(now).remaining
+
+    def state(self, now: float) -> BudgetState:
+        """Return what a decision at this time is based on.
 
         The remainder of the pool is divided among the hosts in it. Retries that the other hosts
         don't know of yet are deducted from this host's part only.
@@ -94,9 +115,12 @@
             for s, entry in self._peer_counts.items()
             if now - entry[0] <= PEER_COUNT_MAX_AGE
         }
-        count = sum_counts([self.own(now), *(c for _, c in self._peer_counts.values())])
+        own = self.own(now)
+        count = sum_counts([own, *(c for _, c in self._peer_counts.values())])
         recent = sum(1 for at in self._retries if at > now - PEER_COUNT_DELAY)
-        return (self._pool(count) + recent) / count.hosts - recent
+        remaining = (self._pool(count) + recent) / count.hosts - recent
+        ages = (now - at for at, _ in self._peer_counts.values())
+        return BudgetState(own, count, max(ages, default=None), self.hosts, remaining)
 
     def _pool(self, count: RetryCount) -> float:
         """Return how many retries the hosts that share counts have left together."""
@@ -109,3 +133,27 @@
             return False
         self._retries.append(now)
         return True
+
+
+class RecordedBudget:
+    """The retry budget as one request uses it; reports each decision.
+
+    :param record: called with the state that a decision was based on, and whether it was allowed
+    """
+
+    def __init__(
+        self, budget: SharedRetryBudget, record: Callable[[BudgetState, bool], None]
+    ) -> None:
+        self._budget = budget
+        self._record = record
+
+    def remaining(self, now: float) -> float:
+        """Return how many retries may still be taken."""
+        return self._budget.remaining(now)
+
+    def take(self, now: float) -> bool:
+        """Take one retry from the budget; return whether one was left."""
+        state = self._budget.state(now)
+        taken = self._budget.take(now)
+        self._record(state, taken)
+        return taken
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -31,6 +31,7 @@
 from oleanderhill.serving.retries import (
     PEER_COUNT_MAX_AGE,
     RetryCount,
+    RecordedBudget,
     SharedRetryBudget,
     sum_counts,
 )
@@ -453,6 +454,18 @@
             allowed = ratio * sum(t > now - window for t in requested_at) + slack
             self.assertLessEqual(len(in_window), allowed)
 
+    def test_each_decision_is_recorded_with_what_it_was_based_on(self):
+        budget, decisions = SharedRetryBudget(0.0, 10.0, 10.0), []
+        budget.hosts = 5
+        budget.apply_peer_update("peer", RetryCount(1, 40, 2), 1.0)
+        recorded = RecordedBudget(budget, lambda state, taken: decisions.append((state, taken)))
+        self.assertFalse(recorded.take(1.2))
+        ((state, taken),) = decisions
+        self.assertFalse(taken)
+        self.assertEqual((state.own, state.pooled), (RetryCount(1, 0, 0), RetryCount(2, 40, 2)))
+        self.assertAlmostEqual(state.peers_age, 0.2)
+        self.assertEqual(state.hosts, 5)
+
     def test_window_slides(self):
         budget = SharedRetryBudget(0.0, 10.0, 10.0)
         allowed = sum(budget.take(0.0) for _ in range(20))
