--- /dev/null
+++ b/dev/oleanderhill_dev/fuzz_retries.py
@@ -0,0 +1,254 @@
+"""Fuzzes the shared retry budget in virtual time, and checks it with an oracle.
+
+Several entry hosts receive requests and take as many retries as their budgets allow, all of them
+or some at a time. Their processes are killed and start again without memory, hosts are frozen, and
+groups of hosts are cut off from each other for a while. Counts of peers are late or lost. The
+oracle knows all requests and retries, and checks that no window has more retries than the bound.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from bisect import bisect_left, bisect_right
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from oleanderhill.serving.retries import RetryCount, SharedRetryBudget, sum_counts
+
+STEP = 0.05
+"""Seconds of virtual time in a step, the interval of the reports."""
+
+SECONDS = 40.0
+"""Length of a run in virtual seconds."""
+
+RATIO, SLACK, WINDOW = 0.2, 134.0, 10.0
+
+REQUESTS_PER_SECOND = 80.0
+
+RESTART_SECONDS = 1.0
+"""Seconds from the end of a process to the start of the next one."""
+
+MAX_LAG_STEPS = 6
+"""Largest age of a peer's count, in steps."""
+
+LOSS_SHARE = 0.1
+"""Share of the reports that is lost."""
+
+
+class Event(NamedTuple):
+    """A fault, or its end.
+
+    :param hosts: numbers of the hosts that it concerns
+    """
+
+    at: float
+    kind: str
+    hosts: tuple[int, ...]
+
+
+class Breach(NamedTuple):
+    """A window with more retries than allowed, by its end."""
+
+    until: float
+    retries: int
+    allowed: float
+
+
+class _Host:
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.budget: SharedRetryBudget | None = None
+        self.starts_at = 0.0
+        self.started_at = 0.0
+        self.frozen = False
+        self.side = 0
+        self.paused_for = 0.0
+        self.sent: list[RetryCount] = []
+
+
+class Simulation:
+    """One run with one seed.
+
+    :param hosts: number of entry hosts
+    :param summed: whether counts arrive as one sum over all reachable peers, as in large fleets,
+        and not from each peer
+    :param known_hosts: number of hosts that a new process knows of at its start, ``None`` for all
+    :param discovery_seconds: seconds until it knows of all; it exchanges no counts before
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        hosts: int = 8,
+        summed: bool = False,
+        known_hosts: int | None = None,
+        discovery_seconds: float = 0.0,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._summed = summed
+        self._known_hosts = known_hosts or hosts
+        self._lag = self._rng.randint(0, MAX_LAG_STEPS)
+        self._discovery_seconds = discovery_seconds
+        self._hosts = [_Host(number) for number in range(hosts)]
+        self._now = 0.0
+        self.requested_at: list[float] = []
+        self.retried_at: list[float] = []
+
+    def run(self, events: Sequence[Event], greedy: Sequence[tuple[float, tuple[int, ...]]]) -> None:
+        """Run to the end.
+
+        :param greedy: from which time on which hosts take all retries that they may
+        """
+        pending = sorted(events)
+        while self._now < SECONDS:
+            while pending and pending[0].at <= self._now:
+                self._apply(pending.pop(0))
+            for host in self._hosts:
+                if host.budget is None and self._now >= host.starts_at:
+                    self._start(host)
+            self._exchange()
+            self._receive_requests()
+            taking = [hosts for at, hosts in greedy if at <= self._now][-1:]
+            for host in self._hosts:
+                if taking and host.number in taking[0]:
+                    self._retry(host)
+            self._now += STEP
+            for host in self._hosts:
+                host.paused_for += STEP if host.frozen else 0.0
+
+    def breaches(self) -> list[Breach]:
+        """Return the windows that exceed the bound."""
+        found = []
+        for until in self.retried_at:
+            retries = self._count(self.retried_at, until)
+            requests = max(self._count(self.requested_at, until - WINDOW * n / 2) for n in range(3))
+            allowed = RATIO * requests + SLACK
+            if retries > allowed:
+                found.append(Breach(round(until, 2), retries, allowed))
+        return found
+
+    def _count(self, times: Sequence[float], until: float) -> int:
+        return bisect_right(times, until + 1e-9) - bisect_left(times, until - WINDOW - 1e-9)
+
+    def _start(self, host: _Host) -> None:
+        host.budget = SharedRetryBudget(RATIO, SLACK, WINDOW)
+        host.budget.hosts = self._known_hosts
+        host.started_at = self._now
+        host.sent = []
+
+    def _apply(self, event: Event) -> None:
+        for number in event.hosts:
+            host = self._hosts[number]
+            match event.kind:
+                case "kill":
+                    host.budget, host.starts_at = None, self._now + RESTART_SECONDS
+                case "freeze":
+                    host.frozen = True
+                case "wake":
+                    host.frozen = False
+                case "cut":
+                    host.side = 1
+                case "isolate":
+                    host.side = 2 + number
+                case "heal":
+                    host.side = 0
+
+    def _exchange(self) -> None:
+        """Deliver counts; hosts that run and are on the same side receive each other's."""
+        running = [h for h in self._hosts if h.budget is not None and not h.frozen]
+        listed = [h for h in running if self._now - h.started_at >= self._discovery_seconds]
+        for host in running:
+            assert host.budget is not None
+            host.sent.append(host.budget.own(self._clock(host)))
+        for host in running:
+            assert host.budget is not None
+            if host not in listed:
+                continue
+            host.budget.hosts = len(self._hosts)
+            peers = [h for h in listed if h is not host and h.side == host.side]
+            counts = [(h, h.sent[max(0, len(h.sent) - 1 - self._lag)]) for h in peers]
+            if not self._summed:
+                for peer, count in counts:
+                    if self._rng.random() > LOSS_SHARE:
+                        host.budget.apply_peer_update(f"{peer.number}/0", count, self._clock(host))
+            elif counts and self._rng.random() > LOSS_SHARE:
+                total = sum_counts(c for _, c in counts)
+                host.budget.apply_peer_update("total/0", total, self._clock(host))
+
+    def _receive_requests(self) -> None:
+        whole, part = divmod(REQUESTS_PER_SECOND * STEP, 1.0)
+        for _ in range(int(whole) + (self._rng.random() < part)):
+            # A request to a host that is down is still one that a caller sent.
+            self.requested_at.append(self._now)
+            host = self._rng.choice(self._hosts)
+            if host.budget is not None and not host.frozen:
+                host.budget.record_request(self._clock(host))
+
+    def _retry(self, host: _Host) -> None:
+        while host.budget is not None and not host.frozen and host.budget.take(self._clock(host)):
+            self.retried_at.append(self._now)
+
+    def _clock(self, host: _Host) -> float:
+        """Return a host's steady clock, which stands still while the host is frozen."""
+        return self._now - host.paused_for
+
+
+def random_events(rng: random.Random, hosts: int) -> list[Event]:
+    """Return overlapping faults."""
+    events = []
+    for _ in range(rng.randint(1, 6)):
+        at = rng.uniform(1.0, SECONDS - 5.0)
+        seconds = rng.uniform(1.0, 8.0)
+        chosen = tuple(rng.sample(range(hosts), rng.randint(1, hosts)))
+        kind = rng.choice(("kill", "freeze", "cut", "isolate"))
+        events.append(Event(at, kind, chosen))
+        if kind != "kill":
+            events.append(Event(at + seconds, "wake" if kind == "freeze" else "heal", chosen))
+    return events
+
+
+def random_greed(rng: random.Random, hosts: int) -> list[tuple[float, tuple[int, ...]]]:
+    """Return which hosts take all retries that they may, from which time on."""
+    found, at = [], 0.0
+    while at < SECONDS:
+        chosen = rng.sample(range(hosts), rng.randint(0, hosts))
+        found.append((at, tuple(sorted(chosen))))
+        at += rng.uniform(0.5, 6.0)
+    return found
+
+
+def play(seed: int) -> list[Breach]:
+    """Return the breaches of one random run."""
+    rng = random.Random(f"{seed} faults")
+    hosts = rng.randint(2, 30)
+    simulation = Simulation(
+        seed,
+        hosts,
+        summed=hosts > 12,
+        known_hosts=rng.choice((1, hosts)),
+        discovery_seconds=rng.choice((0.0, 1.0)),
+    )
+    simulation.run(random_events(rng, hosts), random_greed(rng, hosts))
+    return simulation.breaches()
+
+
+def main() -> int:
+    """Play random runs: the first seed and their number."""
+    first, count = int(sys.argv[1]), int(sys.argv[2])
+    broken = 0
+    for seed in range(first, first + count):
+        found = play(seed)
+        broken += bool(found)
+        if found:
+            print(f"seed {seed}: {len(found)} windows, the worst {max(found, key=_excess)}")
+    print(f"{broken} of {count} broken")
+    return 1 if broken else 0
+
+
+def _excess(breach: Breach) -> float:
+    return breach.retries - breach.allowed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,36 @@
+"""The retry budget that entry hosts share, when hosts end, start or stop hearing each other."""
+
+import unittest
+
+from oleanderhill_dev.fuzz_retries import Event, Simulation, play
+
+EVERYONE = tuple(range(8))
+
+
+class SharedBudgetFaultTest(unittest.TestCase):
+    def breaches(self, events, greedy, seed=1, **options):
+        simulation = Simulation(seed, **options)
+        simulation.run(events, greedy)
+        return simulation.breaches()
+
+    def test_retries_of_a_host_that_is_killed_are_not_spent_again(self):
+        kills = [Event(10.0 + 3.0 * n, "kill", (n,)) for n in range(3)]
+        greedy = [(8.0, (0,)), (9.9, ()), (10.5, (1,)), (13.5, (2,)), (16.5, EVERYONE)]
+        self.assertEqual(self.breaches(kills, greedy), [])
+
+    def test_retries_before_a_restart_of_all_hosts_are_not_spent_again(self):
+        events = [Event(10.0, "kill", EVERYONE)]
+        self.assertEqual(self.breaches(events, [(8.0, EVERYONE)]), [])
+
+    def test_retries_before_a_cut_are_not_spent_again_on_the_other_side(self):
+        events = [Event(10.0, "cut", (0, 1, 2)), Event(22.0, "heal", (0, 1, 2))]
+        greedy = [(4.0, (0, 1, 2)), (10.8, (3, 4, 5, 6, 7))]
+        self.assertEqual(self.breaches(events, greedy), [])
+
+    def test_host_that_starts_without_knowing_the_others_does_not_take_their_shares(self):
+        events = [Event(10.0, "kill", EVERYONE)]
+        found = self.breaches(events, [(10.5, EVERYONE)], known_hosts=1, discovery_seconds=1.0)
+        self.assertEqual(found, [])
+
+    def test_no_window_exceeds_the_bound_under_any_faults(self):
+        self.assertEqual([seed for seed in range(60) if play(seed)], [])
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -30,8 +30,8 @@
 from oleanderhill.serving.prediction import max_waiting, predict
 from oleanderhill.serving.retries import (
     PEER_COUNT_MAX_AGE,
-    RetryCount,
     RecordedBudget,
+    RetryCount,
     SharedRetryBudget,
     sum_counts,
 )
