--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -42,6 +42,7 @@
     notice_mutants,
     proxy_mutants,
     restored_mutants,
+    retry_mutants,
     timing_mutants,
 )
 
@@ -168,6 +169,7 @@
         *restored_mutants.mutants(),
         *capacity_mutants.mutants(),
         *timing_mutants.mutants(),
+        *retry_mutants.mutants(),
     ]
 
 
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -485,11 +485,21 @@
         budget = self._retry_budget_by_service.get(service)
         if budget is None:
             s = self._settings
-            budget = SharedRetryBudget(s.retry_ratio, s.retry_slack, s.retry_window)
+            budget = SharedRetryBudget(
+                s.retry_ratio,
+                s.retry_slack,
+                s.retry_window,
+                self._started_at,
+                has_predecessor=not s.first_start,
+            )
             budget.hosts = self._max_entry_hosts
             self._retry_budget_by_service[service] = budget
         return budget
 
+    def _retries_remaining(self) -> Mapping[str, float]:
+        now = boottime_seconds()
+        return {s: budget.remaining(now) for s, budget in self._retry_budget_by_service.items()}
+
     def _loads_exempt(self) -> bool:
         just_started = boottime_seconds() - self._started_at < FREE_LOADS_SECONDS
         return self._settings.first_start and just_started and not self._request_seen
@@ -522,7 +532,7 @@
             return
         service = pick_backend(accepted.route, self._rng)
         budget = self._retry_budget(service)
-        budget.record_request(time.monotonic())
+        budget.record_request(now)
         caller_timeout = incoming.facts.caller_timeout
         is_retry = self._retry_detector.is_retry(
             accepted.route.name, caller_timeout, incoming.first_on_connection
@@ -606,6 +616,7 @@
         register("groups_given_up", "For other models", lambda: self._owner.groups_given_up)
         by = self.exposition.gauge_by
         by("model_groups", "Serving groups", "model", lambda: self._view.groups_by_model())
+        by("retries_remaining", "That this host may take", "service", self._retries_remaining)
         by("model_groups_surplus", "Beyond demand", "model", self._view.groups_beyond_demand)
 
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -14,6 +14,7 @@
 from tornado.httputil import HTTPHeaders
 
 from ..clients.httpcall import Call, CallFailure, FailureKind, Reply
+from ..clock import boottime_seconds
 from ..outcomes import HELD_BACK, Problem, Ran, ends_targets
 from ..requests.attempts import (
     Cancel,
@@ -129,7 +130,9 @@
         self._lost_at_own_link: set[str] = set()
         self._ask_peers_about: set[str] = set()
         self._log = RequestLog(context, incoming, accepted, self._identity)
-        recorded = RecordedBudget(budget, partial(self._log.retry_decided, service))
+        recorded = RecordedBudget(
+            budget, boottime_seconds, partial(self._log.retry_decided, service)
+        )
         self.machine = RequestMachine(request, recorded)
 
     async def run(self) -> None:
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ..clock import boottime_seconds
 from ..groups.ownership import Presence
 from ..kernel import Kernel, Task
 from ..routing.crashes import EndingNews
@@ -33,7 +34,7 @@
     split_report,
     subtract,
 )
-from .retries import SharedRetryBudget
+from .retries import BORROWED_SUFFIX, RetryCount, SharedRetryBudget
 from .shared_counters import CounterReport, SharedCounters
 from .target_limits import TargetLimitTask
 
@@ -210,10 +211,19 @@
             tracker.own_suspects(now),
             tracker.own_progress(now),
             tracker.own_rejections(now),
-            {service: budget.own(now) for service, budget in self._budgets.items()},
+            self._retry_counts(),
             tracker.own_backoffs(now),
         )
 
+    def _retry_counts(self) -> dict[str, RetryCount]:
+        now = boottime_seconds()
+        counts = {service: budget.own(now) for service, budget in self._budgets.items()}
+        for service, budget in self._budgets.items():
+            borrowed = budget.borrowed(now)
+            if borrowed:
+                counts[service + BORROWED_SUFFIX] = RetryCount(retries=borrowed)
+        return counts
+
     def _send_aggregates(
         self, now: float, to: ReportRecipients, alive: Mapping[str, Presence]
     ) -> None:
@@ -292,4 +302,5 @@
         self._tracker.apply_peer_backoffs(report.backing_off, now)
         for service, count in report.retries.items():
             if service in self._budgets:
-                self._budgets[service].apply_peer_update(peer, count, now)
+                borrowed = report.retries.get(service + BORROWED_SUFFIX, RetryCount()).retries
+                self._budgets[service].apply_peer_update(peer, count, boottime_seconds(), borrowed)
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 from ..groups.ownership import Presence, rank_by_strength
-from .retries import RetryCount, sum_counts
+from .retries import RetryCount, subtract_counts, sum_counts
 
 MAX_MESH_HOSTS = 12
 """Largest number of entry hosts that form a full mesh, in which reports are one hop old."""
@@ -47,7 +47,8 @@
     :param progress: seconds since a target last sent data, by target
     :param rejections: requests rejected in the last second because no target was available, by
         model
-    :param retries: requests and retries in the sliding window, by service
+    :param retries: requests and retries in the sliding window, by service, and what hosts spent
+        beyond their shares under the service's name with a suffix
     :param backing_off: target incarnations that asked a sender to back off
     """
 
@@ -164,15 +165,11 @@
     counts = {t: max(0, n - own.counts.get(t, 0)) for t, n in total.counts.items()}
     rejections = {m: max(0, n - own.rejections.get(m, 0)) for m, n in total.rejections.items()}
     retries = {
-        s: _subtract_retries(c, own.retries.get(s, RetryCount())) for s, c in total.retries.items()
+        s: subtract_counts(c, own.retries.get(s, RetryCount())) for s, c in total.retries.items()
     }
     return total._replace(counts=counts, rejections=rejections, retries=retries)
 
 
-def _subtract_retries(count: RetryCount, own: RetryCount) -> RetryCount:
-    return RetryCount(*(max(0, a - b) for a, b in zip(count, own, strict=True)))
-
-
 def split_report(report: LoadReport) -> list[LoadReport]:
     """Split a report into parts that each fit into one datagram."""
     suspects, backing_off = set(report.suspects), set(report.backing_off)
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -82,6 +82,7 @@
             pooled_requests=pooled.requests,
             pooled_retries=pooled.retries,
             peers_age_s=None if age is None else round(age, 3),
+            lapsed=round(budget.lapsed, 2),
             hosts=budget.hosts,
         )
         self._context.count_retry(service, taken)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from oleanderhill_dev.fuzz_retries import Event, Simulation, play
+from oleanderhill_dev.fuzz_retries import RATIO, SECONDS, SLACK, WINDOW, Event, Simulation, play
 
 EVERYONE = tuple(range(8))
 
@@ -27,10 +27,26 @@
         greedy = [(4.0, (0, 1, 2)), (10.8, (3, 4, 5, 6, 7))]
         self.assertEqual(self.breaches(events, greedy), [])
 
+    def test_pool_is_used_where_all_hosts_hear_each_other(self):
+        simulation = Simulation(1)
+        simulation.run([], [(0.0, EVERYONE)])
+        after = 20.0
+        used = sum(at > after for at in simulation.retried_at) / (SECONDS - after)
+        asked = sum(at > after for at in simulation.requested_at) / (SECONDS - after)
+        self.assertEqual(simulation.breaches(), [])
+        self.assertGreaterEqual(used, 0.7 * (RATIO * asked + SLACK / WINDOW))
+
     def test_host_that_starts_without_knowing_the_others_does_not_take_their_shares(self):
         events = [Event(10.0, "kill", EVERYONE)]
         found = self.breaches(events, [(10.5, EVERYONE)], known_hosts=1, discovery_seconds=1.0)
         self.assertEqual(found, [])
 
+    def test_retries_before_all_hosts_are_cut_off_from_each_other_are_not_spent_again(self):
+        everyone = tuple(range(20))
+        events = [Event(20.0, "isolate", everyone)]
+        greedy = [(14.0, (0, 1, 2)), (19.0, ()), (20.7, everyone)]
+        self.assertEqual(self.breaches(events, greedy, hosts=20, summed=True), [])
+        self.assertEqual(play(130), [])
+
     def test_no_window_exceeds_the_bound_under_any_faults(self):
         self.assertEqual([seed for seed in range(60) if play(seed)], [])
