--- a/src/oleanderhill/platform/headers.py
+++ b/src/oleanderhill/platform/headers.py
@@ -15,6 +15,7 @@
 DEADLINE = "Deadline-Ms"
 LAST_EVENT = "Last-Event-Id"
 MODEL = "Model"
+PROMPT_PARTS = "Prompt-Prefix"
 EXPECT_INSTANCE = "Expect-Instance"
 ACCOUNT = "Tenant"
 PRIORITY = "Request-Priority"
@@ -58,6 +59,11 @@
     | {REQUEST_ID, LAST_EVENT, NOT_RUN, SEAL, RETRY_AFTER, LIMIT, LEAVING, COLD}
 )
 
+_PROMPT_PART = re.compile(r"([0-9a-fA-F]{1,32}):[0-9]{1,9}")
+
+MAX_PROMPT_PARTS = 8
+"""Shared parts of a prompt that are told apart."""
+
 _DECIMAL = re.compile(r"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
 _MAX_NUMBER_CHARS = 40
 """Longest number that is parsed in a reply; a longer one counts as unreadable."""
@@ -100,6 +106,7 @@
             key.strip() if scheme.lower() == "bearer" else "",
             headers.get(MODEL, ""),
             int(last) if last.isdigit() else None,
+            _shared_parts(headers.get(PROMPT_PARTS, "")),
         )
 
     def target_request_headers(
@@ -230,6 +237,16 @@
     return passed
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but the last one, which belongs to the request alone.
+
+    Parts that can't be parsed, and those beyond :data:`MAX_PROMPT_PARTS`, are left out.
+    """
+    matches = [_PROMPT_PART.fullmatch(part.strip()) for part in text.split(",")[:-1]]
+    found = dict.fromkeys(m.group(1).lower() for m in matches if m is not None)
+    return tuple(found)[:MAX_PROMPT_PARTS]
+
+
 def _parse_milliseconds(text: str | None) -> float | None:
     try:
         return float(text) / 1000 if text else None
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -474,7 +474,11 @@
         """Record that the target may have crashed with the request in flight."""
         ran_for = time.monotonic() - self._sent_at
         self.context.quarantine.attempt_lost(
-            self._identity, self._incoming.facts.request_id, choice.head, ran_for
+            self._identity,
+            self._incoming.facts.request_id,
+            choice.head,
+            ran_for,
+            self._incoming.facts.shared_parts,
         )
 
     def _handle_rejection(self, choice: Choice, reason: str, notice: Notice) -> None:
--- a/src/oleanderhill/serving/forwarding.py
+++ b/src/oleanderhill/serving/forwarding.py
@@ -15,6 +15,8 @@
     :param key: API key, empty for none
     :param model: requested model, empty for a plain service
     :param last_event: id of the last event of the stream that the caller has received
+    :param shared_parts: ids of the parts of the prompt that other requests may contain too, in
+        their order
     """
 
     request_id: str
@@ -22,6 +24,7 @@
     key: str
     model: str
     last_event: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 class StatedLimit(NamedTuple):
--- a/src/oleanderhill/serving/quarantine.py
+++ b/src/oleanderhill/serving/quarantine.py
@@ -150,10 +150,18 @@
         if not waiters:
             self._waiters.pop(identity, None)
 
-    def attempt_lost(self, identity: str, request_id: str, at: Member, ran_for: float) -> None:
+    def attempt_lost(
+        self,
+        identity: str,
+        request_id: str,
+        at: Member,
+        ran_for: float,
+        shared_parts: Sequence[str] = (),
+    ) -> None:
         """Record that an attempt was lost at a target after it was sent.
 
         :param ran_for: seconds that it spent there
+        :param shared_parts: parts of its prompt that other requests may contain too
         """
         known = self._inventory.incarnation_of(at.host)
         if known is None or self._inventory.by_instance[known].leaving:
@@ -169,6 +177,7 @@
             instance=incarnation,
             losses=self._crashes.loss_count(identity),
             ran_s=round(ran_for, 3),
+            parts=shared_parts,
         )
         if str(known) != incarnation:
             self.incarnation_ended(incarnation, "listed in a later incarnation")
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -113,5 +113,7 @@
         }
         if reason is not None:
             fields["reason"] = reason
+        if not success:
+            fields["parts"] = self._incoming.facts.shared_parts
         self._context.records.request(self._incoming.facts.request_id, outcome, success, **fields)
         self._context.report(route.name, outcome, now - arrived)
