--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -316,6 +316,8 @@
         self.runs: list[RunRecord] = []
         self.crash_causing_bodies: set[bytes] = set()
         """Bodies of crash-causing requests: each host that begins to run one crashes."""
+        self.crash_causing_parts: set[str] = set()
+        """Parts of prompts: each host that begins to run a request with one crashes."""
         self.crashed_instances: list[str] = []
         self.crash_times: dict[bytes, list[float]] = {}
         """Monotonic times of crashes, by the body of the crash-causing request."""
@@ -333,6 +335,11 @@
         self._last_start_ms += 1
         return self._last_start_ms
 
+    def is_crash_causing(self, body: bytes, prompt: str) -> bool:
+        """Return whether a request crashes the host that runs it; its last part never does."""
+        parts = {part.partition(":")[0] for part in prompt.split(",")[:-1]}
+        return body in self.crash_causing_bodies or bool(parts & self.crash_causing_parts)
+
     def schedule(self, seconds: float, call: Callable[[], None]) -> None:
         """Call a function after a delay."""
         asyncio.get_running_loop().call_later(seconds, call)
@@ -406,7 +413,7 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Response-Seal", f"seal-{host.instance}")
-        if self.request.body in host.site.crash_causing_bodies:
+        if host.site.is_crash_causing(self.request.body, headers.get("Prompt-Prefix", "")):
             await self.flush()
             await asyncio.sleep(CRASH_SECONDS)
             if host.alive:
