--- a/dev/oleanderhill_dev/fuzz_endings.py
+++ b/dev/oleanderhill_dev/fuzz_endings.py
@@ -15,7 +15,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from oleanderhill.routing.crashes import MIN_CRASHES, CrashTracker, EndingNews
+from oleanderhill.routing.crash_news import EndingNews
+from oleanderhill.routing.crash_verdicts import MIN_CRASHES
+from oleanderhill.routing.crashes import CrashTracker
 
 STEP = 0.02
 """Seconds of virtual time in a step."""
@@ -80,10 +82,14 @@
 class Simulation:
     """One run with one seed.
 
+    :cvar identifying_crashes: crashes by one cause after which its requests must soon be rejected
+
     :param crash_causing: number of crash-causing requests
     :param crash_series: whether most targets crash by themselves within one period of 1.5 seconds
     """
 
+    identifying_crashes = MIN_CRASHES
+
     def __init__(
         self,
         seed: int,
@@ -128,6 +134,7 @@
                 )
             self._inject_faults(series_at)
             if round(self._now / STEP) % 5 == 0:
+                self._judge()
                 self._send_updates(resend=round(self._now / STEP) % 100 == 0)
         return self.observed
 
@@ -149,10 +156,11 @@
     def _send(
         self, identity: str, host: int, placements: int, retries: int, tried: tuple[int, ...]
     ) -> None:
-        tracker = self._trackers[host]
-        if tracker.quarantined(identity) is not None:
+        tracker, subjects = self._trackers[host], (identity, *self._parts(identity))
+        if any(tracker.quarantined(s) is not None for s in subjects):
+            self._rejected(identity)
             return
-        hold_seconds = tracker.hold(identity, self._now)
+        hold_seconds = max(tracker.hold(s, self._now) for s in subjects)
         if hold_seconds and not placements and not retries:
             self._schedule(
                 self._now + hold_seconds, lambda now: self._send(identity, host, 0, 1, ())
@@ -165,10 +173,11 @@
         load = Counter(r.target for r in self._runs)
         least_loaded = min(available, key=lambda t: (load[t], self._rng.random()))
         target = self._rng.choice(available) if tracker.loss_count(identity) else least_loaded
-        seconds = CRASH_DELAY if identity in self._crash_causing else REQUEST_SECONDS
-        identified_at = self._identified_at.get(identity, float("inf"))
+        cause = self._cause(identity)
+        seconds = REQUEST_SECONDS if cause is None else CRASH_DELAY
+        identified_at = self._identified_at.get(cause or "", float("inf"))
         if self._now > max(identified_at, self._started_at[host]) + DETECTION_SECONDS:
-            self.observed.late_sends[identity] += 1
+            self.observed.late_sends[cause or ""] += 1
         self._runs.append(
             Run(identity, host, target, self._now, self._now + seconds, placements + 1, retries)
         )
@@ -177,14 +186,14 @@
         for run in [r for r in self._runs if r.ends_at <= self._now]:
             if run not in self._runs:
                 continue
-            if run.identity in self._crash_causing:
+            if self._cause(run.identity) is not None:
                 self._crash(run.target)
                 continue
             self._runs.remove(run)
             _, quarantined = self._trackers[run.host].answered(run.identity, self._now)
             self._record_quarantined(quarantined)
         for run in self._runs:
-            if run.identity not in self._crash_causing:
+            if self._cause(run.identity) is None:
                 self._trackers[run.host].record_sign_of_life(
                     self._incarnation_of(run.target), self._now
                 )
@@ -196,10 +205,10 @@
         self._runs = [r for r in self._runs if r.target != target]
         self._incarnation[target] += 1
         self._down_until[target] = self._now + RESTART_SECONDS
-        for identity in {r.identity for r in lost} & set(self._crash_causing):
-            self.observed.crashes[identity] += 1
-            if self.observed.crashes[identity] == MIN_CRASHES:
-                self._identified_at[identity] = self._now
+        for cause in {c for r in lost if (c := self._cause(r.identity)) is not None}:
+            self.observed.crashes[cause] += 1
+            if self.observed.crashes[cause] == self.identifying_crashes:
+                self._identified_at[cause] = self._now
         for run in lost:
             self._lose_request(run, incarnation)
         for host in {r.host for r in lost}:
@@ -211,8 +220,9 @@
 
     def _lose_request(self, run: Run, incarnation: str) -> None:
         rng = self._rng
+        ran_for = self._now - run.started_at
         self._trackers[run.host].lost(
-            run.identity, incarnation, self._now - run.started_at, self._now
+            run.identity, incarnation, ran_for, self._now, self._accused_parts(run)
         )
         if run.placements < 2:
             self._send(run.identity, run.host, run.placements, run.retries, (run.target,))
@@ -235,7 +245,25 @@
 
     def _record_quarantined(self, quarantined: list[str]) -> None:
         self.observed.quarantined.update(quarantined)
-        self.observed.false_positives.update(c for c in quarantined if c not in self._crash_causing)
+        self.observed.false_positives.update(c for c in quarantined if not self._is_guilty(c))
+
+    def _cause(self, identity: str) -> str | None:
+        """Return what crashes the targets that run a request, ``None`` for nothing."""
+        return identity if identity in self._crash_causing else None
+
+    def _is_guilty(self, subject: str) -> bool:
+        return subject in self._crash_causing
+
+    def _parts(self, identity: str) -> tuple[str, ...]:
+        """Return the shared parts of the prompt of a request."""
+        return ()
+
+    def _accused_parts(self, run: Run) -> tuple[str, ...]:
+        """Return the parts of a lost request that may have crashed the target."""
+        return ()
+
+    def _rejected(self, identity: str) -> None:
+        """Handle that a request is quarantined."""
 
     def _inject_faults(self, series_at: float) -> None:
         rng = self._rng
@@ -266,6 +294,10 @@
         for tracker in self._trackers:
             tracker.forget(self._now)
 
+    def _judge(self) -> None:
+        for tracker in self._trackers:
+            self._record_quarantined(tracker.judge_parts(self._now))
+
     def _send_updates(self, resend: bool) -> None:
         for sender, tracker in enumerate(self._trackers):
             for update in tracker.pending_updates(str(sender), self._now, resend):
--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -40,6 +40,7 @@
     cold_mutants,
     evacuation_mutants,
     notice_mutants,
+    part_mutants,
     proxy_mutants,
     restored_mutants,
     retry_mutants,
@@ -170,6 +171,7 @@
         *capacity_mutants.mutants(),
         *timing_mutants.mutants(),
         *retry_mutants.mutants(),
+        *part_mutants.mutants(),
     ]
 
 
--- a/src/oleanderhill/outcomes.py
+++ b/src/oleanderhill/outcomes.py
@@ -116,15 +116,17 @@
     return Problem("interrupted", 502, ran, detail, 1.0)
 
 
-def ends_targets(known: int, ran: Ran) -> Problem:
+def ends_targets(known: int, ran: Ran, by_part: bool = False) -> Problem:
     """Return the problem of a crash-causing request, which is sent to no further target.
 
     The status is 502 because the targets failed: a 4xx would blame the caller, and a 503 would
     invite a retry. There is no ``Retry-After``, as no retry is expected to succeed.
 
     :param known: number of targets known to have crashed, 0 if this entry host has no number
+    :param by_part: whether they ran other requests with a part of this one's prompt
     """
-    detail = f"{known or 'several'} targets ended while they ran this request; don't repeat it"
+    what = "requests with a part of this prompt" if by_part else "this request"
+    detail = f"{known or 'several'} targets ended while they ran {what}; don't repeat it"
     return Problem("ends-targets", 502, ran, detail)
 
 
--- a/src/oleanderhill/requests/quarantine.py
+++ b/src/oleanderhill/requests/quarantine.py
@@ -22,7 +22,8 @@
 from ..members.task import MembershipTask
 from ..members.wire import SendTo
 from ..outcomes import Problem, Ran
-from ..routing.crashes import CrashTracker, EndingNews
+from ..routing.crash_news import EndingNews
+from ..routing.crashes import CrashTracker
 from ..types import Member
 
 UPDATE_FANOUT = 3
--- a/src/oleanderhill/routing/crashes.py
+++ b/src/oleanderhill/routing/crashes.py
@@ -1,62 +1,56 @@
-"""Detects crash-causing requests (queries of death): they crash each target that runs them.
+"""Detects crash-causing requests (queries of death) and parts of prompts.
 
 Does no I/O.
 
 When a target crashes, all requests that it was running are retried elsewhere. If one of them caused
 the crash, it crashes the next target too, for as long as it is sent again, under any id and through
 any entry host. Crashes are therefore recorded by the content of a request
-(:mod:`..requests.identity`) instead of its id, and against the request as well as the target.
+(:mod:`..requests.identity`) instead of its id, and against the request as well as the target. What
+crashes targets may also be a part of the prompt that many different requests contain, so crashes
+are recorded for parts in the same way.
 
 A crash counts only when the incarnation of the target is known to have ended: its address refuses
 connections, or the host list says so. A lost connection alone does not count.
 
-A request is quarantined when it was in flight at :data:`MIN_CRASHES` crashes or more, and these are
-:data:`MIN_LIKELIHOOD_RATIO` times less likely by chance than if the request caused them. Chance is
-estimated from the rate of the crashes without the request, and crashes that another suspect
-explains are left out. At :data:`CERTAIN_CRASHES` crashes the likelihood no longer matters. Requests
-that were in flight at the same crashes cannot be distinguished; none of them is quarantined until
-their crashes differ. A request that has since received a complete answer is cleared.
+The verdicts are those of :mod:`.crash_verdicts`. A request that has since received a complete
+answer is cleared, and so are the parts of a request that is being written.
 """
 
 from __future__ import annotations
 
-import math
-from collections.abc import Mapping, Sequence, Set
-from typing import NamedTuple, TypeVar
-
-import msgspec
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import TypeVar
 
 from ..outcomes import Problem, Ran, ends_targets, held_back
+from ..requests.identity import is_part, scope_of
+from .crash_news import (
+    QUARANTINED_PER_DATAGRAM,
+    EndingNews,
+    Quarantined,
+    chunks,
+    in_flight_chunks,
+    part_chunks,
+)
+from .crash_verdicts import (
+    CERTAIN_CRASHES,
+    Crash,
+    Evidence,
+    find_part,
+    find_request,
+    incarnations_by_subject,
+    is_suspected,
+)
 
 _Value = TypeVar("_Value")
 
-MIN_CRASHES = 3
-"""Crashes with a request in flight that are required to quarantine it. When a whole data centre is
-lost, many requests are in flight at two of its crashes by chance."""
-
-MIN_LIKELIHOOD_RATIO = 1_000_000
-"""Factor by which the crashes must be less likely by chance than caused by the request."""
-
-MIN_RUN_TIME = 0.1
-"""Minimum run time, in seconds, that is assumed for a request; shorter times depend mostly on the
-network round trip."""
-
-RATE_WINDOW_LEAD = 1.0
-"""The rate of crashes without a request is measured from this many seconds before the first crash
-with it."""
-
-CERTAIN_CRASHES = 5
-"""Crashes that quarantine a request however many other crashes there were. A caller sends a request
-twice, each time to two targets, so one that only ran beside a crash-causing request is in flight at
-four crashes at most."""
-
 CRASH_CONFIRMED_WITHIN = 15.0
 """Seconds after a loss within which the incarnation must be known to have ended. The host list
 drops a host after three missed heartbeats (3.6 s). After a store outage, the drop is visible up to
 two seconds later."""
 
 HOLD_SECONDS = 1.0
-"""Seconds that a request with :data:`MIN_CRASHES` crashes waits after a loss for its next attempt.
+"""Seconds that a request with :data:`.MIN_CRASHES` crashes waits after a loss for its next attempt.
 The result of one attempt reaches every entry host before the next attempt, and no other request is
 in flight with it at all of its crashes. With one attempt at a time, five crashes identify any
 crash-causing request, and a harmless request is delayed by one second."""
@@ -71,11 +65,17 @@
 
 MAX_CRASHES = 64
 MAX_IN_FLIGHT_PER_CRASH = 64
-"""Requests stored for one crash; engines run 10 to 13 at once and queue a few."""
+"""Requests, and parts of prompts, stored for one crash; engines run 10 to 26 at once and queue a
+few."""
+
+MAX_ANSWERS = 16
+MAX_SCOPES = 256
+"""Times of answers stored for a service and model, and the number of these."""
 
 MAX_QUARANTINED = 256
 MAX_CLEARED = 256
-"""Bounds on the stored requests, however many arrive."""
+MAX_DEPTHS = 4096
+"""Bounds on the stored subjects, however many arrive."""
 
 REPEAT_SECONDS = 0.5
 """Seconds for which an update is repeated, five times in all, so that no update is lost with one
@@ -85,58 +85,6 @@
 """Seconds for which crashes and clearings are also included in the periodic full updates, for peers
 that were partitioned or overloaded for a moment."""
 
-IN_FLIGHT_PER_DATAGRAM = 24
-"""Requests of one crash in one datagram. With names of 32 characters the largest datagram had 1,117
-bytes and fits into one frame."""
-
-QUARANTINED_PER_DATAGRAM = 6
-"""Quarantined requests in one datagram, each with up to five incarnations of some 25 characters."""
-
-
-class Quarantined(NamedTuple):
-    """A request that is no longer sent to any target.
-
-    :param age: seconds since it was quarantined
-    :param incarnations: incarnations of targets that crashed while running it
-    """
-
-    age: float
-    incarnations: tuple[str, ...]
-
-
-class EndingNews(msgspec.Struct, omit_defaults=True, tag="endings"):
-    """An update sent between entry hosts; applying it twice has no further effect.
-
-    Ages and run times are in seconds.
-
-    :param endings: by incarnation: the age of the loss, whether the incarnation is known to have
-        ended, and the requests that were in flight with their run times
-    :param living: incarnations that showed a sign of life after a host recorded their loss, with
-        the age of the sign
-    :param cleared: requests that received a complete answer after a loss, with the age of the
-        answer
-    """
-
-    sender: str
-    endings: dict[str, tuple[float, bool, dict[str, float]]] = {}
-    living: dict[str, float] = {}
-    cleared: dict[str, float] = {}
-    quarantined: dict[str, Quarantined] = {}
-
-
-class _Crash:
-    """The loss of an incarnation, ``confirmed`` as a crash once it is known to have ended.
-
-    :ivar explained: a request caused it that was quarantined and released since
-    """
-
-    def __init__(self, at: float) -> None:
-        self.at = at
-        self.confirmed = False
-        self.explained = False
-        self.in_flight: dict[str, float] = {}
-        self.changed_at = at
-
 
 class CrashTracker:
     """The crashes that this entry host observed or learned from peers.
@@ -150,22 +98,33 @@
         self._evaluated = True
         self._suspected: set[str] = set()
         self._newly_suspected: list[str] = []
-        self._crash_by_incarnation: dict[str, _Crash] = {}
+        self._crash_by_incarnation: dict[str, Crash] = {}
         self._cleared_at: dict[str, float] = {}
         self._alive_at: dict[str, float] = {}
         self._quarantined_at: dict[str, float] = {}
         self._incarnations_by_quarantined: dict[str, tuple[str, ...]] = {}
         self._probation_until: dict[str, float] = {}
+        self._depth_by_part: dict[str, int] = {}
+        self._answers_by_scope: dict[str, deque[float]] = {}
 
     # Local observations
 
-    def lost(self, identity: str, incarnation: str, ran_for: float, now: float) -> bool:
+    def lost(
+        self,
+        identity: str,
+        incarnation: str,
+        ran_for: float,
+        now: float,
+        parts: Sequence[str] = (),
+    ) -> bool:
         """Record an attempt lost at an incarnation; return whether it is the first loss there.
 
         :param ran_for: seconds for which the attempt had been running
+        :param parts: parts of its prompt that may have crashed the target, in their order
         """
         new = incarnation not in self._crash_by_incarnation
-        self._add_to_crash(incarnation, now, {identity: ran_for}, now)
+        self._store_depths({part: depth for depth, part in enumerate(parts)})
+        self._add_to_crash(incarnation, now, dict.fromkeys((identity, *parts), ran_for), now)
         return new
 
     def confirm_ended(self, incarnation: str, now: float) -> list[str]:
@@ -203,6 +162,34 @@
         self._mark_cleared(identity, now)
         return True, self._quarantine_suspects(now)
 
+    def parts_written(self, parts: Sequence[str], now: float) -> list[str]:
+        """Record that a request with some parts is being written, which clears the parts.
+
+        A part that crashes targets does so before anything is written.
+
+        :return: the parts that were suspected
+        """
+        suspected = [p for p in parts if p in self._quarantined_at or self.loss_count(p)]
+        for part in suspected:
+            self._mark_cleared(part, now)
+        return suspected
+
+    def scope_answered(self, scope: str, now: float) -> None:
+        """Record that a request of a service and model was answered."""
+        times = self._answers_by_scope.get(scope)
+        if times is None:
+            times = deque(maxlen=MAX_ANSWERS)
+            _put_bounded(self._answers_by_scope, scope, times, MAX_SCOPES)
+        times.append(now)
+
+    def judge_parts(self, now: float) -> list[str]:
+        """Return the parts that are quarantined now, as nothing has cleared them since."""
+        found = []
+        while (part := self._find_part(now)) is not None:
+            self._quarantine_found(part, now)
+            found.append(part)
+        return found
+
     def quarantine(self, identity: str, incarnations: tuple[str, ...], at: float) -> bool:
         """Record that a request is quarantined; return whether that is new.
 
@@ -242,7 +229,7 @@
     def crashes_of(self, identity: str) -> dict[str, dict[str, float]]:
         """Return the incarnations that crashed under a request, with all requests in flight."""
         return {
-            incarnation: dict(c.in_flight)
+            incarnation: {i: s for i, s in c.in_flight.items() if not is_part(i)}
             for incarnation, c in self._crash_by_incarnation.items()
             if c.confirmed and identity in c.in_flight
         }
@@ -275,7 +262,7 @@
         """
         incarnations = self.quarantined(identity)
         if incarnations is not None:
-            return ends_targets(len(incarnations), ran)
+            return ends_targets(len(incarnations), ran, is_part(identity))
         wait = self.hold(identity, now)
         return held_back(wait, ran) if wait else None
 
@@ -286,7 +273,7 @@
     def hold(self, identity: str, now: float) -> float:
         """Return the seconds that a request must wait before its next attempt, 0 for none."""
         lost = [c for c in self._crash_by_incarnation.values() if identity in c.in_flight]
-        if sum(c.confirmed for c in lost) < MIN_CRASHES:
+        if not is_suspected(identity, [c for c in lost if c.confirmed]):
             return 0.0
         return max(0.0, HOLD_SECONDS - (now - max(c.at for c in lost)))
 
@@ -304,51 +291,91 @@
             in the last :data:`RESEND_SECONDS` instead of :data:`REPEAT_SECONDS`
         """
         within = RESEND_SECONDS if again else REPEAT_SECONDS
-        due_crashes = [
-            (n, c) for n, c in self._crash_by_incarnation.items() if now - c.changed_at <= within
-        ]
-        updates = [
-            EndingNews(sender, {incarnation: (round(now - c.at, 3), c.confirmed, chunk)})
-            for incarnation, c in due_crashes
-            for chunk in _in_flight_chunks(c.in_flight)
-            or [{}]  # without requests in flight a crash still counts for the rate
-        ]
+        updates = []
+        for name, crash in self._crash_by_incarnation.items():
+            if now - crash.changed_at <= within:
+                updates += self._crash_updates(sender, name, crash, now)
         cleared = {
             i: round(now - at, 3) for i, at in self._cleared_at.items() if now - at <= within
         }
         living = {n: round(now - at, 3) for n, at in self._alive_at.items() if now - at <= within}
+        requests, parts = _split_kinds(cleared)
         updates += [
-            EndingNews(sender, cleared={i: cleared[i] for i in c}) for c in _chunks([*cleared])
+            EndingNews(sender, cleared={i: cleared[i] for i in c}) for c in chunks(requests)
         ]
         updates += [
-            EndingNews(sender, living={n: living[n] for n in c}) for c in _chunks([*living])
+            EndingNews(sender, cleared_parts={i: cleared[i] for i in c}) for c in chunks(parts)
         ]
+        updates += [EndingNews(sender, living={n: living[n] for n in c}) for c in chunks([*living])]
         due = [i for i, at in self._quarantined_at.items() if again or now - at <= REPEAT_SECONDS]
-        for chunk in _chunks(due, QUARANTINED_PER_DATAGRAM):
+        requests, parts = _split_kinds(due)
+        for chunk in chunks(requests, QUARANTINED_PER_DATAGRAM):
             rows = {i: self._quarantined_row(i, now) for i in chunk}
             updates.append(EndingNews(sender, quarantined=rows))
+        for chunk in chunks(parts, QUARANTINED_PER_DATAGRAM):
+            rows = {i: self._quarantined_row(i, now) for i in chunk}
+            updates.append(EndingNews(sender, quarantined_parts=rows))
         return updates
 
+    def _crash_updates(
+        self, sender: str, incarnation: str, crash: Crash, now: float
+    ) -> list[EndingNews]:
+        age = round(now - crash.at, 3)
+        requests, parts = _split_kinds(crash.in_flight)
+        updates = [
+            EndingNews(sender, {incarnation: (age, crash.confirmed, chunk)})
+            for chunk in in_flight_chunks({i: crash.in_flight[i] for i in requests})
+            or [{}]  # without requests in flight a crash still counts for the rate
+        ]
+        in_flight = {p: crash.in_flight[p] for p in parts}
+        return updates + [
+            EndingNews(sender, part_endings={incarnation: (age, crash.confirmed, chunk)})
+            for chunk in part_chunks(in_flight, self._depth_by_part)
+        ]
+
     def apply_peer_update(self, update: EndingNews, now: float) -> list[str]:
-        """Apply an update of a peer; return the requests that this quarantines."""
-        for identity, age in update.cleared.items():
-            if now - age > self._cleared_at.get(identity, float("-inf")) + SIGN_OF_LIFE_DELAY:
-                self._mark_cleared(identity, now - age)
+        """Apply an update of a peer; return the subjects that this quarantines."""
+        requests, _ = _split_kinds(update.cleared)
+        _, parts = _split_kinds(update.cleared_parts)
+        for subject in (*requests, *parts):
+            age = update.cleared.get(subject, update.cleared_parts.get(subject, 0.0))
+            if now - age > self._cleared_at.get(subject, float("-inf")) + SIGN_OF_LIFE_DELAY:
+                self._mark_cleared(subject, now - age)
         for incarnation, age in update.living.items():
             if self.record_sign_of_life(incarnation, now - age):
                 self._alive_at[incarnation] = now - age
-        found = [
-            i
-            for i, row in update.quarantined.items()
-            if self.quarantine(i, row.incarnations, now - row.age)
-        ]
+        found = self._apply_quarantined(update, now)
         for incarnation, (age, confirmed, in_flight) in update.endings.items():
-            crash = self._add_to_crash(incarnation, now - age, in_flight, now)
-            if crash is not None and confirmed and not crash.confirmed:
-                crash.confirmed, crash.changed_at = True, now
-                self._evaluated = False
+            requests, _ = _split_kinds(in_flight)
+            known = {i: in_flight[i] for i in requests}
+            self._apply_crash(incarnation, now - age, confirmed, known, now)
+        for incarnation, (age, confirmed, parts_in_flight) in update.part_endings.items():
+            _, parts = _split_kinds(parts_in_flight)
+            self._store_depths({p: parts_in_flight[p].depth for p in parts})
+            seconds = {p: parts_in_flight[p].seconds for p in parts}
+            self._apply_crash(incarnation, now - age, confirmed, seconds, now)
         return [*found, *self._quarantine_suspects(now)]
 
+    def _apply_quarantined(self, update: EndingNews, now: float) -> list[str]:
+        requests, _ = _split_kinds(update.quarantined)
+        _, parts = _split_kinds(update.quarantined_parts)
+        rows = {i: update.quarantined[i] for i in requests}
+        rows |= {i: update.quarantined_parts[i] for i in parts}
+        return [i for i, row in rows.items() if self.quarantine(i, row.incarnations, now - row.age)]
+
+    def _apply_crash(
+        self,
+        incarnation: str,
+        at: float,
+        confirmed: bool,
+        in_flight: Mapping[str, float],
+        now: float,
+    ) -> None:
+        crash = self._add_to_crash(incarnation, at, in_flight, now)
+        if crash is not None and confirmed and not crash.confirmed:
+            crash.confirmed, crash.changed_at = True, now
+            self._evaluated = False
+
     def forget(self, now: float) -> None:
         """Drop expired entries and release requests whose quarantine is over."""
         for incarnation, crash in list(self._crash_by_incarnation.items()):
@@ -368,7 +395,7 @@
 
     def _add_to_crash(
         self, incarnation: str, at: float, in_flight: Mapping[str, float], now: float
-    ) -> _Crash | None:
+    ) -> Crash | None:
         """Add requests in flight to the crash of an incarnation, except those cleared since.
 
         Return ``None`` if a later sign of life shows that the incarnation did not crash.
@@ -377,16 +404,17 @@
             return None
         crash = self._crash_by_incarnation.get(incarnation)
         if crash is None:
-            crash = _Crash(at)
+            crash = Crash(at)
             _put_bounded(self._crash_by_incarnation, incarnation, crash, MAX_CRASHES)
+        room = {
+            kind: MAX_IN_FLIGHT_PER_CRASH - sum(is_part(i) == kind for i in crash.in_flight)
+            for kind in (False, True)
+        }
         for identity, seconds in in_flight.items():
             cleared = self._cleared_at.get(identity, float("-inf")) > at
-            if (
-                cleared
-                or identity in crash.in_flight
-                or len(crash.in_flight) >= MAX_IN_FLIGHT_PER_CRASH
-            ):
+            if cleared or identity in crash.in_flight or room[is_part(identity)] <= 0:
                 continue
+            room[is_part(identity)] -= 1
             crash.in_flight[identity] = seconds
             crash.changed_at = now
             self._evaluated = self._evaluated and not crash.confirmed
@@ -410,82 +438,58 @@
             return []
         self._evaluated = True
         found = []
-        while (identity := self._find_crash_causing_request(now)) is not None:
-            incarnations = tuple(
-                n for n, c in self._crash_by_incarnation.items() if identity in c.in_flight
-            )
-            self.quarantine(identity, incarnations, now)
+        while (identity := find_request(self._evidence(), self._on_probation(now))) is not None:
+            self._quarantine_found(identity, now)
             found.append(identity)
-        confirmed = _incarnations_by_identity(
-            {n: c for n, c in self._crash_by_incarnation.items() if c.confirmed}
-        )
-        suspected = {i for i, held in confirmed.items() if len(held) >= MIN_CRASHES}
+        confirmed = self._evidence().confirmed
+        suspected = {
+            subject
+            for subject, held in incarnations_by_subject(confirmed).items()
+            if is_suspected(subject, [confirmed[incarnation] for incarnation in held])
+        }
         self._newly_suspected += sorted(suspected - self._suspected - self._quarantined_at.keys())
         self._suspected = suspected
         return found
 
-    def _find_crash_causing_request(self, now: float) -> str | None:
-        """Return a request that the recorded crashes show to be crash-causing, ``None`` if none."""
-        confirmed = {
-            incarnation: c for incarnation, c in self._crash_by_incarnation.items() if c.confirmed
-        }
-        unexplained = {
-            incarnation: c
-            for incarnation, c in confirmed.items()
-            if not c.explained and not c.in_flight.keys() & self._quarantined_at.keys()
-        }
-        all_by_identity = _incarnations_by_identity(confirmed)
-        own_by_identity = _incarnations_by_identity(unexplained)
-        suspects = {i for i, incarnations in own_by_identity.items() if len(incarnations) > 1}
-        for identity in sorted(own_by_identity):
-            if self._probation_until.get(identity, float("-inf")) > now:
-                return identity
-            incarnations, others = all_by_identity[identity], suspects - {identity}
-            if len(incarnations) < MIN_CRASHES or any(
-                incarnations <= all_by_identity[i] for i in others
-            ):
-                continue
-            certain = len(incarnations) >= CERTAIN_CRASHES and identity in suspects
-            if certain or self._is_unlikely_by_chance(identity, unexplained, others):
-                return identity
-        return None
-
-    def _is_unlikely_by_chance(
-        self, identity: str, unexplained: Mapping[str, _Crash], others: Set[str]
-    ) -> bool:
-        """Return whether chance is too unlikely an explanation of a request's crashes.
-
-        Crashes that another suspect explains as well are not evidence against this request.
-
-        :param unexplained: crashes without any quarantined request in flight
-        :param others: other requests that were in flight at more than one of them
-        """
-        own = [c for c in unexplained.values() if identity in c.in_flight]
-        since, until = min(c.at for c in own) - RATE_WINDOW_LEAD, max(c.at for c in own)
-        by_chance = sum(
-            identity not in c.in_flight and since <= c.at <= until for c in unexplained.values()
-        )
-        rate = (by_chance + 1) / (max(1, self.targets) * (until - since))
-        unshared = [c.in_flight[identity] for c in own if not c.in_flight.keys() & others]
-        return (
-            math.prod(1 / (rate * max(MIN_RUN_TIME, s)) for s in unshared) >= MIN_LIKELIHOOD_RATIO
+    def _find_part(self, now: float) -> str | None:
+        if not any(is_part(i) for i in self._suspected):
+            return None
+        return find_part(
+            self._evidence(),
+            self._depth_by_part,
+            self._answers_since,
+            self._on_probation(now),
+            now,
         )
 
+    def _evidence(self) -> Evidence:
+        confirmed = {n: c for n, c in self._crash_by_incarnation.items() if c.confirmed}
+        return Evidence(confirmed, self._quarantined_at.keys(), self.targets)
+
+    def _on_probation(self, now: float) -> Callable[[str], bool]:
+        return lambda subject: self._probation_until.get(subject, float("-inf")) > now
 
-def _incarnations_by_identity(crash_by_incarnation: Mapping[str, _Crash]) -> dict[str, set[str]]:
-    found: dict[str, set[str]] = {}
-    for incarnation, crash in crash_by_incarnation.items():
-        for identity in crash.in_flight:
-            found.setdefault(identity, set()).add(incarnation)
-    return found
+    def _answers_since(self, part: str, since: float) -> int:
+        return sum(at > since for at in self._answers_by_scope.get(scope_of(part), ()))
 
+    def _quarantine_found(self, subject: str, now: float) -> None:
+        incarnations = tuple(
+            n for n, c in self._crash_by_incarnation.items() if subject in c.in_flight
+        )
+        self.quarantine(subject, incarnations, now)
 
-def _chunks(names: Sequence[str], size: int = IN_FLIGHT_PER_DATAGRAM) -> list[list[str]]:
-    return [list(names[n : n + size]) for n in range(0, len(names), size)]
+    def _store_depths(self, depth_by_part: Mapping[str, int]) -> None:
+        for part, depth in depth_by_part.items():
+            _put_bounded(self._depth_by_part, part, depth, MAX_DEPTHS)
 
 
-def _in_flight_chunks(in_flight: Mapping[str, float]) -> list[dict[str, float]]:
-    return [{i: round(in_flight[i], 2) for i in chunk} for chunk in _chunks(sorted(in_flight))]
+def _split_kinds(subjects: Iterable[str]) -> tuple[list[str], list[str]]:
+    """Return the requests and the parts among subjects."""
+    requests: list[str] = []
+    parts: list[str] = []
+    for subject in subjects:
+        (parts if is_part(subject) else requests).append(subject)
+    return requests, parts
 
 
 def _put_bounded(table: dict[str, _Value], key: str, value: _Value, limit: int) -> None:
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -50,6 +50,7 @@
 from .forwarding import Notice, ReplyInfo
 from .incoming import Incoming, ResponseSink
 from .placement import PLAIN_REQUEST_SECONDS, REQUEST_SECONDS
+from .quarantine import WRITTEN_EVENTS, subjects_of
 from .request_log import RequestLog
 from .request_times import RequestTimes
 from .retries import RecordedBudget, SharedRetryBudget
@@ -104,9 +105,12 @@
         )
         self.order = EventSequence(incoming.facts.last_event)
         account = accepted.account.name if accepted.account is not None else ""
-        self._identity = identity(
+        content = identity(
             incoming.method, incoming.headers.get("Host", ""), incoming.uri, account, incoming.body
         )
+        self._subjects = subjects_of(
+            content, service, incoming.facts.model, incoming.facts.shared_parts
+        )
         self._selection = TargetSelection(
             context,
             incoming.facts.request_id,
@@ -129,7 +133,7 @@
         self._tried_targets: set[str] = set()
         self._lost_at_own_link: set[str] = set()
         self._ask_peers_about: set[str] = set()
-        self._log = RequestLog(context, incoming, accepted, self._identity)
+        self._log = RequestLog(context, incoming, accepted, self._subjects)
         recorded = RecordedBudget(
             budget, boottime_seconds, partial(self._log.retry_decided, service)
         )
@@ -168,6 +172,8 @@
         if not run.via:
             self.context.reachability.data_received(now)
         self.context.quarantine.progress(run.choice.head.boot_id)
+        if run.events - events < WRITTEN_EVENTS <= run.events:
+            self.context.quarantine.written(self._subjects, self._incoming.facts.request_id)
         self.machine.handle(EventsReceived(self.machine.attempt, events), now)
         return self._sink.write(data)
 
@@ -176,7 +182,7 @@
 
     def confirm_send(self) -> bool:
         """Return whether the request may be sent now, and if so record that it is sent."""
-        if not self.context.quarantine.may_send(self._identity):
+        if not self.context.quarantine.may_send(self._subjects):
             return False
         now = time.monotonic()
         if self.machine.choice is not None:
@@ -210,17 +216,19 @@
 
     def _select_target(self) -> Chosen | Quarantined:
         """Return the next target, or the problem if the request is known to crash targets."""
-        problem = self.context.quarantine.rejection_for(self._identity, self.machine.ran())
+        problem = self.context.quarantine.rejection_for(self._subjects, self.machine.ran())
         return Chosen(self._choose()) if problem is None else Quarantined(problem)
 
     def _fail_quarantined(self) -> list[Effect]:
         """Fail a request that was quarantined while an attempt was being sent or was running."""
         ran = self.machine.ran()
-        problem = self.context.quarantine.rejection_for(self._identity, ran) or ends_targets(0, ran)
+        problem = self.context.quarantine.rejection_for(self._subjects, ran) or ends_targets(0, ran)
         return self._advance(Quarantined(problem))
 
     def _choose(self) -> Choice | NoChoice:
-        spread = self._connection_lost or self.context.quarantine.crash_count(self._identity) > 0
+        spread = (
+            self._connection_lost or self.context.quarantine.crash_count(self._subjects.request) > 0
+        )
         attempting = Attempting(
             self._admission_class(),
             self._tried_targets,
@@ -270,7 +278,7 @@
             choice.group in self._ask_peers_about,
         )
         task = asyncio.ensure_future(calling)
-        quarantined = self.context.quarantine.begin(self._identity)
+        quarantined = self.context.quarantine.begin(self._subjects)
         try:
             abandon_reason = await self._wait_for_end(task, quarantined, run, choice)
             if abandon_reason is None:
@@ -278,7 +286,7 @@
             return self._handle_abandoned(abandon_reason, attempt, choice, run)
         finally:
             task.cancel()
-            self.context.quarantine.end(self._identity, quarantined)
+            self.context.quarantine.end(self._subjects, quarantined)
             permit, self._permit = self._permit, None
             if permit is not None:
                 tracker.limits.give_back(permit)
@@ -417,7 +425,7 @@
             self._suspect(choice, abandon_reason)
         else:
             self._log.attempt_failed(choice, abandon_reason)
-        self._record_possible_crash(choice)
+        self._record_possible_crash(choice, run)
         return self._advance(Lost(attempt, abandon_reason))
 
     def _handle_end(
@@ -439,7 +447,7 @@
             if not failure.sent:
                 return self._advance(ConnectFailed(attempt, failure.reason))
             self._connection_lost = True
-            self._record_possible_crash(choice)
+            self._record_possible_crash(choice, run)
             return self._advance(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
         reply = result.unwrap()
         if run.via:
@@ -451,11 +459,11 @@
             self._handle_rejection(choice, f"status {reply.status}", reading.notice)
             return self._advance(NotStarted(attempt, f"target said {reply.status}, not run"))
         if run.streaming and (run.fault or run.truncated or not run.events):
-            self._record_possible_crash(choice)
+            self._record_possible_crash(choice, run)
             return self._advance(Lost(attempt, run.fault or "the stream was torn"))
         if not reading.signed:
             return self._advance(Lost(attempt, f"status {reply.status} without a signature"))
-        self.context.quarantine.answered(self._identity, self._incoming.facts.request_id)
+        self._record_answer(run)
         self._target_failed = reply.status >= 500 and reply.status != TARGET_DEADLINE_STATUS
         self.context.book.failing.record(choice.group, self._target_failed, time.monotonic())
         if run.streaming and self.machine.attempts_sent == 1:
@@ -470,15 +478,19 @@
                 return self._advance(Lost(attempt, f"target failed with {reply.status}"))
         return self._advance(Finished(attempt))
 
-    def _record_possible_crash(self, choice: Choice) -> None:
+    def _record_answer(self, run: Attempt) -> None:
+        """Record a complete answer, which shows that the request crashes no targets."""
+        quarantine, request_id = self.context.quarantine, self._incoming.facts.request_id
+        if run.events < WRITTEN_EVENTS:
+            quarantine.written(self._subjects, request_id)
+        quarantine.answered(self._subjects, request_id)
+
+    def _record_possible_crash(self, choice: Choice, run: Attempt) -> None:
         """Record that the target may have crashed with the request in flight."""
         ran_for = time.monotonic() - self._sent_at
+        request_id = self._incoming.facts.request_id
         self.context.quarantine.attempt_lost(
-            self._identity,
-            self._incoming.facts.request_id,
-            choice.head,
-            ran_for,
-            self._incoming.facts.shared_parts,
+            self._subjects, request_id, choice.head, ran_for, run.events
         )
 
     def _handle_rejection(self, choice: Choice, reason: str, notice: Notice) -> None:
--- a/src/oleanderhill/serving/gossip.py
+++ b/src/oleanderhill/serving/gossip.py
@@ -17,7 +17,7 @@
 from ..clock import boottime_seconds
 from ..groups.ownership import Presence
 from ..kernel import Kernel, Task
-from ..routing.crashes import EndingNews
+from ..routing.crash_news import EndingNews
 from ..routing.target_limits import LimitUpdate
 from .leaving import LeavingTargets, LeavingUpdate
 from .placement import PEER_COUNTS_MAX_AGE, LoadTracker
--- a/src/oleanderhill/serving/quarantine.py
+++ b/src/oleanderhill/serving/quarantine.py
@@ -22,7 +22,10 @@
 from ..kernel import Kernel, Task
 from ..outcomes import Problem, Ran
 from ..records import Records
-from ..routing.crashes import MIN_CRASHES, QUARANTINE_SECONDS, CrashTracker, EndingNews
+from ..requests.identity import is_part, part_identities, scope
+from ..routing.crash_news import EndingNews
+from ..routing.crash_verdicts import MIN_CRASHES
+from ..routing.crashes import QUARANTINE_SECONDS, CrashTracker
 from ..types import Member
 
 QUARANTINE_PREFIX = "oleanderhill/quarantined/"
@@ -44,8 +47,38 @@
 succeeds, the quarantine exists only in the memory of the entry hosts."""
 
 
+WRITTEN_EVENTS = 2
+"""Events after which a request is being written for certain. A target may send one and crash."""
+
+
+class Subjects(NamedTuple):
+    """What crashes under a request are recorded for, see :mod:`..routing.crash_verdicts`.
+
+    :param parts: shared parts of its prompt, in their order
+    :param scope: service and model
+    """
+
+    request: str
+    parts: tuple[str, ...] = ()
+    scope: str = ""
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """The request and its parts."""
+        return (self.request, *self.parts)
+
+
+def subjects_of(request: str, service: str, model: str, parts: Sequence[str]) -> Subjects:
+    """Return the subjects of a request.
+
+    :param request: identity of the request
+    :param parts: ids of the shared parts of its prompt
+    """
+    return Subjects(request, part_identities(service, model, parts), scope(service, model))
+
+
 class QuarantineRecord(msgspec.Struct):
-    """Stored record of a request that is quarantined, or suspected after several target crashes.
+    """Stored record of a subject that is quarantined, or of a request that is suspected.
 
     :param host: entry host that wrote it
     :param endings: incarnations of targets that crashed under it, each with all requests that were
@@ -125,50 +158,51 @@
 
     # Interface for requests
 
-    def rejection_for(self, identity: str, ran: Ran) -> Problem | None:
+    def rejection_for(self, subjects: Subjects, ran: Ran) -> Problem | None:
         """Return why a request must not be sent, ``None`` if it may be."""
-        return self._crashes.problem(identity, boottime_seconds(), ran)
+        now = boottime_seconds()
+        problems = (self._crashes.problem(s, now, ran) for s in subjects.all)
+        return next((p for p in problems if p is not None), None)
 
-    def may_send(self, identity: str) -> bool:
+    def may_send(self, subjects: Subjects) -> bool:
         """Return whether a request may be sent now."""
-        return self._crashes.quarantined(identity) is None
+        return all(self._crashes.quarantined(s) is None for s in subjects.all)
 
     def crash_count(self, identity: str) -> int:
         """Return how many targets are known to have crashed under a request."""
         return len(self._crashes.crashes_of(identity))
 
-    def begin(self, identity: str) -> asyncio.Future[None]:
+    def begin(self, subjects: Subjects) -> asyncio.Future[None]:
         """Return a future that completes if a request is quarantined while it is at a target."""
         quarantined = asyncio.get_running_loop().create_future()
-        self._waiters.setdefault(identity, set()).add(quarantined)
+        for subject in subjects.all:
+            self._waiters.setdefault(subject, set()).add(quarantined)
         return quarantined
 
-    def end(self, identity: str, quarantined: asyncio.Future[None]) -> None:
+    def end(self, subjects: Subjects, quarantined: asyncio.Future[None]) -> None:
         """Discard a future that :meth:`begin` returned."""
-        waiters = self._waiters.get(identity, set())
-        waiters.discard(quarantined)
-        if not waiters:
-            self._waiters.pop(identity, None)
+        for subject in subjects.all:
+            waiters = self._waiters.get(subject, set())
+            waiters.discard(quarantined)
+            if not waiters:
+                self._waiters.pop(subject, None)
 
     def attempt_lost(
-        self,
-        identity: str,
-        request_id: str,
-        at: Member,
-        ran_for: float,
-        shared_parts: Sequence[str] = (),
+        self, subjects: Subjects, request_id: str, at: Member, ran_for: float, events: int
     ) -> None:
         """Record that an attempt was lost at a target after it was sent.
 
         :param ran_for: seconds that it spent there
-        :param shared_parts: parts of its prompt that other requests may contain too
+        :param events: events of the stream that the target had written
         """
         known = self._inventory.incarnation_of(at.host)
         if known is None or self._inventory.by_instance[known].leaving:
             # A leaving target closes connections as planned, so a loss is no evidence of a crash.
             return
         incarnation = at.boot_id
-        new = self._crashes.lost(identity, incarnation, ran_for, boottime_seconds())
+        identity = subjects.request
+        parts = subjects.parts if events < WRITTEN_EVENTS else ()
+        new = self._crashes.lost(identity, incarnation, ran_for, boottime_seconds(), parts)
         self._records.request(
             request_id,
             "suspect",
@@ -177,15 +211,23 @@
             instance=incarnation,
             losses=self._crashes.loss_count(identity),
             ran_s=round(ran_for, 3),
-            parts=shared_parts,
+            parts=parts,
         )
         if str(known) != incarnation:
             self.incarnation_ended(incarnation, "listed in a later incarnation")
         elif new:
             self.put(TargetCheck(at.host, incarnation, at.address))
 
-    def answered(self, identity: str, request_id: str) -> None:
+    def written(self, subjects: Subjects, request_id: str) -> None:
+        """Record that a target writes the answer of a request; called once for each attempt."""
+        now = boottime_seconds()
+        self._crashes.scope_answered(subjects.scope, now)
+        for part in self._crashes.parts_written(subjects.parts, now):
+            self._records.request(request_id, "cleared", False, same_as=part)
+
+    def answered(self, subjects: Subjects, request_id: str) -> None:
         """Record that a request got a complete answer."""
+        identity = subjects.request
         cleared, quarantined = self._crashes.answered(identity, boottime_seconds())
         if cleared:
             self._records.request(request_id, "cleared", False, same_as=identity)
@@ -211,11 +253,14 @@
 
     def pending_updates(self, again: bool) -> list[EndingNews]:
         """Return the updates to send to peers."""
+        found = self._crashes.judge_parts(boottime_seconds())
+        self._handle_quarantined(found, "no request with it was written since", 0.0)
         return self._crashes.pending_updates(self._me.name, boottime_seconds(), again)
 
     def apply_peer_update(self, update: EndingNews) -> None:
         """Apply an update from a peer."""
-        oldest = max((c.age for c in update.quarantined.values()), default=0.0)
+        rows = (*update.quarantined.values(), *update.quarantined_parts.values())
+        oldest = max((row.age for row in rows), default=0.0)
         self._handle_quarantined(
             self._crashes.apply_peer_update(update, boottime_seconds()),
             f"peer {update.sender}",
@@ -312,6 +357,8 @@
         """Return whether a request is quarantined or has enough crashes to be stored."""
         if self._crashes.quarantined(identity) is not None:
             return True
+        if is_part(identity):
+            return False
         return len(self._crashes.crashes_of(identity)) >= MIN_CRASHES
 
     def dispatch(self, message: object) -> None:
@@ -354,7 +401,8 @@
         if not is_successful(granted):
             return False
         quarantined = self._crashes.quarantined(identity)
-        endings = self._crashes.crashes_of(identity) or {i: {} for i in quarantined or ()}
+        endings = {} if is_part(identity) else self._crashes.crashes_of(identity)
+        endings = endings or {i: {} for i in quarantined or ()}
         record = QuarantineRecord(self._me.name, endings, quarantined is not None)
         key, stored = QUARANTINE_PREFIX + identity, self._stored.get(identity)
         write = Write(key, msgspec.json.encode(record), granted.unwrap())
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -9,22 +9,23 @@
 from .admission_class import AdmissionClass
 from .context import ForwardingContext
 from .incoming import Incoming
+from .quarantine import Subjects
 from .retries import BudgetState
 
 
 class RequestLog:
     """Writes the lines of one request, with its path and times.
 
-    :param identity: equal for all requests that ask for the same
+    :param subjects: equal for all requests that ask for the same
     """
 
     def __init__(
-        self, context: ForwardingContext, incoming: Incoming, accepted: Accepted, identity: str
+        self, context: ForwardingContext, incoming: Incoming, accepted: Accepted, subjects: Subjects
     ) -> None:
         self._context = context
         self._incoming = incoming
         self._accepted = accepted
-        self._identity = identity
+        self._subjects = subjects
         self._path: list[str] = []
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
@@ -57,7 +58,7 @@
             self._incoming.facts.request_id,
             "attempt failed",
             False,
-            same_as=self._identity,
+            same_as=self._subjects.request,
             target=choice.group,
             instance=choice.head.boot_id,
             reason=reason,
@@ -102,7 +103,7 @@
         fields: dict[str, object] = {
             "route": route.name,
             "status": status,
-            "same_as": self._identity,
+            "same_as": self._subjects.request,
             "standing": standing.value,
             "path": self._path,
             "ms": round((now - arrived) * 1000),
@@ -114,6 +115,6 @@
         if reason is not None:
             fields["reason"] = reason
         if not success:
-            fields["parts"] = self._incoming.facts.shared_parts
+            fields["parts"] = self._subjects.parts
         self._context.records.request(self._incoming.facts.request_id, outcome, success, **fields)
         self._context.report(route.name, outcome, now - arrived)
