--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -327,6 +327,8 @@
         self.ever_ready: set[tuple[str, int, str]] = set()
         self._last_start_ms = FIRST_START_MS
         self.events_per_stream = 10
+        self.unframed = False
+        """Whether streams have neither a length nor chunks, and end with their connection."""
         self.break_at_event = 0
         """Number of the event in which the next stream breaks off, 0 for none."""
 
@@ -421,6 +423,9 @@
             host.crash()
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        if host.site.unframed:
+            await self._send_unframed(first)
+            return
         born = host.born
         host.running += 1
         try:
@@ -434,13 +439,29 @@
         finally:
             host.running -= 1
 
+    async def _send_unframed(self, first: int) -> None:
+        """Send the stream without a length or chunks, and end it with the connection."""
+        site = self.host.site
+        head = "".join(f"{name}: {value}\r\n" for name, value in self._headers.get_all())
+        stream = self.detach()
+        await stream.write(f"HTTP/1.1 200 OK\r\n{head}Connection: close\r\n\r\n".encode())
+        for number in range(first, site.events_per_stream):
+            event = _event(number)
+            if site.break_at_event and number >= site.break_at_event:
+                site.break_at_event = 0
+                await stream.write(event[:8])
+                break
+            await stream.write(event)
+            await asyncio.sleep(EVENT_SECONDS)
+        stream.close()
+
     async def _send_event(self, number: int) -> None:
         host = self.host
         while host.joined_member_count() < len(host.members) or not host.alive:
             if host.instance in host.site.crashed_instances:
                 raise StreamClosedError
             await asyncio.sleep(0.05)
-        event = f"id: {number}\ndata: piece {number}\n\n"
+        event = _event(number)
         if host.site.break_at_event and number >= host.site.break_at_event:
             host.site.break_at_event = 0
             self.write(event[:8])
@@ -452,6 +473,10 @@
         await asyncio.sleep(EVENT_SECONDS)
 
 
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 class TargetFaults:
     """Faults of a plain target.
 
