--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -22,7 +22,6 @@
 from oleanderhill.platform import decoding, headers
 from oleanderhill.routing import crashes, target_limits
 from oleanderhill.serving import (
-    admission,
     admission_class,
     driver,
     gossip,
@@ -30,6 +29,7 @@
     quarantine,
     reports,
     retries,
+    retry_detector,
 )
 from oleanderhill.serving.forwarding import Notice
 
@@ -130,7 +130,7 @@
         ),
         Mutant(
             "who uses a connection again did not come back",
-            [(admission.RetryDetector, "is_retry", _by_patience_alone)],
+            [(retry_detector.RetryDetector, "is_retry", _by_patience_alone)],
             testing(
                 "test_serving.ReturningTest"
                 ".test_first_attempts_differ_in_patience_and_still_count_as_first"
@@ -523,8 +523,10 @@
 _SHARE = pacing.LoadPacer.share_among
 
 
-def _by_patience_alone(self: Any, route: str, patience: float | None, first: bool) -> bool:
-    return _CAME_BACK(self, route, patience, True)
+def _by_patience_alone(
+    self: Any, route: str, patience: float | None, first: bool, *more: Any
+) -> bool:
+    return _CAME_BACK(self, route, patience, True, *more)
 
 
-_CAME_BACK = admission.RetryDetector.is_retry
+_CAME_BACK = retry_detector.RetryDetector.is_retry
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -44,7 +44,7 @@
 from ..routing.limit_scope import WindowBound
 from ..routing.reachability import Heard
 from ..routing.target_limits import CallKind, TargetLimits
-from ..serving.admission import RetryDetector, admit
+from ..serving.admission import admit
 from ..serving.admission_control import AdmissionControl
 from ..serving.admission_demand import DemandCounts
 from ..serving.cold_targets import ColdTargets
@@ -63,6 +63,7 @@
 from ..serving.proxy_server import ProxyCallbacks, ProxyServer
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
 from ..serving.retries import SharedRetryBudget
+from ..serving.retry_detector import RetryDetector
 from ..serving.shared_counters import SharedCounters
 from ..serving.target_limits import StatementSource, TargetLimitTask
 from ..serving.target_links import TargetLinks
@@ -533,12 +534,17 @@
         service = pick_backend(accepted.route, self._rng)
         budget = self._retry_budget(service)
         budget.record_request(now)
-        caller_timeout = incoming.facts.caller_timeout
-        is_retry = self._retry_detector.is_retry(
-            accepted.route.name, caller_timeout, incoming.first_on_connection
-        )
+        is_retry = self._is_retry(incoming, accepted.route.name)
         await Exchange(self._context, incoming, accepted, service, budget, sink, is_retry).run()
 
+    def _is_retry(self, incoming: Incoming, route: str) -> bool:
+        model, now = incoming.facts.model, time.monotonic()
+        rejected = self._book.rejections(model, now) / max(1, self._entry_hosts())
+        self._retry_detector.record_rejections(model, rejected, now)
+        return self._retry_detector.is_retry(
+            route, incoming.facts.caller_timeout, incoming.first_on_connection, model, now
+        )
+
     async def _await_configuration(self, incoming: Incoming) -> None:
         """Wait for the first configuration, within a fraction of the caller timeout."""
         if self._catalog is not None:
--- a/src/oleanderhill/serving/admission.py
+++ b/src/oleanderhill/serving/admission.py
@@ -56,36 +56,3 @@
 
 def _no_route() -> Problem:
     return Problem("no-route", 404, Ran.NO, "no route has this host and path")
-
-
-class RetryDetector:
-    """Distinguishes retries after a rejection from first attempts.
-
-    Each attempt has its own id and carries no reference to an earlier one. A retry arrives on a new
-    connection and with a shorter caller timeout than the first attempt had. Neither sign suffices
-    alone: callers open connections for first attempts too, and their timeouts were observed to
-    differ by 15 %. Judged by the timeout alone, 75 of 100 first attempts would count as retries and
-    get the queue limit of late requests. With both signs 5 of 100 do, and all retries after a
-    rejection are recognised. These figures are from 1,875 attempts of one day; attempts with the
-    same prompt were taken for attempts of one request.
-    """
-
-    def __init__(self) -> None:
-        self._longest_timeout_by_route: dict[str, float] = {}
-
-    def is_retry(self, route: str, timeout: float | None, first_on_connection: bool) -> bool:
-        """Record the caller timeout of a request, in seconds, and return whether it is a retry.
-
-        :param first_on_connection: whether it is the first request on its connection
-        """
-        if timeout is None:
-            return False
-        longest = max(self._longest_timeout_by_route.get(route, 0.0), timeout)
-        self._longest_timeout_by_route[route] = longest
-        return first_on_connection and timeout < longest * FIRST_ATTEMPT_FRACTION
-
-
-FIRST_ATTEMPT_FRACTION = 0.97
-"""Fraction of a route's longest caller timeout from which on an attempt counts as the first. The
-timeout is the time that the caller has left: the transfer to this host takes a few milliseconds of
-it, and even the shortest retry delay takes more than 3 %."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -22,7 +22,7 @@
 )
 from oleanderhill.routing.router import Choice
 from oleanderhill.serving import placement
-from oleanderhill.serving.admission import Accepted, RetryDetector, admit
+from oleanderhill.serving.admission import Accepted, admit
 from oleanderhill.serving.admission_class import AdmissionClass, admission_class, queue_limit
 from oleanderhill.serving.events import EventSequence, EventSplitter
 from oleanderhill.serving.forwarding import RequestInfo
@@ -36,6 +36,7 @@
     SharedRetryBudget,
     sum_counts,
 )
+from oleanderhill.serving.retry_detector import RETURN_SECONDS, RetryDetector
 from oleanderhill.serving.stall_timeout import stall_timeout_for
 from oleanderhill.settings.catalog import (
     Account,
@@ -216,6 +217,31 @@
         self.assertFalse(returning.is_retry("r", None, True))
         self.assertFalse(returning.is_retry("other", 4.5, True))
 
+    def test_first_attempts_on_new_connections_are_no_retries_while_nobody_is_rejected(self):
+        returning = RetryDetector()
+        for n in range(200):
+            returning.record_rejections("m", 0.0, n / 50)
+            patience = 4.25 + 0.75 * random.Random(n).random()
+            self.assertFalse(returning.is_retry("r", patience, True, "m", n / 50))
+
+    def test_few_rejections_do_not_turn_many_first_attempts_into_retries(self):
+        returning, rng = RetryDetector(), random.Random(1)
+        returning.record_rejections("m", 1.0, 0.0)
+        found = [
+            returning.is_retry("r", 4.25 + 0.75 * rng.random(), True, "m", n / 50)
+            for n in range(150)
+        ]
+        self.assertLess(sum(found), 15)
+
+    def test_retries_are_detected_as_long_as_rejected_callers_return(self):
+        returning = RetryDetector()
+        returning.is_retry("r", 5.0, False, "m", 0.0)
+        returning.record_rejections("m", 4.0, 0.0)
+        returning.record_rejections("m", 0.0, 1.0)
+        self.assertTrue(returning.is_retry("r", 4.0, True, "m", 2.0))
+        returning.record_rejections("m", 0.0, 1.0 + RETURN_SECONDS)
+        self.assertFalse(returning.is_retry("r", 4.0, True, "m", 1.5 + RETURN_SECONDS))
+
 
 class FreshnessTest(unittest.TestCase):
     def test_proof_runs_out_before_the_bound(self):
