--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -319,8 +319,9 @@
         self.crash_causing_parts: set[str] = set()
         """Parts of prompts: each host that begins to run a request with one crashes."""
         self.crashed_instances: list[str] = []
-        self.crash_times: dict[bytes, list[float]] = {}
-        """Monotonic times of crashes, by the body of the crash-causing request."""
+        self.crash_times: dict[str, list[float]] = {}
+        """Monotonic times of crashes, by the body or the part that caused them."""
+        self.arrivals: list[Arrival] = []
         self.closing_connections: list[asyncio.Future[None]] = []
         self.replace_host: Callable[[StandInHost], None] = lambda host: None
         """Called when a crashed host is to be replaced."""
@@ -337,10 +338,15 @@
         self._last_start_ms += 1
         return self._last_start_ms
 
-    def is_crash_causing(self, body: bytes, prompt: str) -> bool:
-        """Return whether a request crashes the host that runs it; its last part never does."""
+    def crash_cause(self, body: bytes, prompt: str) -> str:
+        """Return the body or the part of a request that crashes the host that runs it.
+
+        It is empty for none; the last part never is one.
+        """
+        if body in self.crash_causing_bodies:
+            return body.decode()
         parts = {part.partition(":")[0] for part in prompt.split(",")[:-1]}
-        return body in self.crash_causing_bodies or bool(parts & self.crash_causing_parts)
+        return min(parts & self.crash_causing_parts, default="")
 
     def schedule(self, seconds: float, call: Callable[[], None]) -> None:
         """Call a function after a delay."""
@@ -352,6 +358,9 @@
         self.host = host
 
     async def prepare(self) -> None:
+        if "Attempt-Id" in self.request.headers:
+            arrival = Arrival(time.monotonic(), self.request.headers["Attempt-Id"])
+            self.host.site.arrivals.append(arrival)
         if not self.host.alive:
             await asyncio.sleep(STALL_SECONDS * 10)
         self.host.notices.set_notice_headers(self)
@@ -415,11 +424,12 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Response-Seal", f"seal-{host.instance}")
-        if host.site.is_crash_causing(self.request.body, headers.get("Prompt-Prefix", "")):
+        cause = host.site.crash_cause(self.request.body, headers.get("Prompt-Prefix", ""))
+        if cause:
             await self.flush()
             await asyncio.sleep(CRASH_SECONDS)
             if host.alive:
-                host.site.crash_times.setdefault(self.request.body, []).append(time.monotonic())
+                host.site.crash_times.setdefault(cause, []).append(time.monotonic())
             host.crash()
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
@@ -493,12 +503,20 @@
         self.slow = 0.0
 
 
+class Arrival(NamedTuple):
+    """A request that reached a host or target, whether it ran there or not."""
+
+    at: float
+    request_id: str
+
+
 class StandInTarget:
     """A plain target; ``ran`` holds the ids of the requests that it ran."""
 
     def __init__(self, instance: str) -> None:
         self.instance = instance
         self.ran: list[str] = []
+        self.arrivals: list[Arrival] = []
         self.faults = TargetFaults()
         self.notices = TargetNotices()
 
@@ -509,6 +527,7 @@
 
     async def _run(self) -> None:
         target, headers = self.target, self.request.headers
+        target.arrivals.append(Arrival(time.monotonic(), headers.get("Attempt-Id", "")))
         target.notices.set_notice_headers(self)
         if headers.get("Expect-Instance", target.instance) != target.instance:
             self.set_status(421)
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -29,7 +29,7 @@
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 
 from ..bench_site import free_address
-from ..windows import max_within_window
+from ..windows import max_within_window, retries_over_budget
 from .cut_entry import CutOrder
 from .cut_links import Cut
 from .engines import StandInHost, TargetNotices
@@ -59,6 +59,12 @@
 QUARANTINE_CRASHES = 3
 """Crashes by one request after which it must be quarantined."""
 
+PART_QUARANTINE_CRASHES = 5
+"""Crashes by one part of prompts after which it must be quarantined."""
+
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW = 0.2, 100.0, 10.0
+"""Bounds on the retries of a service, which the entry hosts have by default."""
+
 MAX_EXTRA_CRASHES = 3
 """Crashes that are allowed after that, once entry hosts have been connected for a while."""
 
@@ -94,6 +100,9 @@
 CUT_CYCLE = 3
 """Every third seed of ``main`` has entry hosts that are cut off from the targets."""
 
+PART_CYCLE = 4
+"""Every fourth seed of ``main`` has a crash-causing part of prompts."""
+
 CULPRIT_CYCLE = 3
 """Consecutive seeds of ``main`` have zero, one and two crash-causing requests in turn."""
 
@@ -267,6 +276,7 @@
         evacuated at the end, when an entry host starts again
     :param cold: engine hosts turn cold and warm again
     :param cut_off: entry hosts are cut off from all targets beside the faults, and one stays so
+    :param crash_part: a part of prompts crashes hosts, in requests that differ otherwise
     """
 
     def __init__(
@@ -280,7 +290,9 @@
         evacuated: bool = False,
         cold: bool = False,
         cut_off: bool = False,
+        crash_part: bool = False,
     ) -> None:
+        self._crash_part = crash_part
         self._cut_off, self._cut_at = cut_off, float("inf")
         self._evacuated, self._evacuated_at = evacuated, float("inf")
         self._seed, self._culprits, self._rate_limited = seed, culprits, rate_limited
@@ -338,6 +350,8 @@
                 callers.append(
                     asyncio.create_task(self._repeat_crash_causing_request(crash_body, rng))
                 )
+            if self._crash_part:
+                callers.append(asyncio.create_task(self._repeat_crash_causing_part()))
             background = [asyncio.create_task(t) for t in self._background_tasks()]
             await self._inject_faults()
             for task in background:
@@ -391,6 +405,7 @@
             ):
                 found.append(f"{a.request_id} ran with a key that had been removed too long before")
         found += self._excess_crashes()
+        found += self._retries_over_budget()
         found += self._limits_exceeded()
         found += self._cold_hosts_overrun()
         found += self._notices_ignored()
@@ -409,19 +424,34 @@
         return found
 
     def _excess_crashes(self) -> list[str]:
-        """Return the requests that crashed too many hosts after their quarantine had to apply."""
+        """Return what crashed too many hosts after its quarantine had to apply."""
         found = []
-        for body, crashed_at in self.site.engines.crash_times.items():
-            if len(crashed_at) <= QUARANTINE_CRASHES:
+        parts = self.site.engines.crash_causing_parts
+        for cause, crashed_at in self.site.engines.crash_times.items():
+            enough = PART_QUARANTINE_CRASHES if cause in parts else QUARANTINE_CRASHES
+            if len(crashed_at) <= enough:
                 continue
-            settled_at = (
-                max(self._faults_ended_at, crashed_at[QUARANTINE_CRASHES - 1]) + SETTLE_SECONDS
-            )
+            settled_at = max(self._faults_ended_at, crashed_at[enough - 1]) + SETTLE_SECONDS
             extra = sum(at > settled_at for at in crashed_at)
             if extra > MAX_EXTRA_CRASHES:
-                found.append(
-                    f"{body.decode()} crashed {extra} more hosts, {len(crashed_at)} in total"
-                )
+                found.append(f"{cause} crashed {extra} more hosts, {len(crashed_at)} in total")
+        return found
+
+    def _retries_over_budget(self) -> list[str]:
+        """Return the services that got more retries in a window than allowed."""
+        plain = [a for t in self.site.targets for a in t.arrivals]
+        found = []
+        for service, arrivals in (("engines", self.site.engines.arrivals), ("plain", plain)):
+            ids = {request_id for _, request_id in arrivals}
+            engines = service == "engines"
+            sent = [
+                r.sent
+                for r in self.call_records
+                if r.request_id in ids or r.path.startswith("/read/") == engines
+            ]
+            excess = retries_over_budget(arrivals, sent, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW)
+            if excess > 0:
+                found.append(f"{service} got {excess:.1f} retries more than allowed in a window")
         return found
 
     def _limits_exceeded(self) -> list[str]:
@@ -517,7 +547,12 @@
         caller.close()
 
     async def _call(
-        self, caller: HttpCaller, rng: random.Random, request_id: str, crash_body: bytes = b""
+        self,
+        caller: HttpCaller,
+        rng: random.Random,
+        request_id: str,
+        crash_body: bytes = b"",
+        prompt: str = "ab:100",
     ) -> None:
         path = "/read/x" if crash_body else rng.choice(["/read/x", "/pay/x", "/scan/x", "/read/x"])
         key = rng.choice([*self._keys, *(() if crash_body else self.removed_at)])
@@ -528,7 +563,7 @@
             "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
             "Model": rng.choice([SMALL, LARGE]),
             "Token-Counts": "100,80",
-            "Prompt-Prefix": "ab:100",
+            "Prompt-Prefix": prompt,
         }
         body, sent_body = _Body(), crash_body or request_id.encode()
         method = "GET" if path.startswith("/scan/") else "POST"
@@ -758,6 +793,20 @@
             await asyncio.sleep(rng.uniform(0.2, 1.5))
         caller.close()
 
+    async def _repeat_crash_causing_part(self) -> None:
+        """Send requests that have only a crash-causing part in common until the end."""
+        rng = random.Random(f"{self._seed} part")
+        self.site.engines.crash_causing_parts.add("bad0")
+        await asyncio.sleep(rng.uniform(0.0, FAULT_SECONDS))
+        caller = HttpCaller()
+        number = 0
+        while not self._stopping:
+            number += 1
+            body, prompt = b"request %d" % number, f"ab:40,bad0:60,{number:x}:100"
+            await self._call(caller, rng, f"part-{number}", body, prompt)
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+        caller.close()
+
     async def _write_garbage(self) -> None:
         host = self._rng.choice(list(self.site.engines.host_by_instance.values()))
         self.site.write_entry(
@@ -817,10 +866,11 @@
     evacuated: bool = False,
     cold: bool = False,
     cut_off: bool = False,
+    crash_part: bool = False,
 ) -> Soak:
     """Run one seed in a temporary folder, which is kept if a guarantee was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    options = (rate_limited, send_notices, restored, evacuated, cold, cut_off)
+    options = (rate_limited, send_notices, restored, evacuated, cold, cut_off, crash_part)
     soak = Soak(seed, folder, culprits, *options)
     asyncio.run(run_soak(soak, seed))
     if soak.violations:
@@ -840,7 +890,8 @@
         restored = seed % 4 > 1
         cold = seed % COLD_CYCLE == 0
         cut_off = seed % CUT_CYCLE == 0
-        options = (not restored, seed % 2 == 1, restored, seed % 8 > 3, cold, cut_off)
+        crash_part = seed % PART_CYCLE == 1
+        options = (not restored, seed % 2 == 1, restored, seed % 8 > 3, cold, cut_off, crash_part)
         soak = run_seed(seed, seed % CULPRIT_CYCLE, *options)
         failed += bool(soak.violations)
     print(f"soak: seeds={count} failed={failed}")
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -3,6 +3,16 @@
 import unittest
 
 from oleanderhill_dev.fuzz_retries import RATIO, SECONDS, SLACK, WINDOW, Event, Simulation, play
+from oleanderhill_dev.windows import retries_over_budget
+
+
+class OracleTest(unittest.TestCase):
+    def test_repeats_are_held_against_the_best_of_three_windows(self):
+        arrivals = [(1.0, "a"), *((2.0 + n / 10, "a") for n in range(5)), (2.0, "b")]
+        self.assertEqual(retries_over_budget(arrivals, [], 0.2, 3.0, 10.0), 2.0)
+        self.assertEqual(retries_over_budget(arrivals, [-5.0] * 10, 0.2, 3.0, 10.0), 0.0)
+        self.assertEqual(retries_over_budget([(1.0, "a"), (1.0, "b")], [], 0.2, 0.0, 10.0), 0.0)
+
 
 EVERYONE = tuple(range(8))
 
