--- a/src/oleanderhill/kernel.py
+++ b/src/oleanderhill/kernel.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from typing import Any, NamedTuple, Protocol, TypeVar
 
@@ -54,6 +54,17 @@
         """Close what :meth:`start` opened."""
 
 
+SATURATED_LAG = 0.05
+"""Seconds by which timers fire late in a process that has no time left."""
+
+SATURATED_SECONDS = 0.5
+"""Seconds for which all timers must fire late."""
+
+
+def _ignore_saturation() -> None:
+    """Ignore that the event loop has no time left."""
+
+
 class LoopLag:
     """Records the delay of event loop timers, in seconds, and keeps the maximum.
 
@@ -64,11 +75,24 @@
     def __init__(self) -> None:
         self.longest = 0.0
         self._max_since_read = 0.0
+        self._late_since: float | None = None
+        self.on_saturated: Callable[[], None] = _ignore_saturation
+
+    def record(self, seconds: float, now: float = 0.0) -> None:
+        """Record a timer that fired ``seconds`` late.
 
-    def record(self, seconds: float) -> None:
-        """Record a timer that fired ``seconds`` late."""
+        If all timers have fired late for some time, ``on_saturated`` is called. A single long step
+        delays the timers that are due meanwhile, but not those after it.
+        """
         self.longest = max(self.longest, seconds)
         self._max_since_read = max(self._max_since_read, seconds)
+        if seconds < SATURATED_LAG:
+            self._late_since = None
+            return
+        if self._late_since is None:
+            self._late_since = now
+        if now - self._late_since >= SATURATED_SECONDS:
+            self.on_saturated()
 
     def pop_longest(self) -> float:
         """Return the maximum lag since the previous call, and reset it."""
@@ -200,4 +224,5 @@
                 self.log_failure(error)
             due_at = time.monotonic() + self.interval
             await asyncio.sleep(self.interval)
-            self.kernel.lag.record(time.monotonic() - due_at)
+            now = time.monotonic()
+            self.kernel.lag.record(now - due_at, now)
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -48,6 +48,7 @@
 from ..serving.admission_control import AdmissionControl
 from ..serving.admission_demand import DemandCounts
 from ..serving.cold_targets import ColdTargets
+from ..serving.connection_shedding import ConnectionShedding, Loads
 from ..serving.context import ForwardingContext
 from ..serving.driver import Exchange
 from ..serving.forwarding import Notice
@@ -273,6 +274,8 @@
             self._admission,
             self._links.reachability,
         )
+        self._shedding = ConnectionShedding(lambda: self.front, self._loads, records)
+        self.kernel.lag.on_saturated = self._shedding.saturated
         serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
         self.front = Front(
             self.kernel,
@@ -537,6 +540,9 @@
         is_retry = self._is_retry(incoming, accepted.route.name)
         await Exchange(self._context, incoming, accepted, service, budget, sink, is_retry).run()
 
+    def _loads(self) -> Loads:
+        return Loads(*self._book.in_flight(time.monotonic()), self._entry_hosts())
+
     def _is_retry(self, incoming: Incoming, route: str) -> bool:
         model, now = incoming.facts.model, time.monotonic()
         rejected = self._book.rejections(model, now) / max(1, self._entry_hosts())
@@ -592,6 +598,11 @@
             lambda: self._mirror.age(boottime_seconds()),
         )
         register("probes", "Questions to engine hosts", lambda: self._orders.probes_sent)
+        register(
+            "connections_refused",
+            "Times that new connections were refused for a second",
+            lambda: self._shedding.times,
+        )
         register("loop_held_up_seconds", "Longest so far", lambda: self.kernel.lag.longest)
         self._links.show(self.exposition)
         register(
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -39,6 +39,9 @@
 balancer polls readiness once per second and removes this host after two failures. Requests accepted
 until then have five seconds to finish."""
 
+MAX_SERVERS = 8
+"""Servers for callers whose connections are closed at the stop, the latest ones."""
+
 EXIT_MARGIN = 0.6
 """Seconds before the end of the grace period at which the process exits on its own."""
 
@@ -114,6 +117,15 @@
         written.add_done_callback(_retrieve_exception)
 
 
+def _serve(address: str, delegate: HTTPServerConnectionDelegate) -> HTTPServer:
+    server = HTTPServer(
+        delegate, max_header_size=MAX_HEADER_BYTES, idle_connection_timeout=IDLE_TIMEOUT
+    )
+    ip, port = address.rsplit(":", 1)
+    server.listen(int(port), ip, backlog=1024)
+    return server
+
+
 def _retrieve_exception(written: asyncio.Future[None]) -> None:
     """Retrieve the exception of a failed write, so that asyncio doesn't log it as unhandled.
 
@@ -277,16 +289,20 @@
 
     async def start(self) -> None:
         """Start to listen for callers and for the load balancer."""
-        for address, delegate in (
-            (self._balancer, _DelegateFactory(self, _ReadinessRequest)),
-            (self._callers, _DelegateFactory(self, _CallerRequest)),
-        ):
-            server = HTTPServer(
-                delegate, max_header_size=MAX_HEADER_BYTES, idle_connection_timeout=IDLE_TIMEOUT
-            )
-            ip, port = address.rsplit(":", 1)
-            server.listen(int(port), ip, backlog=1024)
-            self._servers.append(server)
+        self._servers.append(_serve(self._balancer, _DelegateFactory(self, _ReadinessRequest)))
+        self.accept_connections()
+
+    def refuse_connections(self) -> None:
+        """Refuse new connections of callers; open ones are served."""
+        self._servers[-1].stop()
+
+    def accept_connections(self) -> None:
+        """Accept new connections of callers, unless this host is shutting down."""
+        if self.stopping:
+            return
+        # A server that was stopped can't listen again. Its connections stay open.
+        self._servers.append(_serve(self._callers, _DelegateFactory(self, _CallerRequest)))
+        del self._servers[1:-MAX_SERVERS]
 
     async def stop(self) -> None:
         """Close the servers and all connections."""
@@ -322,7 +338,7 @@
         self.stopping = True
         self._records.note("process", "draining", in_flight=self.in_flight)
         await asyncio.sleep(STOP_LISTENING_AFTER)
-        self._servers[1].stop()
+        self._servers[-1].stop()
         # A request on a connection that stays open would be aborted when the process exits.
         self.closing_idle = True
         for message in list(self.idle):
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -299,6 +299,12 @@
         """Return whether any entry host is known to have a request in flight."""
         return bool(self._own) or any(counts for _, counts in self._peers.values())
 
+    def in_flight(self, now: float) -> tuple[int, int]:
+        """Return the requests in flight at all targets: those of this host, and those known."""
+        own = sum(self._own.values())
+        recent = (c for at, c in self._peers.values() if now - at <= PEER_COUNTS_MAX_AGE)
+        return own, own + sum(sum(counts.values()) for counts in recent)
+
     def hears_peers(self) -> bool:
         """Return whether the load of other entry hosts was reported lately."""
         return bool(self._peers)
