--- a/dev/oleanderhill_dev/users/retry_mutants.py
+++ b/dev/oleanderhill_dev/users/retry_mutants.py
@@ -1,8 +1,8 @@
-"""The safeguards of the shared retry budget, each with the proof that needs it."""
+"""The safeguards of retries, each with the proof that needs it."""
 
 from __future__ import annotations
 
-from oleanderhill.serving import retries
+from oleanderhill.serving import connection_shedding, retries, retry_detector
 
 from ..proving import Mutant, testing
 
@@ -10,7 +10,7 @@
 
 
 def mutants() -> list[Mutant]:
-    """Return the mutants of the retry budget."""
+    """Return the mutants of the retry budget and of the detection of retries."""
     return [
         Mutant(
             "retries that lost peers borrowed still count",
@@ -38,4 +38,26 @@
                 ".test_host_that_starts_without_knowing_the_others_does_not_take_their_shares"
             ),
         ),
+        Mutant(
+            "attempts are compared with the returns to expect",
+            [
+                (
+                    retry_detector.RetryDetector,
+                    "_returns_per_second",
+                    lambda self, model, now: float("inf"),
+                )
+            ],
+            testing(
+                "test_serving.ReturningTest"
+                ".test_first_attempts_on_new_connections_are_no_retries_while_nobody_is_rejected"
+            ),
+        ),
+        Mutant(
+            "a saturated host refuses only if it has more than its share",
+            [(connection_shedding.Loads, "uneven", True)],
+            testing(
+                "test_busy_host.BusyHostTest"
+                ".test_saturated_host_accepts_while_the_others_have_as_much"
+            ),
+        ),
     ]
--- a/tests/test_busy_host.py
+++ b/tests/test_busy_host.py
@@ -95,4 +95,6 @@
     async def test_saturated_host_accepts_while_the_others_have_as_much(self):
         with mock.patch.object(self.entry._shedding, "_loads", lambda: Loads(20, 60, 3)):
             self.entry._shedding.saturated()
-            self.assertEqual((await self.reply("/scan/x"))[0].status, 200)
+            result, _ = await self.ask("/scan/x")
+        self.assertTrue(is_successful(result))
+        self.assertEqual(result.unwrap().status, 200)
