--- a/dev/oleanderhill_dev/users/cut_links.py
+++ b/dev/oleanderhill_dev/users/cut_links.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import os
 import socket
 from collections.abc import Collection, Iterator
@@ -17,6 +18,7 @@
 
 from ..bench_site import free_address
 
+MAX_BINDS = 100
 _BLACKHOLE_BACKLOG = 0
 _host: ContextVar[str] = ContextVar("entry_host", default="")
 _connect = socket.socket.connect
@@ -111,7 +113,7 @@
     def _silent_address(self) -> tuple[str, int]:
         """Return an address where connections hang: its queue of new connections is full."""
         if not self._fillers:
-            self._blackhole.bind(_parse(free_address()))
+            _bind_to_free_address(self._blackhole)
             self._blackhole.listen(_BLACKHOLE_BACKLOG)
             for _ in range(2):
                 filler = socket.socket()
@@ -122,6 +124,18 @@
         return self._blackhole.getsockname()
 
 
+def _bind_to_free_address(sock: socket.socket) -> None:
+    """Bind a socket; another process may have a network of the same number."""
+    for _ in range(MAX_BINDS):
+        try:
+            sock.bind(_parse(free_address()))
+            return
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+    raise OSError(errno.EADDRINUSE, f"no free address in {MAX_BINDS} tries")
+
+
 def _parse(address: str) -> tuple[str, int]:
     ip, port = address.rsplit(":", 1)
     return ip, int(port)
