--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -20,7 +20,7 @@
     spares,
 )
 from oleanderhill.platform import decoding, headers
-from oleanderhill.routing import crashes, target_limits
+from oleanderhill.routing import crash_verdicts, crashes, target_limits
 from oleanderhill.serving import (
     admission_class,
     driver,
@@ -181,14 +181,17 @@
     return [
         Mutant(
             "what another explains says nothing",
-            [(crashes, "MIN_CRASHES", 1), (crashes, "MIN_LIKELIHOOD_RATIO", 0.0)],
+            [
+                (crash_verdicts, "MIN_CRASHES", 1),
+                (crash_verdicts, "MIN_LIKELIHOOD_RATIO", 0.0),
+            ],
             testing(
                 f"{ending}.test_companion_of_the_culprit_is_not_quarantined_and_only_delays_its_quarantine"
             ),
         ),
         Mutant(
             "chance of endings by themselves",
-            [(crashes, "MIN_LIKELIHOOD_RATIO", 0.0)],
+            [(crash_verdicts, "MIN_LIKELIHOOD_RATIO", 0.0)],
             testing(f"{ending}.test_independent_crashes_in_series_quarantine_no_innocent_request"),
         ),
         Mutant(
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -9,7 +9,7 @@
 from oleanderhill_dev.users.site import configuration, until
 
 from oleanderhill.outcomes import Ran
-from oleanderhill.serving.quarantine import QUARANTINE_PREFIX, QuarantineRecord
+from oleanderhill.serving.quarantine import QUARANTINE_PREFIX, QuarantineRecord, Subjects
 
 from .test_users_site import SiteTest
 
@@ -164,8 +164,10 @@
         self.site.store.put(key, msgspec.json.encode(record))
         entries = self.site.entries
 
+        subjects = Subjects("0f" * 16)
+
         def refused():
-            return [e._quarantine.rejection_for("0f" * 16, Ran.NO) is not None for e in entries]
+            return [e._quarantine.rejection_for(subjects, Ran.NO) is not None for e in entries]
 
         await until(lambda: refused() == [True, True, True])
         await self.restore(backup)
