--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -440,6 +440,8 @@
             failure = result.failure()
             if failure.kind == FailureKind.PROXY_LOST:
                 self._log.attempt_failed(choice, failure.reason)
+                # A reply that the target broke off looks like one that the peer broke off.
+                self._record_possible_crash(choice, run)
                 return self._advance(Lost(attempt, f"{failure.kind.value}: {failure.reason}"))
             if not run.via and choice.group not in self._ask_peers_about:
                 self._lost_at_own_link.add(choice.group)
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -8,6 +8,7 @@
 import msgspec
 from oleanderhill_dev import fuzz_parts
 from oleanderhill_dev.fuzz_endings import violations
+from oleanderhill_dev.users.cut_links import Cut
 from oleanderhill_dev.users.site import SMALL, until
 from returns.pipeline import is_successful
 from tornado.httputil import HTTPHeaders
@@ -194,6 +195,15 @@
             seen = [await self.generate(OTHER_PART, entry=entry) for _ in range(5)]
             self.assertEqual(seen, [200] * 5)
 
+    async def test_crashes_count_where_peers_pass_the_requests_on(self):
+        for _ in range(10):
+            # Hosts that took the place of crashed ones are cut off too.
+            self.site.links.cut("entry-0", self.site.target_addresses(), Cut.REFUSED)
+            await self.until_served(self.entry)
+            self.site.links.cut("entry-0", self.site.target_addresses(), Cut.REFUSED)
+            await self.generate(CRASH_PART, entry=self.entry)
+        self.assertLessEqual(len(self.site.engines.crashed_instances), MAX_CRASHES)
+
     async def until_quarantined(self):
         for _ in range(12):
             await self.send_with_part(1)
