--- a/tests/test_many_cut_off.py
+++ b/tests/test_many_cut_off.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from oleanderhill_dev.users.cut_links import Cut
+from oleanderhill_dev.users.site import until
 from returns.pipeline import is_successful
 
 from oleanderhill.routing.proxies import Peer, PeerList, Proxies
@@ -129,6 +130,9 @@
         for entry in others:
             while not entry.candidates("desk", ""):
                 await asyncio.sleep(0.05)
+        listed = len(self.site.entries)
+        for entry in self.site.entries:
+            await until(lambda e=entry: len(e._presence.alive()) == listed)
 
     async def serve(self, entry):
         asked = [self.ask("/scan/x", entry=entry), self.ask("/pay/x", "POST", entry=entry)]
