--- a/dev/oleanderhill_dev/fuzz_parts.py
+++ b/dev/oleanderhill_dev/fuzz_parts.py
@@ -11,8 +11,8 @@
 import random
 import sys
 
-from oleanderhill.requests.identity import part_identities, scope
 from oleanderhill.routing.crash_verdicts import CERTAIN_CRASHES
+from oleanderhill.routing.identity import part_identities, scope
 
 from .fuzz_endings import STEP, Observations, Run, Simulation, violations
 
--- a/src/oleanderhill/requests/exchange.py
+++ b/src/oleanderhill/requests/exchange.py
@@ -20,11 +20,11 @@
 from ..clock import LateTimer
 from ..decisions import Decisions
 from ..outcomes import Problem
+from ..routing.identity import identity
 from ..routing.router import Choice, NoChoice, Requirements
 from ..routing.waiting import Waiter
 from . import attempts
 from .attempts import Effect, Event, Request, RequestMachine, RetryBudget
-from .identity import identity
 from .quarantine import RequestQuarantineTask
 from .stall import EVENT_GAP_BOUNDS, FIRST_TOKEN_BOUNDS, StallTimeout
 
--- a/src/oleanderhill/routing/crash_verdicts.py
+++ b/src/oleanderhill/routing/crash_verdicts.py
@@ -1,7 +1,7 @@
 """Decides from crashes of targets which request or part of prompts causes them.
 
 Does no I/O. Both are *subjects*: a request is identified by its content, a part of a prompt by its
-id within one service and model (:mod:`..requests.identity`).
+id within one service and model (:mod:`.identity`).
 
 A request is quarantined when it was in flight at :data:`MIN_CRASHES` crashes or more, and these are
 :data:`MIN_LIKELIHOOD_RATIO` times less likely by chance than if the request caused them. Chance is
@@ -22,7 +22,7 @@
 from collections.abc import Callable, Mapping, Sequence, Set
 from typing import NamedTuple
 
-from ..requests.identity import is_part
+from .identity import is_part
 
 MIN_CRASHES = 3
 """Crashes with a subject in flight that are required to quarantine it. When a whole data centre is
--- a/src/oleanderhill/routing/crashes.py
+++ b/src/oleanderhill/routing/crashes.py
@@ -5,7 +5,7 @@
 When a target crashes, all requests that it was running are retried elsewhere. If one of them caused
 the crash, it crashes the next target too, for as long as it is sent again, under any id and through
 any entry host. Crashes are therefore recorded by the content of a request
-(:mod:`..requests.identity`) instead of its id, and against the request as well as the target. What
+(:mod:`.identity`) instead of its id, and against the request as well as the target. What
 crashes targets may also be a part of the prompt that many different requests contain, so crashes
 are recorded for parts in the same way.
 
@@ -23,7 +23,6 @@
 from typing import TypeVar
 
 from ..outcomes import Problem, Ran, ends_targets, held_back
-from ..requests.identity import is_part, scope_of
 from .crash_news import (
     QUARANTINED_PER_DATAGRAM,
     EndingNews,
@@ -41,6 +40,7 @@
     incarnations_by_subject,
     is_suspected,
 )
+from .identity import is_part, scope_of
 
 _Value = TypeVar("_Value")
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -35,7 +35,7 @@
     Select,
     Sending,
 )
-from ..requests.identity import identity
+from ..routing.identity import identity
 from ..routing.paced_limits import Permit
 from ..routing.reachability import SILENCE_SECONDS, Heard
 from ..routing.router import Choice, NoChoice
--- a/src/oleanderhill/serving/quarantine.py
+++ b/src/oleanderhill/serving/quarantine.py
@@ -22,10 +22,10 @@
 from ..kernel import Kernel, Task
 from ..outcomes import Problem, Ran
 from ..records import Records
-from ..requests.identity import is_part, part_identities, scope
 from ..routing.crash_news import EndingNews
 from ..routing.crash_verdicts import MIN_CRASHES
 from ..routing.crashes import QUARANTINE_SECONDS, CrashTracker
+from ..routing.identity import is_part, part_identities, scope
 from ..types import Member
 
 QUARANTINE_PREFIX = "oleanderhill/quarantined/"
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -14,10 +14,10 @@
 from tornado.httputil import HTTPHeaders
 
 from oleanderhill.platform.headers import MAX_PROMPT_PARTS, HeaderCodec
-from oleanderhill.requests.identity import part_identities, scope
 from oleanderhill.routing.crash_news import EndingNews, Quarantined
 from oleanderhill.routing.crash_verdicts import ACQUITTAL_SECONDS, MIN_OTHER_ANSWERS
 from oleanderhill.routing.crashes import CrashTracker
+from oleanderhill.routing.identity import part_identities, scope
 
 from .test_users_site import SiteTest
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -14,9 +14,9 @@
 
 from oleanderhill.groups.ownership import Presence
 from oleanderhill.kernel import Kernel
-from oleanderhill.requests.identity import identity
 from oleanderhill.routing import crashes
 from oleanderhill.routing.crashes import CrashTracker
+from oleanderhill.routing.identity import identity
 from oleanderhill.serving.gossip import GossipTask
 from oleanderhill.serving.placement import LoadTracker
 from oleanderhill.serving.reports import aggregator_ranking
