--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -293,8 +293,12 @@
         self.accept_connections()
 
     def refuse_connections(self) -> None:
-        """Refuse new connections of callers; open ones are served."""
-        self._servers[-1].stop()
+        """Refuse new connections of callers; open ones are served.
+
+        A host that is shutting down accepts until the load balancer must have removed it.
+        """
+        if not self.stopping:
+            self._servers[-1].stop()
 
     def accept_connections(self) -> None:
         """Accept new connections of callers, unless this host is shutting down."""
--- a/tests/test_busy_host.py
+++ b/tests/test_busy_host.py
@@ -105,3 +105,10 @@
             result, _ = await self.ask("/scan/x")
         self.assertTrue(is_successful(result))
         self.assertEqual(result.unwrap().status, 200)
+
+    async def test_saturated_host_that_shuts_down_accepts_until_it_is_removed(self):
+        self.entry.front.stopping = True
+        with mock.patch.object(self.entry._shedding, "_loads", lambda: Loads(40, 60, 3)):
+            self.entry._shedding.saturated()
+            result, _ = await self.ask("/scan/x")
+        self.assertTrue(is_successful(result))
