Paths tell sent attempts from failed connections, and sends are logged

In a request's `path` a connection that failed and a request that arrived looked alike, and arrivals at targets could not be counted from logs. Hypothesis 2 (a request arrives long after its send was decided) needs the time of each send, 3 (arrivals that no host charged) a total to compare with.

A place of the path ends in `not sent` or `no reply` where that is so, each send after the first has a line (`sent again`, with `after_ms` since its retry was decided), sends stand in the vitals and in `oleanderhill_sends_total`. Nothing is decided otherwise.

--- a/src/oleanderhill/exposition.py
+++ b/src/oleanderhill/exposition.py
@@ -54,6 +54,12 @@
             ["service", "outcome"],
             registry=self._registry,
         )
+        self._sends = Counter(
+            "oleanderhill_sends",
+            "Requests sent to targets",
+            ["service", "attempt"],
+            registry=self._registry,
+        )
         self._server: HTTPServer | None = None
 
     def admission(self, outcome: str, priority: int) -> None:
@@ -64,6 +70,19 @@
         """Count a decision of the retry budget."""
         self._retries.labels(service, "allowed" if allowed else "refused").inc()
 
+    def send(self, service: str, again: bool) -> None:
+        """Count a request that was sent to a target.
+
+        :param again: whether the request had been sent before
+        """
+        self._sends.labels(service, "again" if again else "first").inc()
+
+    def sends(self) -> dict[str, int]:
+        """Return the requests sent so far, by service and whether they had been sent before."""
+        samples = (s for family in self._sends.collect() for s in family.samples)
+        counts = (s for s in samples if s.name.endswith("_total"))
+        return {f"{s.labels['service']} {s.labels['attempt']}": int(s.value) for s in counts}
+
     def request(self, route: str, outcome: str, seconds: float) -> None:
         """Record the outcome and the duration of a request."""
         self._outcomes.labels(route, outcome).inc()
--- a/src/oleanderhill/operators/explaining.py
+++ b/src/oleanderhill/operators/explaining.py
@@ -122,5 +122,5 @@
     involved = {str(line.fields[n]) for n in ("target", "data_centre") if n in line.fields}
     for place in line.fields.get("path") or ():
         if isinstance(place, str):
-            involved |= set(place.split(":"))
+            involved |= set(place.partition(" ")[0].split(":"))
     return involved
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -266,6 +266,7 @@
             self._retry_delay,
             self.exposition.request,
             self.exposition.retry,
+            self.exposition.send,
             self._quarantine,
             self._notices,
             self._evacuations,
@@ -579,6 +580,7 @@
             "orders": self._orders.orders_sent,
             "probes": self._orders.probes_sent,
             "in_flight": self.front.in_flight,
+            "sends": self.exposition.sends(),
             "copy_age_s": round(self._mirror.age(boottime_seconds()), 2),
         }
 
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -29,6 +29,7 @@
         centre is evacuated
     :param report: records route, outcome and duration in seconds of a finished request
     :param count_retry: counts a decision on a retry, by service and whether it was allowed
+    :param count_send: counts a request sent to a target, by service and whether it is not the first
     :param reachability: which targets this host can't reach over its own links
     :param timing: learns from answers, and returns the usual times
     """
@@ -42,6 +43,7 @@
     retry_delay: Callable[[str, str], float]
     report: Callable[[str, str, float], None]
     count_retry: Callable[[str, bool], None]
+    count_send: Callable[[str, bool], None]
     quarantine: QuarantineTask
     notices: TargetNotices
     evacuations: Evacuations
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -133,11 +133,9 @@
         self._tried_targets: set[str] = set()
         self._lost_at_own_link: set[str] = set()
         self._ask_peers_about: set[str] = set()
-        self._log = RequestLog(context, incoming, accepted, self._subjects)
-        recorded = RecordedBudget(
-            budget, boottime_seconds, partial(self._log.retry_decided, service)
-        )
-        self.machine = RequestMachine(request, recorded)
+        self._log = RequestLog(context, incoming, accepted, service, self._subjects)
+        self._budget = RecordedBudget(budget, boottime_seconds, self._log.retry_decided)
+        self.machine = RequestMachine(request, self._budget)
 
     async def run(self) -> None:
         """Run the request up to its final response."""
@@ -198,6 +196,8 @@
             return False
         self._sent_at = self._times.sent_at = now
         self.machine.handle(Sending(self.machine.attempt), self._sent_at)
+        if self.machine.choice is not None:
+            self._log.sent(self.machine.choice, self.machine.attempts_sent)
         return True
 
     def read_reply(self, status: int, headers: HTTPHeaders) -> ReplyInfo:
@@ -206,6 +206,7 @@
 
     def apply_notice(self, run: Attempt, reading: ReplyInfo) -> None:
         """Process the notice in the headers of a reply from the target."""
+        self._log.replied()
         if not reading.from_expected_target:
             return
         incarnation, notice = run.choice.head.boot_id, reading.notice
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from enum import StrEnum
 
 from ..routing.router import Choice
 from .admission import Accepted
@@ -13,31 +14,73 @@
 from .retries import BudgetState
 
 
+class Arrival(StrEnum):
+    """What is known of the arrival of an attempt at its target, as it stands in the path."""
+
+    NONE = " not sent"
+    UNKNOWN = " no reply"
+    PROVEN = ""
+
+
 class RequestLog:
     """Writes the lines of one request, with its path and times.
 
+    :param service: service that handles the request
     :param subjects: equal for all requests that ask for the same
     """
 
     def __init__(
-        self, context: ForwardingContext, incoming: Incoming, accepted: Accepted, subjects: Subjects
+        self,
+        context: ForwardingContext,
+        incoming: Incoming,
+        accepted: Accepted,
+        service: str,
+        subjects: Subjects,
     ) -> None:
         self._context = context
         self._incoming = incoming
         self._accepted = accepted
+        self._service = service
         self._subjects = subjects
-        self._path: list[str] = []
+        self._places: list[str] = []
+        self._arrivals: list[Arrival] = []
+        self._retry_decided_at = incoming.arrived
         self._first_event_at: float | None = None
         self._longest_pause = 0.0
 
     def attempt_begun(self, choice: Choice) -> None:
         """Add the target of an attempt to the path."""
-        self._path.append(f"{choice.group}:{choice.head.host}")
+        self._places.append(f"{choice.group}:{choice.head.host}")
+        self._arrivals.append(Arrival.NONE)
 
     def path_taken(self, choice: Choice, via: str) -> None:
         """Record the entry host that passes the latest attempt on, empty for the own links."""
         place = f"{choice.group}:{choice.head.host}"
-        self._path[-1] = f"{place} via {via}" if via else place
+        self._places[-1] = f"{place} via {via}" if via else place
+
+    def sent(self, choice: Choice, number: int) -> None:
+        """Record that the latest attempt is being sent, and log it unless it is the first.
+
+        :param number: number of attempts that were sent, with this one
+        """
+        self._arrivals[-1] = Arrival.UNKNOWN
+        self._context.count_send(self._service, number > 1)
+        if number == 1:
+            return
+        self._context.records.request(
+            self._incoming.facts.request_id,
+            "sent again",
+            False,
+            service=self._service,
+            target=choice.group,
+            instance=choice.head.boot_id,
+            number=number,
+            after_ms=round((time.monotonic() - self._retry_decided_at) * 1000),
+        )
+
+    def replied(self) -> None:
+        """Record that the target of the latest attempt began to reply."""
+        self._arrivals[-1] = Arrival.PROVEN
 
     def first_event(self, now: float) -> None:
         """Record the time of the first event."""
@@ -68,14 +111,15 @@
             peers_heard_s=None if heard is None else round(heard, 3),
         )
 
-    def retry_decided(self, service: str, budget: BudgetState, taken: bool) -> None:
-        """Log whether the retry budget of a service allowed another attempt, and why."""
+    def retry_decided(self, budget: BudgetState, taken: bool) -> None:
+        """Log whether the retry budget of the service allowed another attempt, and why."""
+        self._retry_decided_at = time.monotonic()
         own, pooled, age = budget.own, budget.pooled, budget.peers_age
         self._context.records.request(
             self._incoming.facts.request_id,
             "retry" if taken else "retry refused",
             False,
-            service=service,
+            service=self._service,
             remaining=round(budget.remaining, 2),
             own_requests=own.requests,
             own_retries=own.retries,
@@ -86,7 +130,7 @@
             lapsed=round(budget.lapsed, 2),
             hosts=budget.hosts,
         )
-        self._context.count_retry(service, taken)
+        self._context.count_retry(self._service, taken)
 
     def ended(
         self,
@@ -105,7 +149,7 @@
             "status": status,
             "same_as": self._subjects.request,
             "standing": standing.value,
-            "path": self._path,
+            "path": [p + a for p, a in zip(self._places, self._arrivals, strict=True)],
             "ms": round((now - arrived) * 1000),
             "first_ms": None if first_at is None else round((first_at - arrived) * 1000),
             "pause_ms": round(self._longest_pause * 1000),
