Requests that were given up are not delivered later

What targets saw: a request that its host had given up on a silent link still arrived when the link was back, beside the retry that had been sent elsewhere. Retries of two windows, each within the budget, could arrive in one.

Cause: connections were closed in order, so the system went on to deliver what it held. Class: what is spent was dated by when it was allowed, not by when it takes effect. Abandoned orders and calls to the store had the same flaw.

Change: connections discard what was not delivered when they are closed or their process ends; one without an outstanding request is closed in order, so that no reply is cut at the other side. A connection that is reset while it opens counts as not opened.

Evidence: both requests of the new test arrived before; the stand-in of a link drops what its sender has reset now, as a real one does. Ruled out: a reset after a complete exchange (`_close_unused`). A target that has read the bytes already may still run the request; its retry was charged then.

--- a/dev/oleanderhill_dev/users/faulty_link.py
+++ b/dev/oleanderhill_dev/users/faulty_link.py
@@ -10,7 +10,9 @@
 
 
 class LinkState(StrEnum):
-    """State of the link. Held bytes are forwarded once the link is healthy again."""
+    """State of the link. Held bytes are forwarded once the link is healthy again, unless their
+    sender has reset the connection.
+    """
 
     HEALTHY = "sound"
     SLOW = "slow"
@@ -85,6 +87,8 @@
                     await asyncio.sleep(SLOW_SECONDS)
                 while self.state in held_by:
                     await asyncio.sleep(POLL_SECONDS)
+                if reader.exception() is not None:
+                    return
                 writer.write(data)
                 await writer.drain()
         with contextlib.suppress(OSError):
--- a/dev/oleanderhill_dev/users/retry_mutants.py
+++ b/dev/oleanderhill_dev/users/retry_mutants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from oleanderhill.clients import httpcall
 from oleanderhill.serving import connection_shedding, retries, retry_detector
 
 from ..proving import Mutant, testing
@@ -38,6 +39,14 @@
                 ".test_host_that_starts_without_knowing_the_others_does_not_take_their_shares"
             ),
         ),
+        Mutant(
+            "a request that was given up is not delivered later",
+            [(httpcall, "RESET_ON_CLOSE", httpcall.ORDERLY_CLOSE)],
+            testing(
+                "test_arrivals.AbandonedRequestTest"
+                ".test_request_given_up_on_a_silent_link_does_not_arrive_when_the_link_is_back"
+            ),
+        ),
         Mutant(
             "attempts are compared with the returns to expect",
             [
--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -1,14 +1,15 @@
 """HTTP client whose failures tell whether any bytes of the request may have been sent.
 
 Built on tornado's :class:`~tornado.http1connection.HTTP1Connection`. Unlike ``AsyncHTTPClient``,
-its client side closes the socket as soon as an exchange is abandoned, applies back-pressure to the
-body, and has a hook before the first byte is sent.
+its client side resets the connection as soon as an exchange is abandoned, applies back-pressure to
+the body, and has a hook before the first byte is sent.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
@@ -44,6 +45,13 @@
 """Seconds without an acknowledgement after which a monitored connection is closed. Targets may be
 silent for about a second and go on."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: what wasn't delivered yet is discarded when the connection is closed or
+its process ends. Otherwise the system would go on to deliver an abandoned request, seconds later if
+the link is cut meanwhile, beside the same request that was sent elsewhere."""
+
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+
 MAX_SKIPPED_REPLIES = 3
 """Late duplicate replies skipped on one connection before it is closed."""
 
@@ -213,7 +221,7 @@
     async def call(
         self, request: Call, observer: Observer | None = None
     ) -> Result[Reply, CallFailure]:
-        """Send one request and read its reply. Cancellation closes the connection immediately."""
+        """Send one request and read its reply. Cancellation resets the connection immediately."""
         opened = await self.open(request)
         if not is_successful(opened):
             return Failure(opened.failure())
@@ -243,7 +251,7 @@
     ) -> Result[Reply, CallFailure]:
         """Send a request on a connection that :meth:`open` returned, and read its reply."""
         if not request.expect_continue and observer is not None and not observer.confirm_send():
-            stream.close()
+            _close_unused(stream)
             return Failure(CallFailure(FailureKind.WITHHELD, False, "overtaken"))
         collector = _ReplyCollector(observer, request)
         first, reusable = collector, False
@@ -291,7 +299,7 @@
     def forget(self, address: str) -> None:
         """Close the idle connections to an address that is no longer in use."""
         for idle in self._idle_by_address.pop(address, []):
-            idle.stream.close()
+            _close_unused(idle.stream)
 
     def take_idle(self, address: str) -> IOStream | None:
         """Return an idle connection to an address, to be used like one of :meth:`open`."""
@@ -300,7 +308,7 @@
             found = idle.pop()
             if _usable(found, time.monotonic()):
                 return found.stream
-            found.stream.close()
+            _close_unused(found.stream)
         return None
 
     async def _connect(self, request: Call) -> IOStream:
@@ -320,9 +328,12 @@
         except BaseException:
             stream.close()
             raise
+        if stream.closed():
+            raise StreamClosedError(stream.error)
         self.opened += 1
         self._on_connect(request.address, None)
         stream.set_nodelay(True)
+        _set_linger(stream.socket, RESET_ON_CLOSE)
         if self._monitored:
             _monitor(stream.socket)
         return stream
@@ -399,6 +410,8 @@
             and seconds > 0
         ):
             idle.append(_IdleConnection(stream, time.monotonic() + seconds))
+        elif complete:
+            _close_unused(stream)
         else:
             stream.close()
 
@@ -412,6 +425,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def _set_linger(sock: socket.socket, linger: bytes) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def _close_unused(stream: IOStream) -> None:
+    """Close a connection on which no request is outstanding, without a reset."""
+    if not stream.closed():
+        _set_linger(stream.socket, ORDERLY_CLOSE)
+        stream.close()
+
+
 def _params(request: Call) -> HTTP1ConnectionParameters:
     return HTTP1ConnectionParameters(max_body_size=request.max_reply)
 
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -6,9 +6,15 @@
 from collections import Counter
 from unittest import mock
 
+from oleanderhill_dev.bench_site import free_address
 from oleanderhill_dev.users.cut_links import Cut
-from oleanderhill_dev.users.site import LARGE, SMALL
+from oleanderhill_dev.users.faulty_link import FaultyLink, LinkState
+from oleanderhill_dev.users.site import LARGE, SMALL, until
 from returns.pipeline import is_successful
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+
+from oleanderhill.clients.httpcall import Call, FailureKind, HttpCaller
 
 from .test_cut_off import CutSiteTest
 
@@ -98,3 +104,53 @@
         patch = mock.patch.object(entry._context.records, "request", record)
         patch.start()
         self.addCleanup(patch.stop)
+
+
+class AbandonedRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.arrived = []
+        self.server = HTTPServer(self.receive)
+        address = free_address()
+        ip, port = address.rsplit(":", 1)
+        self.server.listen(int(port), ip)
+        self.link = FaultyLink(free_address(), address)
+        await self.link.start()
+        self.caller = HttpCaller(monitored=True)
+
+    async def asyncTearDown(self):
+        self.caller.close()
+        self.link.stop()
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    def receive(self, request):
+        self.arrived.append(request.path)
+        request.connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        request.connection.finish()
+
+    def call(self, path):
+        return self.caller.call(Call(self.link.address, "POST", path, {}, b"x" * 10, reuse=True))
+
+    async def test_request_given_up_on_a_silent_link_does_not_arrive_when_the_link_is_back(self):
+        await self.call("/before")
+        self.link.state = LinkState.SILENT
+        for path in ("/by-idle-connection", "/by-new-connection"):
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(self.call(path), 0.2)
+        self.link.state = LinkState.HEALTHY
+        await self.call("/after")
+        await until(lambda: "/after" in self.arrived)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.arrived, ["/before", "/after"])
+
+    async def test_connection_that_is_reset_as_it_opens_counts_as_not_opened(self):
+        def close_at_once(stream, address):
+            stream.close()
+            opened = asyncio.get_running_loop().create_future()
+            opened.set_result(stream)
+            return opened
+
+        with mock.patch.object(IOStream, "connect", close_at_once):
+            failure = (await self.call("/x")).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
+        self.assertEqual(self.caller.opened, 0)
