A retry counts until it has arrived or was given up

What targets may see: repeats of two windows in one. A retry counted from its decision, for the window and half a second; a host that is held up, or a link that holds bytes back, shifts its arrival by seconds.

Cause: what is spent was dated by when it was allowed, not by when it takes effect. The oracle of the budget had the same fault, so it could not show it.

Change: a retry is under way until its target replies or its attempt ends, also when the caller leaves, and counts until then and a window longer.

Two tests on a site see that a retry is under way until its target replies, and not after its caller left.

--- a/dev/oleanderhill_dev/fuzz_retries.py
+++ b/dev/oleanderhill_dev/fuzz_retries.py
@@ -2,8 +2,9 @@
 
 Several entry hosts receive requests and take as many retries as their budgets allow, all of them
 or some at a time. Their processes are killed and start again without memory, hosts are frozen, and
-groups of hosts are cut off from each other for a while. Counts of peers are late or lost. The
-oracle knows all requests and retries, and checks that no window has more retries than the bound.
+groups of hosts are cut off from each other for a while. Links to targets hold back what is sent for
+seconds; what a process sent is lost with it. Counts of peers are late or lost. The oracle knows all
+requests and when retries arrive, and checks that no window has more of these than the bound.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from oleanderhill.serving.retries import RetryCount, SharedRetryBudget, sum_counts
+from oleanderhill.serving.retries import Retry, RetryCount, SharedRetryBudget, sum_counts
 
 STEP = 0.05
 """Seconds of virtual time in a step, the interval of the reports."""
@@ -65,6 +66,8 @@
         self.side = 0
         self.paused_for = 0.0
         self.sent: list[tuple[RetryCount, int]] = []
+        self.held_back = False
+        self.on_the_way: list[Retry] = []
 
 
 class Simulation:
@@ -120,6 +123,7 @@
     def breaches(self) -> list[Breach]:
         """Return the windows that exceed the bound."""
         found = []
+        self.retried_at.sort()
         for until in self.retried_at:
             retries = self._count(self.retried_at, until)
             requests = max(self._count(self.requested_at, until - WINDOW * n / 2) for n in range(3))
@@ -145,6 +149,7 @@
             match event.kind:
                 case "kill":
                     host.budget, host.starts_at = None, self._now + RESTART_SECONDS
+                    host.on_the_way = []
                 case "freeze":
                     host.frozen = True
                 case "wake":
@@ -155,6 +160,13 @@
                     host.side = 2 + number
                 case "heal":
                     host.side = 0
+                case "hold":
+                    host.held_back = True
+                case "release":
+                    host.held_back = False
+                    for retry in host.on_the_way:
+                        self._arrive(host, retry)
+                    host.on_the_way = []
 
     def _exchange(self) -> None:
         """Deliver counts; hosts that run and are on the same side receive each other's."""
@@ -191,8 +203,18 @@
                 host.budget.record_request(self._clock(host))
 
     def _retry(self, host: _Host) -> None:
-        while host.budget is not None and not host.frozen and host.budget.take(self._clock(host)):
-            self.retried_at.append(self._now)
+        if host.budget is None or host.frozen:
+            return
+        while retry := host.budget.begin(self._clock(host)):
+            if host.held_back:
+                host.on_the_way.append(retry)
+            else:
+                self._arrive(host, retry)
+
+    def _arrive(self, host: _Host, retry: Retry) -> None:
+        self.retried_at.append(self._now)
+        if host.budget is not None:
+            host.budget.end(retry, self._clock(host))
 
     def _clock(self, host: _Host) -> float:
         """Return a host's steady clock, which stands still while the host is frozen."""
@@ -213,6 +235,18 @@
     return events
 
 
+def random_holds(rng: random.Random, hosts: int) -> list[Event]:
+    """Return links to targets that hold back what is sent, for up to a whole window."""
+    events: list[Event] = []
+    at = 1.0
+    while at < SECONDS - 5.0:
+        chosen = tuple(rng.sample(range(hosts), rng.randint(1, hosts)))
+        until = at + rng.uniform(0.5, WINDOW)
+        events += [Event(at, "hold", chosen), Event(until, "release", tuple(range(hosts)))]
+        at = until + rng.uniform(0.1, 4.0)
+    return events
+
+
 def random_greed(rng: random.Random, hosts: int) -> list[tuple[float, tuple[int, ...]]]:
     """Return which hosts take all retries that they may, from which time on."""
     found, at = [], 0.0
@@ -223,8 +257,13 @@
     return found
 
 
-def play(seed: int) -> list[Breach]:
-    """Return the breaches of one random run."""
+def play(seed: int, held_back: bool = False, unlisted: bool = False) -> list[Breach]:
+    """Return the breaches of one random run.
+
+    :param held_back: whether links to targets hold back what is sent as well
+    :param unlisted: whether processes learn of the others as late as after a long outage of the
+        store
+    """
     rng = random.Random(f"{seed} faults")
     hosts = rng.randint(2, 30)
     simulation = Simulation(
@@ -234,7 +273,10 @@
         known_hosts=rng.choice((1, hosts)),
         discovery_seconds=rng.choice((0.0, 1.0)),
     )
-    simulation.run(random_events(rng, hosts), random_greed(rng, hosts))
+    events, greed = random_events(rng, hosts), random_greed(rng, hosts)
+    if held_back:
+        events += random_holds(rng, hosts)
+    simulation.run(events, greed)
     return simulation.breaches()
 
 
--- a/dev/oleanderhill_dev/users/retry_mutants.py
+++ b/dev/oleanderhill_dev/users/retry_mutants.py
@@ -10,6 +10,20 @@
 _PROOFS = "test_retry_budget.SharedBudgetFaultTest"
 
 
+_begin, _end = retries.SharedRetryBudget.begin, retries.SharedRetryBudget.end
+
+
+def _begin_ended(self: retries.SharedRetryBudget, now: float) -> retries.Retry | None:
+    retry = _begin(self, now)
+    if retry is not None:
+        _end(self, retry, now)
+    return retry
+
+
+def _ignore(self: retries.SharedRetryBudget, retry: retries.Retry, now: float) -> None:
+    """Record nothing."""
+
+
 def mutants() -> list[Mutant]:
     """Return the mutants of the retry budget and of the detection of retries."""
     return [
@@ -39,6 +53,17 @@
                 ".test_host_that_starts_without_knowing_the_others_does_not_take_their_shares"
             ),
         ),
+        Mutant(
+            "a retry counts until it has arrived or was given up",
+            [
+                (retries.SharedRetryBudget, "begin", _begin_ended),
+                (retries.SharedRetryBudget, "end", _ignore),
+            ],
+            testing(
+                f"{_PROOFS}.test_retries_held_back_on_their_way"
+                "_do_not_arrive_beside_those_of_the_next_window"
+            ),
+        ),
         Mutant(
             "a request that was given up is not delivered later",
             [(httpcall, "RESET_ON_CLOSE", httpcall.ORDERLY_CLOSE)],
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -139,6 +139,12 @@
 
     async def run(self) -> None:
         """Run the request up to its final response."""
+        try:
+            await self._run()
+        finally:
+            self._budget.end()
+
+    async def _run(self) -> None:
         effects: list[Effect] = self.machine.start()
         while effects:
             effect, *rest = effects
@@ -207,6 +213,7 @@
     def apply_notice(self, run: Attempt, reading: ReplyInfo) -> None:
         """Process the notice in the headers of a reply from the target."""
         self._log.replied()
+        self._budget.end()
         if not reading.from_expected_target:
             return
         incarnation, notice = run.choice.head.boot_id, reading.notice
--- a/src/oleanderhill/serving/retries.py
+++ b/src/oleanderhill/serving/retries.py
@@ -6,7 +6,7 @@
 few retries. A host near lost groups needs more than that for two seconds, while all hosts together
 use a tenth of their shares.
 
-Counts live in memory only, so three rules keep the total within the bound while processes end,
+Counts live in memory only, so four rules keep the total within the bound while processes end,
 start and lose contact with each other:
 
 - What a peer spent beyond its share was lent by the others. They count it for a whole window after
@@ -14,6 +14,8 @@
   share.
 - A process that just started doesn't know what its predecessor spent. For a window it takes no part
   in the pool, and spends from a reserve that no other process uses.
+- A retry may arrive as long as its attempt has neither been answered nor given up, for instance
+  when a cut link heals. It counts until then, and a window longer.
 - A process doesn't divide the reserve by a number of hosts until all hosts must have been listed.
 """
 
@@ -42,8 +44,8 @@
 lapsed with the store write them again within a lease."""
 
 ARRIVAL_DELAY = 0.5
-"""Seconds, at most, from the decision on a retry to its arrival at a target: a few attempts to
-connect. Retries count for this much longer than the window."""
+"""Seconds, at most, in which bytes of an attempt that was just given up may still arrive. Retries
+count for this much longer than the window."""
 
 FIRST_RETRIES = 1
 """Retries of a process at the first start of the fleet, until it knows the number of hosts."""
@@ -91,6 +93,17 @@
     remaining: float
 
 
+class Retry(NamedTuple):
+    """A retry that was taken from the budget, by the time of the decision in seconds."""
+
+    decided_at: float
+
+
+class _EndedRetry(NamedTuple):
+    ended_at: float
+    decided_at: float
+
+
 class _PeerCount(NamedTuple):
     at: float
     pooled: RetryCount
@@ -143,7 +156,8 @@
         self._has_predecessor = has_predecessor
         self.hosts = 1
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._open_retries: list[Retry] = []
+        self._ended_retries: deque[_EndedRetry] = deque()
         self._peer_counts: dict[str, _PeerCount] = {}
         self._lapsed: list[_Lapsed] = []
 
@@ -199,20 +213,40 @@
         remaining = self._part_of_pool(pooled, lapsed, now - (peers_age or 0.0) - PEER_COUNT_DELAY)
         return BudgetState(count, pooled, peers_age, lapsed, self.hosts, remaining)
 
-    def take(self, now: float) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+    def begin(self, now: float) -> Retry | None:
+        """Take one retry from the budget, ``None`` if none was left.
+
+        It counts until :meth:`end` is called, and a window longer.
+        """
         if self.remaining(now) < 1.0:
+            return None
+        retry = Retry(now)
+        self._open_retries.append(retry)
+        return retry
+
+    def end(self, retry: Retry, now: float) -> None:
+        """Record that a retry has arrived by now, or was given up and won't arrive any more."""
+        self._open_retries.remove(retry)
+        self._ended_retries.append(_EndedRetry(now, retry.decided_at))
+
+    def take(self, now: float) -> bool:
+        """Take one retry that arrives at once; return whether one was left."""
+        retry = self.begin(now)
+        if retry is None:
             return False
-        self._retries.append(now)
+        self.end(retry, now)
         return True
 
     def _is_starting(self, now: float) -> bool:
         return now < self._pools_from
 
     def _count(self, now: float) -> RetryCount:
-        _drop_before(self._requests, now - self._window)
-        _drop_before(self._retries, now - self._window - ARRIVAL_DELAY)
-        return RetryCount(1, len(self._requests), len(self._retries))
+        while self._requests and self._requests[0] < now - self._window:
+            self._requests.popleft()
+        ended, oldest = self._ended_retries, now - self._window - ARRIVAL_DELAY
+        while ended and ended[0].ended_at < oldest:
+            ended.popleft()
+        return RetryCount(1, len(self._requests), len(ended) + len(self._open_retries))
 
     def _part_of_pool(self, pooled: RetryCount, lapsed: float, known_until: float) -> float:
         """Return this host's part of the retries that are left in the pool.
@@ -221,7 +255,8 @@
 
         :param known_until: time until which these hosts know each other's retries
         """
-        recent = sum(1 for at in self._retries if at > known_until)
+        recent = sum(1 for retry in self._open_retries if retry.decided_at > known_until)
+        recent += sum(1 for retry in self._ended_retries if retry.decided_at > known_until)
         left = self._pool(pooled) - lapsed
         return (left + recent) / pooled.hosts - recent
 
@@ -257,14 +292,11 @@
             self._lapsed.append(_Lapsed(at + self._window, sender, lent))
 
 
-def _drop_before(times: deque[float], limit: float) -> None:
-    while times and times[0] < limit:
-        times.popleft()
-
-
 class RecordedBudget:
     """The retry budget as one request uses it; reports each decision.
 
+    A request has at most one retry under way. The next one is taken after the end of the previous.
+
     :param clock: returns the time in seconds on the clock of the budget
     :param record: called with the state that a decision was based on, and whether it was allowed
     """
@@ -278,6 +310,7 @@
         self._budget = budget
         self._clock = clock
         self._record = record
+        self._under_way: Retry | None = None
 
     def remaining(self, now: float) -> float:
         """Return how many retries may still be taken; the time of the request isn't used."""
@@ -287,8 +320,16 @@
     def take(self, now: float) -> bool:
         """Take one retry from the budget; return whether one was left."""
         del now
+        self.end()
         at = self._clock()
         state = self._budget.state(at)
-        taken = self._budget.take(at)
+        self._under_way = self._budget.begin(at)
+        taken = self._under_way is not None
         self._record(state, taken)
         return taken
+
+    def end(self) -> None:
+        """Record that the retry under way, if any, has arrived or was given up."""
+        if self._under_way is not None:
+            self._budget.end(self._under_way, self._clock())
+            self._under_way = None
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -8,6 +8,7 @@
 
 from oleanderhill_dev.bench_site import free_address
 from oleanderhill_dev.users.cut_links import Cut
+from oleanderhill_dev.users.engines import TargetFaults
 from oleanderhill_dev.users.faulty_link import FaultyLink, LinkState
 from oleanderhill_dev.users.site import LARGE, SMALL, until
 from returns.pipeline import is_successful
@@ -57,6 +58,36 @@
         sends = self.entry.exposition.sends()
         self.assertEqual(sends, {"desk first": 1, "desk again": arrivals - 1})
 
+    def lose_first_answer_then_be_slow(self, seconds):
+        faults = TargetFaults()
+        faults.reset, faults.slow = 1, seconds
+        for target in self.site.targets:
+            target.faults = faults
+
+    def count_retries(self):
+        """Return the budget of the plain service with counted calls."""
+        budget = mock.Mock(wraps=self.entry._retry_budget("desk"))
+        self.entry._retry_budget_by_service["desk"] = budget
+        return budget
+
+    async def test_retry_counts_as_under_way_until_its_target_replies(self):
+        self.lose_first_answer_then_be_slow(0.5)
+        budget = self.count_retries()
+        asking = asyncio.ensure_future(self.ask("/scan/x"))
+        await until(lambda: len(self.arrivals()) == 2)
+        self.assertEqual((budget.begin.call_count, budget.end.call_count), (1, 0))
+        await asking
+        self.assertEqual((budget.begin.call_count, budget.end.call_count), (1, 1))
+
+    async def test_retry_of_a_caller_that_left_does_not_stay_under_way(self):
+        self.lose_first_answer_then_be_slow(5.0)
+        budget = self.count_retries()
+        asking = asyncio.ensure_future(self.ask("/scan/x"))
+        await until(lambda: len(self.arrivals()) == 2)
+        budget.end.assert_not_called()
+        asking.cancel()
+        await until(lambda: budget.end.called, 1.0)
+
 
 class ChargedArrivalsTest(CutSiteTest):
     """Counts what targets receive beside what the entry hosts charged to the budget."""
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -58,5 +58,13 @@
         self.assertEqual(self.breaches(events, greedy, hosts=20, summed=True), [])
         self.assertEqual(play(130), [])
 
+    def test_retries_held_back_on_their_way_do_not_arrive_beside_those_of_the_next_window(self):
+        events = [Event(10.0, "hold", EVERYONE), Event(20.0, "release", EVERYONE)]
+        self.assertEqual(self.breaches(events, [(11.0, EVERYONE)]), [])
+
+    def test_no_window_exceeds_the_bound_under_any_faults_and_held_back_links(self):
+        found = [seed for seed in range(60) if play(seed, held_back=True)]
+        self.assertEqual(found, [])
+
     def test_no_window_exceeds_the_bound_under_any_faults(self):
         self.assertEqual([seed for seed in range(60) if play(seed)], [])
