A process that can't list the hosts yet takes no part in the retry budget

Cause: a new process waited four seconds from its start until it divided the shares by the hosts that it knows. Where the store is away for longer it knows only itself, and took the shares of all. Class: an unknown number of hosts taken for one; waited from the start of the process, not from its first reading of the list.

Change: a process takes no part in the pool, and has no share of the slack, until four seconds after it first read the list.

Evidence: the oracle lets processes learn of each other late. A test sees that all budgets of a site know the time. Two mutants; the one of the reserve has a proof in which the list is read but lacks the others. Price: a process has next to no retries for four seconds after an outage.

--- a/dev/oleanderhill_dev/fuzz_retries.py
+++ b/dev/oleanderhill_dev/fuzz_retries.py
@@ -33,6 +33,9 @@
 MAX_LAG_STEPS = 6
 """Largest age of a peer's count, in steps."""
 
+MAX_UNLISTED_SECONDS = 15.0
+"""Longest time until a new process learns of the others."""
+
 LOSS_SHARE = 0.1
 """Share of the reports that is lost."""
 
@@ -77,7 +80,8 @@
     :param summed: whether counts arrive as one sum over all reachable peers, as in large fleets,
         and not from each peer
     :param known_hosts: number of hosts that a new process knows of at its start, ``None`` for all
-    :param discovery_seconds: seconds until it knows of all; it exchanges no counts before
+    :param discovery_seconds: seconds until it reads the list of hosts and exchanges counts
+    :param listing_seconds: seconds from then until the list has all hosts
     """
 
     def __init__(
@@ -87,12 +91,14 @@
         summed: bool = False,
         known_hosts: int | None = None,
         discovery_seconds: float = 0.0,
+        listing_seconds: float = 0.0,
     ) -> None:
         self._rng = random.Random(seed)
         self._summed = summed
         self._known_hosts = known_hosts or hosts
         self._lag = self._rng.randint(0, MAX_LAG_STEPS)
         self._discovery_seconds = discovery_seconds
+        self._listing_seconds = listing_seconds
         self._hosts = [_Host(number) for number in range(hosts)]
         self._now = 0.0
         self.requested_at: list[float] = []
@@ -178,9 +184,13 @@
             host.sent.append((host.budget.own(now), host.budget.borrowed(now)))
         for host in running:
             assert host.budget is not None
+            now = self._clock(host)
             if host not in listed:
                 continue
-            host.budget.hosts = len(self._hosts)
+            since_start = self._now - host.started_at
+            if since_start >= self._discovery_seconds + self._listing_seconds:
+                host.budget.hosts = len(self._hosts)
+            host.budget.listed_since = min(host.budget.listed_since, now)
             peers = [h for h in listed if h is not host and h.side == host.side]
             counts = [(h, h.sent[max(0, len(h.sent) - 1 - self._lag)]) for h in peers]
             if not self._summed:
@@ -266,12 +276,16 @@
     """
     rng = random.Random(f"{seed} faults")
     hosts = rng.randint(2, 30)
+    known_hosts, discovery_seconds = rng.choice((1, hosts)), rng.choice((0.0, 1.0))
+    if unlisted:
+        known_hosts = 1
+        discovery_seconds = random.Random(f"{seed} unlisted").uniform(1.0, MAX_UNLISTED_SECONDS)
     simulation = Simulation(
         seed,
         hosts,
         summed=hosts > 12,
-        known_hosts=rng.choice((1, hosts)),
-        discovery_seconds=rng.choice((0.0, 1.0)),
+        known_hosts=known_hosts,
+        discovery_seconds=discovery_seconds,
     )
     events, greed = random_events(rng, hosts), random_greed(rng, hosts)
     if held_back:
@@ -281,11 +295,11 @@
 
 
 def main() -> int:
-    """Play random runs: the first seed and their number."""
+    """Play random runs, each in three variants: the first seed and their number."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     broken = 0
     for seed in range(first, first + count):
-        found = play(seed)
+        found = play(seed) + play(seed, held_back=True) + play(seed, unlisted=True)
         broken += bool(found)
         if found:
             print(f"seed {seed}: {len(found)} windows, the worst {max(found, key=_excess)}")
--- a/dev/oleanderhill_dev/users/retry_mutants.py
+++ b/dev/oleanderhill_dev/users/retry_mutants.py
@@ -50,7 +50,15 @@
             [(retries, "LISTED_AFTER", 0.0), (retries, "START_SLACK_FRACTION", 0.6)],
             testing(
                 f"{_PROOFS}"
-                ".test_host_that_starts_without_knowing_the_others_does_not_take_their_shares"
+                ".test_host_whose_first_list_lacks_the_others_does_not_take_their_shares"
+            ),
+        ),
+        Mutant(
+            "a process that doesn't know the others takes no part in the pool",
+            [(retries.SharedRetryBudget, "_knows_all_hosts", lambda self, now: True)],
+            testing(
+                f"{_PROOFS}.test_hosts_that_learn_of_each_other_late"
+                "_do_not_take_the_shares_of_all"
             ),
         ),
         Mutant(
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -123,6 +123,7 @@
         self._retry_budget_by_service: dict[str, SharedRetryBudget] = {}
         self._retry_detector = RetryDetector()
         self._max_entry_hosts = 1
+        self._listed_since = float("inf")
         self._request_seen = False
         self.exposition = Exposition()
         self._assemble()
@@ -455,7 +456,7 @@
         self._evacuations.finish_read(now, self._inventory.hosts_by_data_centre)
         self._plans.expire(now)
         self._presences.expire(now)
-        self._update_host_count()
+        self._update_host_count(now)
         self._request_seen = self._request_seen or self._book.has_load()
         self._cold.refresh_rates()
         self._refresh_targets()
@@ -475,10 +476,11 @@
             self._timing.set_targets(self._view.serving_targets(), time.monotonic())
             self._owner.refresh_soon()
 
-    def _update_host_count(self) -> None:
+    def _update_host_count(self, now: float) -> None:
+        self._listed_since = min(self._listed_since, now)
         self._max_entry_hosts = max(self._max_entry_hosts, len(self._presence.alive()))
         for budget in self._retry_budget_by_service.values():
-            budget.hosts = self._max_entry_hosts
+            budget.hosts, budget.listed_since = self._max_entry_hosts, self._listed_since
 
     def _log_unknown_header(self, name: str, value: str) -> None:
         """Log a header of a target's reply that this program doesn't know."""
@@ -497,7 +499,7 @@
                 self._started_at,
                 has_predecessor=not s.first_start,
             )
-            budget.hosts = self._max_entry_hosts
+            budget.hosts, budget.listed_since = self._max_entry_hosts, self._listed_since
             self._retry_budget_by_service[service] = budget
         return budget
 
--- a/src/oleanderhill/serving/retries.py
+++ b/src/oleanderhill/serving/retries.py
@@ -16,7 +16,8 @@
   in the pool, and spends from a reserve that no other process uses.
 - A retry may arrive as long as its attempt has neither been answered nor given up, for instance
   when a cut link heals. It counts until then, and a window longer.
-- A process doesn't divide the reserve by a number of hosts until all hosts must have been listed.
+- A process divides neither the reserve nor the pool by a number of hosts until all hosts must have
+  been listed.
 """
 
 from __future__ import annotations
@@ -40,8 +41,8 @@
 """Fraction of the ratio that a process uses that just started."""
 
 LISTED_AFTER = 4.0
-"""Seconds after its start until a process has read the names of all others: those whose entries
-lapsed with the store write them again within a lease."""
+"""Seconds after its first reading of the list until a process has read the names of all others:
+those whose entries lapsed with the store write them again within a lease."""
 
 ARRIVAL_DELAY = 0.5
 """Seconds, at most, in which bytes of an attempt that was just given up may still arrive. Retries
@@ -138,6 +139,7 @@
     :param has_predecessor: whether the same host may have spent retries before; not at the first
         start of the whole fleet
     :ivar hosts: entry hosts that may exist, as far as known
+    :ivar listed_since: time at which this process first read the list of the hosts
     """
 
     def __init__(
@@ -151,10 +153,10 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._listed_at = started_at + LISTED_AFTER
         self._pools_from = started_at + (window if has_predecessor else LISTED_AFTER)
         self._has_predecessor = has_predecessor
         self.hosts = 1
+        self.listed_since = float("inf") if math.isfinite(started_at) else started_at
         self._requests: deque[float] = deque()
         self._open_retries: list[Retry] = []
         self._ended_retries: deque[_EndedRetry] = deque()
@@ -238,7 +240,10 @@
         return True
 
     def _is_starting(self, now: float) -> bool:
-        return now < self._pools_from
+        return now < self._pools_from or not self._knows_all_hosts(now)
+
+    def _knows_all_hosts(self, now: float) -> bool:
+        return now >= self.listed_since + LISTED_AFTER
 
     def _count(self, now: float) -> RetryCount:
         while self._requests and self._requests[0] < now - self._window:
@@ -274,7 +279,7 @@
         if not self._has_predecessor:
             return self._ratio * RATIO_FRACTION * count.requests + FIRST_RETRIES
         allowed = self._ratio * START_RATIO_FRACTION * count.requests
-        if now < self._listed_at:
+        if not self._knows_all_hosts(now):
             return allowed
         return allowed + self._slack * START_SLACK_FRACTION / max(1, self.hosts)
 
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream
 
 from oleanderhill.clients.httpcall import Call, FailureKind, HttpCaller
+from oleanderhill.clock import boottime_seconds
 
 from .test_cut_off import CutSiteTest
 
@@ -70,6 +71,13 @@
         self.entry._retry_budget_by_service["desk"] = budget
         return budget
 
+    async def test_budgets_know_since_when_the_hosts_are_listed(self):
+        held, read_at = self.entry._retry_budget("desk"), self.entry._listed_since
+        self.assertLessEqual(read_at, boottime_seconds())
+        held.listed_since = float("inf")
+        await until(lambda: held.listed_since == read_at)
+        self.assertEqual(self.entry._retry_budget("new").listed_since, read_at)
+
     async def test_retry_counts_as_under_way_until_its_target_replies(self):
         self.lose_first_answer_then_be_slow(0.5)
         budget = self.count_retries()
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -62,6 +62,22 @@
         events = [Event(10.0, "hold", EVERYONE), Event(20.0, "release", EVERYONE)]
         self.assertEqual(self.breaches(events, [(11.0, EVERYONE)]), [])
 
+    def test_host_whose_first_list_lacks_the_others_does_not_take_their_shares(self):
+        events = [Event(10.0, "kill", EVERYONE)]
+        options = {"known_hosts": 1, "discovery_seconds": 1.0, "listing_seconds": 3.0}
+        self.assertEqual(self.breaches(events, [(8.0, EVERYONE)], **options)[:1], [])
+
+    def test_hosts_that_learn_of_each_other_late_do_not_take_the_shares_of_all(self):
+        events = [Event(10.0, "kill", EVERYONE)]
+        for seconds in (5.0, 9.0, 12.0):
+            found = self.breaches(
+                events, [(8.0, EVERYONE)], known_hosts=1, discovery_seconds=seconds
+            )
+            self.assertEqual(found[:1], [], seconds)
+
+    def test_no_window_exceeds_the_bound_under_any_faults_and_late_discovery(self):
+        self.assertEqual([seed for seed in range(60) if play(seed, unlisted=True)], [])
+
     def test_no_window_exceeds_the_bound_under_any_faults_and_held_back_links(self):
         found = [seed for seed in range(60) if play(seed, held_back=True)]
         self.assertEqual(found, [])
