A new owner of a domain has no loads of weights to order at first

What could be seen: more loads of weights at once than the store bears, while owners are lost one after the other.

Cause: each new owner of a domain started with a full bucket, and did not know which loads the previous one had ordered. Class: a share of what all hold together, kept by nobody over a restart.

Change: an owner that takes a domain over starts with an empty bucket. The first owner of a new fleet starts with a full one, as before.

Price: the first repair after a lost owner may wait for its share.

--- a/dev/oleanderhill_dev/users/retry_mutants.py
+++ b/dev/oleanderhill_dev/users/retry_mutants.py
@@ -1,8 +1,11 @@
-"""The safeguards of retries, each with the proof that needs it."""
+"""The safeguards of retries and of loads of weights, each with the proof that needs it."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from oleanderhill.clients import httpcall
+from oleanderhill.groups import pacing
 from oleanderhill.serving import connection_shedding, retries, retry_detector
 
 from ..proving import Mutant, testing
@@ -10,6 +13,15 @@
 _PROOFS = "test_retry_budget.SharedBudgetFaultTest"
 
 
+_make_pacer = pacing.LoadPacer.__init__
+
+
+def _make_full_pacer(
+    self: pacing.LoadPacer, *limits: Any, taken_over_at: float | None = None
+) -> None:
+    _make_pacer(self, *limits)
+
+
 _begin, _end = retries.SharedRetryBudget.begin, retries.SharedRetryBudget.end
 
 
@@ -80,6 +92,14 @@
                 ".test_request_given_up_on_a_silent_link_does_not_arrive_when_the_link_is_back"
             ),
         ),
+        Mutant(
+            "a new owner of a domain has no loads to order at first",
+            [(pacing.LoadPacer, "__init__", _make_full_pacer)],
+            testing(
+                "test_groups.PacingTest"
+                ".test_loads_stay_under_the_bound_while_owners_are_lost_one_after_the_other"
+            ),
+        ),
         Mutant(
             "attempts are compared with the returns to expect",
             [
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -223,7 +223,7 @@
         domains = len(hosts_by_domain)
         keeper = self._keeper_by_domain.get(plan.domain)
         if keeper is None:
-            keeper = DomainKeeper(self._make_pacer(catalog, needs, domains))
+            keeper = DomainKeeper(self._make_pacer(now, catalog, needs, domains))
             self._keeper_by_domain[plan.domain] = keeper
         keeper.pacer.share_among(domains)
         for group in plan.groups:
@@ -295,7 +295,9 @@
         host = self._inventory.by_instance.get(instance)
         return host is not None and await self._orders.answers(instance, host.address)
 
-    def _make_pacer(self, catalog: Catalog, needs: Sequence[ModelNeed], domains: int) -> LoadPacer:
+    def _make_pacer(
+        self, now: float, catalog: Catalog, needs: Sequence[ModelNeed], domains: int
+    ) -> LoadPacer:
         engines = [
             s.engine
             for s in catalog.service_by_name.values()
@@ -305,7 +307,8 @@
         max_concurrent = min((e.loads_at_once for e in engines), default=1)
         limits = self._limits
         per_window = rate * limits.load_window * limits.load_factor + limits.load_extra
-        return LoadPacer(per_window, limits.load_window, domains, max_concurrent)
+        taken_over_at = None if self._first_loads_free() else now
+        return LoadPacer(per_window, limits.load_window, domains, max_concurrent, taken_over_at)
 
     def _model_needs(
         self,
--- a/src/oleanderhill/groups/pacing.py
+++ b/src/oleanderhill/groups/pacing.py
@@ -3,6 +3,9 @@
 The limit of the store applies to all domains together, but their owners do not coordinate. Each
 owner has a token bucket for its share of the limit. The capacity of all full buckets plus the
 refill during one window stays below what the limit allows per window.
+
+A new owner of a domain doesn't know which loads the previous one ordered just before its end, so it
+starts with an empty bucket.
 """
 
 from __future__ import annotations
@@ -21,17 +24,24 @@
     :param max_concurrent: concurrent loads, over all domains, that run at full speed. More than
         these slow each other down, and a group that lacks a single host gets it only when all loads
         finish.
+    :param taken_over_at: time at which the domain was taken over from another owner, which may have
+        used its whole share just before; ``None`` if there was none
     """
 
     def __init__(
-        self, per_window: float, window: float, domains: int, max_concurrent: int = 1000
+        self,
+        per_window: float,
+        window: float,
+        domains: int,
+        max_concurrent: int = 1000,
+        taken_over_at: float | None = None,
     ) -> None:
         self._per_window = per_window
         self._window = window
         self._total_concurrent = max_concurrent
         self._domains = 0
-        self._at: float | None = None
-        self._tokens = float("inf")
+        self._at = taken_over_at
+        self._tokens = float("inf") if taken_over_at is None else 0.0
         self.share_among(domains)
 
     def share_among(self, domains: int) -> None:
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -550,6 +550,19 @@
         self.assertLessEqual(most, 27.75)
         self.assertGreater(len(began) / 60, 1.0)
 
+    def test_loads_stay_under_the_bound_while_owners_are_lost_one_after_the_other(self):
+        pacers = [LoadPacer(27.75, 5.0, 6) for _ in range(6)]
+        began = []
+        for tick in range(600):
+            now = tick * 0.1
+            if tick in (200, 215, 230, 400):
+                pacers = [LoadPacer(27.75, 5.0, 6, taken_over_at=now) for _ in range(6)]
+            # A shortage begins just before the first loss.
+            if tick >= 198:
+                began += [now for pacer in pacers for _ in range(4) if pacer.take(now)]
+        self.assertLessEqual(max_within_window(5.0, began), 27.75)
+        self.assertGreater(len(began) / 40, 1.0)
+
     def test_owner_that_came_first_shares_with_the_domains_that_show_later(self):
         # At the first start the list shows one domain, then six. Without share_among(), the owner
         # of the first domain would use the whole limit for as long as it owns it.
