Only requests that got data tell that a target is silent

Cause: requests of other hosts that are cut off count as in flight at a target though they never arrive. Where no data came from it for half a second, a host that is cut off took the target for silent and asked no peer. Class: a report of an intention taken for an observation.

Change: reports name a target's progress only while requests that arrived are there, and only these tell. An aggregator's sum that is not later than the own report may be the own progress, and is left out. Reports keep their layout.

--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -138,7 +138,13 @@
 
 def _of_words() -> list[Mutant]:
     site = "test_proxied_requests.CutOffHostTest"
+    idle = "test_many_cut_off.IdleCutSiteTest"
     return [
+        Mutant(
+            "only requests that got data tell that a target is silent",
+            [(placement.LoadTracker, "heard_by_peers", _heard_by_counts)],
+            testing(f"{idle}.test_requests_that_never_arrive_dont_tell_that_a_target_is_silent"),
+        ),
         Mutant(
             "a refused connection is a crash only if a peer agrees",
             [(entry.EntryHost, "_check_target", _believe_own_links)],
@@ -167,6 +173,14 @@
     connection.finish()
 
 
+def _heard_by_counts(self: Any, target: str, now: float) -> Heard:
+    age = self.peer_progress_age(target, now)
+    if age is not None and age <= placement.HEARD_SECONDS:
+        return Heard.RUNNING
+    busy = any(r.counts.get(target) for r in self._peers.values())
+    return Heard.SILENT if busy and age is not None else Heard.UNKNOWN
+
+
 def _confirm_for_certain(self: Any, address: str, now: float, certain: bool) -> None:
     self._confirmed_by_address[address] = reachability._Confirmed(now + 1.0, True)
 
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -95,6 +95,18 @@
         return (self.host.data_centre, *self.more_data_centres)
 
 
+class _PeerReport(NamedTuple):
+    """The latest report of a peer, or of several whose reports were added up.
+
+    :param at: time of its arrival
+    """
+
+    at: float
+    counts: Mapping[str, int]
+    rejected: Mapping[str, int]
+    progress: Mapping[str, float]
+
+
 class LoadTracker:
     """Tracks requests in flight by target, here and at peers, and suspect targets.
 
@@ -125,12 +137,11 @@
         self.peer_report_delay = PEER_REPORT_DELAY
         self._own: dict[str, int] = {}
         self._held: list[tuple[float, str]] = []
-        self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
+        self._peers: dict[str, _PeerReport] = {}
         self._suspect_until: dict[str, float] = {}
         self._peer_suspect_until: dict[str, float] = {}
         self._unreported: set[str] = set()
         self._rejected: deque[tuple[float, str]] = deque()
-        self._peer_rejected: dict[str, tuple[float, Mapping[str, int]]] = {}
         self._progress_at: dict[str, float] = {}
         self._peer_progress_at: dict[str, float] = {}
         self._peer_backoff_until: dict[str, float] = {}
@@ -181,9 +192,9 @@
     def rejections(self, model: str, now: float) -> int:
         """Return how many requests for a model all entry hosts rejected in the last second."""
         by_peers = sum(
-            counts.get(model, 0)
-            for at, counts in self._peer_rejected.values()
-            if now - at <= PEER_COUNTS_MAX_AGE
+            report.rejected.get(model, 0)
+            for report in self._peers.values()
+            if now - report.at <= PEER_COUNTS_MAX_AGE
         )
         return by_peers + self.own_rejections(now).get(model, 0)
 
@@ -193,8 +204,17 @@
         self._suspect_until.pop(target, None)
 
     def own_progress(self, now: float) -> dict[str, float]:
-        """Return the seconds since each target with requests from here last sent something."""
-        return {t: round(now - at, 3) for t, at in self._progress_at.items()}
+        """Return the seconds since each target with requests from here last sent something.
+
+        Targets at which all requests failed are left out, and those that seem to stall but may only
+        be unreachable over the links of this host.
+        """
+        held = Counter(target for _, target in self._held)
+        return {
+            t: round(now - at, 3)
+            for t, at in self._progress_at.items()
+            if self._own.get(t, 0) > held[t] and t not in self._unreported
+        }
 
     def recently_progressed(self, target: str, now: float, within: float) -> bool:
         """Return whether a target recently sent something to any entry host.
@@ -215,10 +235,13 @@
         age = self.peer_progress_age(target, now)
         if age is not None and age <= HEARD_SECONDS:
             return Heard.RUNNING
-        busy = any(
-            counts.get(target) for at, counts in self._peers.values() if now - at <= HEARD_SECONDS
+        # Requests in flight tell nothing: those of a peer that is cut off never arrived.
+        waiting = any(
+            target in report.progress
+            for report in self._peers.values()
+            if now - report.at <= HEARD_SECONDS
         )
-        return Heard.SILENT if busy and age is not None else Heard.UNKNOWN
+        return Heard.SILENT if waiting else Heard.UNKNOWN
 
     def peer_progress_age(self, target: str, now: float) -> float | None:
         """Return the seconds since a target last sent something to another entry host.
@@ -238,8 +261,7 @@
         now: float,
     ) -> None:
         """Apply a peer's report of its requests and of the targets that it observed."""
-        self._peers[peer] = (now, counts)
-        self._peer_rejected[peer] = (now, rejected)
+        self._peers[peer] = _PeerReport(now, counts, rejected, progress)
         for target, age in progress.items():
             latest = self._peer_progress_at.get(target, float("-inf"))
             self._peer_progress_at[target] = max(latest, now - age)
@@ -254,9 +276,8 @@
     def drop_stale_peers(self, now: float) -> None:
         """Drop reports of peers that are too old to be used."""
         self.release_failed(now)
-        for table in (self._peers, self._peer_rejected):
-            for peer in [p for p, (at, _) in table.items() if now - at > PEER_COUNTS_MAX_AGE]:
-                del table[peer]
+        for peer in [p for p, r in self._peers.items() if now - r.at > PEER_COUNTS_MAX_AGE]:
+            del self._peers[peer]
 
     def suspect(self, target: str, now: float, reported: bool = True) -> None:
         """Record that a target was observed to stall or fail.
@@ -297,12 +318,13 @@
 
     def has_load(self) -> bool:
         """Return whether any entry host is known to have a request in flight."""
-        return bool(self._own) or any(counts for _, counts in self._peers.values())
+        return bool(self._own) or any(report.counts for report in self._peers.values())
 
     def in_flight(self, now: float) -> tuple[int, int]:
         """Return the requests in flight at all targets: those of this host, and those known."""
         own = sum(self._own.values())
-        recent = (c for at, c in self._peers.values() if now - at <= PEER_COUNTS_MAX_AGE)
+        reports = self._peers.values()
+        recent = (r.counts for r in reports if now - r.at <= PEER_COUNTS_MAX_AGE)
         return own, own + sum(sum(counts.values()) for counts in recent)
 
     def hears_peers(self) -> bool:
@@ -312,9 +334,9 @@
     def load(self, target: str, now: float) -> int:
         """Return the known number of requests in flight at a target."""
         total = self._own.get(target, 0)
-        for at, counts in self._peers.values():
-            if now - at <= PEER_COUNTS_MAX_AGE:
-                total += counts.get(target, 0)
+        for report in self._peers.values():
+            if now - report.at <= PEER_COUNTS_MAX_AGE:
+                total += report.counts.get(target, 0)
         return total
 
     def choose(
--- a/src/oleanderhill/serving/reports.py
+++ b/src/oleanderhill/serving/reports.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from typing import NamedTuple
@@ -161,13 +162,17 @@
 
 
 def subtract(total: LoadReport, own: LoadReport) -> LoadReport:
-    """Return a total minus the contribution that one host last reported."""
+    """Return a total minus the contribution that one host last reported.
+
+    Progress that is not later than the host's own may be its own.
+    """
     counts = {t: max(0, n - own.counts.get(t, 0)) for t, n in total.counts.items()}
     rejections = {m: max(0, n - own.rejections.get(m, 0)) for m, n in total.rejections.items()}
     retries = {
         s: subtract_counts(c, own.retries.get(s, RetryCount())) for s, c in total.retries.items()
     }
-    return total._replace(counts=counts, rejections=rejections, retries=retries)
+    progress = {t: age for t, age in total.progress.items() if age < own.progress.get(t, math.inf)}
+    return total._replace(counts=counts, progress=progress, rejections=rejections, retries=retries)
 
 
 def split_report(report: LoadReport) -> list[LoadReport]:
--- a/tests/test_many_cut_off.py
+++ b/tests/test_many_cut_off.py
@@ -7,10 +7,11 @@
 from collections import Counter
 
 from oleanderhill_dev.users.cut_links import Cut
-from oleanderhill_dev.users.site import until
+from oleanderhill_dev.users.site import LARGE, SMALL, until
 from returns.pipeline import is_successful
 
 from oleanderhill.routing.proxies import Peer, PeerList, Proxies
+from oleanderhill.serving.placement import HEARD_SECONDS, PEER_COUNTS_MAX_AGE
 from oleanderhill.serving.target_caller import MAX_NOT_REACHED, MAX_PEERS_TRIED
 
 from .test_cut_off import CutSiteTest
@@ -153,5 +154,25 @@
         await self.assert_all_served(Cut.SILENT)
 
 
+class IdleCutSiteTest(CutSiteTest):
+    async def streams(self, *entries):
+        asked = [
+            asyncio.create_task(self.ask("/read/x", "POST", entry=entry, model=model))
+            for model in (LARGE, SMALL)
+            for entry in entries
+        ]
+        results = [result for result, _ in await asyncio.gather(*asked)]
+        return [result.unwrap().status if is_successful(result) else 0 for result in results]
+
+    async def test_requests_that_never_arrive_dont_tell_that_a_target_is_silent(self):
+        *cut_off, other = self.site.entries
+        self.assertEqual(await self.streams(other), [200] * 2)
+        await asyncio.sleep(HEARD_SECONDS + PEER_COUNTS_MAX_AGE)
+        self.cut_off(Cut.SILENT, 0, 1)
+        for _ in range(3):
+            self.assertEqual(await self.streams(*cut_off), [200] * 4)
+            await asyncio.sleep(HEARD_SECONDS + PEER_COUNTS_MAX_AGE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -9,11 +9,14 @@
 from hypothesis import strategies as st
 
 from oleanderhill.groups.ownership import Presence
+from oleanderhill.routing.reachability import Heard
 from oleanderhill.serving.gossip import _ENCODER
+from oleanderhill.serving.placement import LoadTracker
 from oleanderhill.serving.reports import (
     MAX_MESH_HOSTS,
     LoadReport,
     Scope,
+    add_age,
     aggregate,
     aggregator_ranking,
     aggregator_rankings,
@@ -108,6 +111,39 @@
             others = sum(c.get(target, 0) for c in counts[1:])
             self.assertEqual(remainder.get(target, 0), others)
 
+    def test_own_progress_does_not_come_back_as_that_of_others(self):
+        rng = random.Random(1)
+        for _ in range(300):
+            ages = [
+                {t: rng.choice((0.1, 0.4, 0.8)) for t in "pqrs" if rng.random() < 0.5}
+                for _ in range(3)
+            ]
+            own, *others = [
+                report(f"e{n}", dict.fromkeys(a, 1), progress=a) for n, a in enumerate(ages)
+            ]
+            aged = [add_age(r, 0.05) for r in (own, *others)]
+            found = subtract(aggregate("hub", Scope.TOTAL, "a", aged), own).progress
+            for target in "pqrs":
+                known = [r.progress[target] for r in aged[1:] if target in r.progress]
+                if target not in own.progress:
+                    self.assertEqual(found.get(target), min(known, default=None))
+                elif target in found:
+                    self.assertEqual(found[target], min(known, default=None))
+                else:
+                    self.assertGreaterEqual(min(known, default=1.0), own.progress[target])
+
+    def test_a_request_that_waits_here_alone_does_not_make_its_target_silent(self):
+        own = report("e0", {"p": 1}, progress={"p": 0.9})
+        for others, heard in (
+            (report("e1", {"p": 1}), Heard.UNKNOWN),
+            (report("e1", {"p": 1}, progress={"p": 0.1}), Heard.RUNNING),
+            (report("e1", {"p": 1}, progress={"p": 0.8}), Heard.SILENT),
+        ):
+            total = subtract(aggregate("hub", Scope.TOTAL, "a", [add_age(own, 0.05), others]), own)
+            tracker = LoadTracker("a", random.Random(1))
+            tracker.apply_peer_update("total/0", total.counts, [], total.progress, {}, 5.0)
+            self.assertEqual(tracker.heard_by_peers("p", 5.0), heard)
+
     def test_latest_progress_and_all_suspects_hold(self):
         first = report("e1", {"p": 1}, progress={"p": 0.3}, suspects=["p"], rejections={"m": 2})
         second = report("e2", {"p": 1}, progress={"p": 0.1}, suspects=["q"], rejections={"m": 1})
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -20,6 +20,7 @@
     RequestMachine,
     Sending,
 )
+from oleanderhill.routing.reachability import Heard
 from oleanderhill.routing.router import Choice
 from oleanderhill.serving import placement
 from oleanderhill.serving.admission import Accepted, admit
@@ -371,6 +372,26 @@
         self.assertTrue(self.book.recently_progressed("a", 10.1, 0.2))
         self.assertFalse(self.book.recently_progressed("a", 10.3, 0.2))
 
+    def test_only_requests_that_got_data_tell_that_a_target_is_silent(self):
+        self.book.apply_peer_update("peer", {"a": 1}, [], {"a": 0.05}, {}, 10.0)
+        self.assertEqual(self.book.heard_by_peers("a", 10.1), Heard.RUNNING)
+        self.book.apply_peer_update("peer", {"a": 1}, [], {"a": 1.05}, {}, 11.0)
+        self.assertEqual(self.book.heard_by_peers("a", 11.1), Heard.SILENT)
+        self.book.apply_peer_update("peer", {"a": 1}, [], {}, {}, 12.0)
+        self.assertEqual(self.book.heard_by_peers("a", 12.1), Heard.UNKNOWN)
+
+    def test_progress_is_reported_while_requests_are_at_the_target(self):
+        self.book.begin("a")
+        self.book.progress("a", 10.0)
+        self.assertEqual(self.book.own_progress(10.5), {"a": 0.5})
+        self.book.suspect("a", 10.5, reported=False)
+        self.assertEqual(self.book.own_progress(10.5), {})
+        self.book.progress("a", 10.6)
+        self.book.own_suspects(10.6)
+        self.assertEqual(self.book.own_progress(10.6), {"a": 0.0})
+        self.book.end_failed("a", 11.0)
+        self.assertEqual(self.book.own_progress(10.7), {})
+
     def test_turned_away_counts_for_a_second_here_and_at_peers(self):
         self.book.count_rejection("m", 10.0)
         self.book.apply_peer_update("peer", {}, [], {}, {"m": 4}, 10.2)
