Tests: a wait for a peer's *continue* allows for a pause of this process

The test plays it against a server in a thread of its own, with pauses of the event loop around the timeout: the answer is read first, and a silent server is still given up in time.

--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -1,10 +1,14 @@
 """Entry hosts whose process is held up for a while."""
 
 import asyncio
+import contextlib
+import socket
+import threading
 import time
 import unittest
 from unittest import mock
 
+from oleanderhill.clients.httpcall import Call, FailureKind, HttpCaller
 from oleanderhill.clock import HELD_UP_SECONDS, LateTimer
 from oleanderhill.requests import attempts
 from oleanderhill.requests.exchange import STALL_CHECK_INTERVAL, Exchange
@@ -44,6 +48,47 @@
         await self.assert_nothing_moves("/read/x", "POST", model)
 
 
+class ExpectContinueTest(unittest.IsolatedAsyncioTestCase):
+    """The server answers in time, from a thread of its own."""
+
+    async def call(self, pause, answers=True):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            serving = threading.Thread(target=self.serve, args=(server, answers))
+            serving.start()
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            request = Call(
+                address, "POST", "/", body=b"body", connect_timeout=0.2, expect_continue=True
+            )
+            asked = asyncio.ensure_future(HttpCaller().call(request))
+            asyncio.get_running_loop().call_later(0.02, time.sleep, pause)
+            result = await asked
+            serving.join()
+        return result
+
+    def serve(self, server, answers):
+        connection, _ = server.accept()
+        with connection:
+            connection.recv(4096)
+            if not answers:
+                with contextlib.suppress(ConnectionResetError):
+                    connection.recv(4096)
+                return
+            time.sleep(0.05)
+            connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            connection.recv(4096)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def test_a_server_that_asks_for_the_body_during_a_pause_gets_it(self):
+        self.assertEqual((await self.call(0.5)).unwrap().status, 200)
+
+    async def test_a_silent_server_is_given_up_also_after_a_pause(self):
+        for pause in (0.0, 0.5):
+            began = time.monotonic()
+            failure = (await self.call(pause, answers=False)).failure()
+            self.assertEqual((failure.kind, failure.sent), (FailureKind.TIMEOUT, False))
+            self.assertLess(time.monotonic() - began, 0.2 + 2 * pause + 0.2)
+
+
 class LateTimerTest(unittest.TestCase):
     def test_extends_once_after_each_progress(self):
         timer, late = LateTimer(), 2 * HELD_UP_SECONDS
