The handover of an ignored evacuation counts from its first reading

Cause: after a restore an evacuation that was lifted before is ignored for some seconds; when it then counted, its handover began anew, though the store may have acknowledged it before the first reading. Class: a time taken from when a statement is believed, not from when it was made.

Change: the end of the handover is kept with the ignored evacuation. One that is written again meanwhile has a handover of its own.

Evidence: both new tests failed before; one mutant.

--- a/dev/oleanderhill_dev/users/evacuation_mutants.py
+++ b/dev/oleanderhill_dev/users/evacuation_mutants.py
@@ -33,6 +33,19 @@
             [(evacuations.Evacuations, "_stop_at", lambda self, now: now + self._bound)],
             testing(f"{state}.test_handover_ends_within_the_bound_of_the_earliest_acknowledgement"),
         ),
+        Mutant(
+            "the handover of an ignored evacuation is counted from its first reading",
+            [
+                (
+                    evacuations.Evacuations,
+                    "_handover_end",
+                    lambda self, name, now: self._stop_at(now),
+                )
+            ],
+            testing(
+                f"{state}.test_handover_of_an_evacuation_that_was_ignored_counts_from_its_first_reading"
+            ),
+        ),
         Mutant(
             "evacuations outlast a backup",
             [(evacuations, "RETAIN_SECONDS", 0.0)],
--- a/src/oleanderhill/groups/evacuations.py
+++ b/src/oleanderhill/groups/evacuations.py
@@ -97,7 +97,7 @@
         self._read_at = read_at
         self._in_force: dict[str, Evacuation] = {}
         self._removed: dict[str, _Removal] = {}
-        self._ignored: dict[str, Revision] = {}
+        self._ignored: dict[str, Evacuation] = {}
         self._missing: set[str] = set()
         self._restored_at = float("-inf")
         self._to_log: dict[str, str] = {}
@@ -156,10 +156,10 @@
                 self._missing.add(name)
             else:
                 self._lift(name, self._in_force[name].revision)
-        self._ignored = {n: r for n, r in self._ignored.items() if n in listed}
+        self._ignored = {n: e for n, e in self._ignored.items() if n in listed}
         for name, revision in listed.items():
             if self._is_from_backup(name, revision, now):
-                self._ignored[name] = revision
+                self._ignored[name] = Evacuation(revision, self._handover_end(name, now))
             else:
                 self._put(name, revision, now)
 
@@ -232,11 +232,20 @@
         if held is not None:
             self._in_force[name] = held._replace(revision=max(revision, held.revision))
             return
-        self._in_force[name] = Evacuation(revision, self._stop_at(now))
+        self._in_force[name] = Evacuation(revision, self._handover_end(name, now))
+        self._ignored.pop(name, None)
         self._changed(name, "in force")
 
+    def _handover_end(self, name: str, now: float) -> float:
+        """Return until when an evacuation leaves time for a handover.
+
+        One that is ignored was acknowledged before its first reading.
+        """
+        ignored = self._ignored.get(name)
+        return self._stop_at(now) if ignored is None else ignored.stop_at
+
     def _stop_at(self, now: float) -> float:
-        """Return until when an evacuation that was read now leaves time for a handover.
+        """Return until when an evacuation that was first read now leaves time for a handover.
 
         The store can't have acknowledged it before the previous reading, less the changes that this
         may have missed.
@@ -262,9 +271,9 @@
             for name in list(self._missing):
                 self._lift(name, self._in_force[name].revision)
         if self._ignored and now >= self._restored_at + IGNORE_SECONDS:
-            ignored, self._ignored = self._ignored, {}
-            for name, revision in ignored.items():
-                self._put(name, revision, now)
+            for name, ignored in list(self._ignored.items()):
+                self._put(name, ignored.revision, now)
+            self._ignored.clear()
 
     def _changed(self, name: str, what: str) -> None:
         self.changes += 1
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -182,6 +182,39 @@
         self.finish(10.0 + IGNORE_SECONDS)
         self.assertEqual(self.names(), {"barn"})
 
+    def test_handover_of_an_evacuation_that_was_ignored_counts_from_its_first_reading(self):
+        listed = item("barn", rev(3, 2))
+        for applied in ("after a reading", "by a listing"):
+            with self.subTest(applied):
+                state = Evacuations(Notes(), PREFIX, BOUND_SECONDS, lambda: self.read_at)
+                state.change(PREFIX + "barn", b"", rev(3), 0.0)
+                state.change(PREFIX + "barn", None, rev(5), 1.0)
+                self.read_at = 10.0
+                state.restored(10.0)
+                state.replace([listed], 10.0)
+                self.read_at = 11.0
+                state.replace([listed], 11.0)
+                self.read_at = now = 10.0 + IGNORE_SECONDS + 0.5
+                if applied == "by a listing":
+                    state.replace([listed], now)
+                state.finish_read(now, dict)
+                self.assertEqual(set(state.in_force), {"barn"})
+                self.assertTrue(state_allows(state, "barn", now))
+                last = 10.0 + BOUND_SECONDS - HANDOVER_MARGIN
+                self.assertFalse(state_allows(state, "barn", last))
+
+    def test_evacuation_written_again_while_it_is_ignored_has_a_handover_of_its_own(self):
+        self.state.change(PREFIX + "barn", b"", rev(3), 0.0)
+        self.state.change(PREFIX + "barn", None, rev(5), 1.0)
+        self.read_at = 10.0
+        self.restore(10.0, item("barn", rev(3, 2)))
+        self.read_at = 11.0
+        self.state.change(PREFIX + "barn", b"", rev(6, 2), 11.0)
+        self.finish(10.0 + IGNORE_SECONDS)
+        own = 11.0 - MISSED_CHANGES_WINDOW + BOUND_SECONDS - HANDOVER_MARGIN
+        self.assertTrue(state_allows(self.state, "barn", own - 0.01))
+        self.assertFalse(state_allows(self.state, "barn", own))
+
     def test_evacuation_written_after_the_restore_counts_at_once(self):
         self.state.change(PREFIX + "barn", b"", rev(3), 0.0)
         self.state.change(PREFIX + "barn", None, rev(5), 1.0)
