Log why a peer is avoided for requests behind broken links

Its logs said that it refused as no peer was left, and not why: nothing said when and for what a peer is avoided.

A line `dependency avoided` names the peer, the address of the target that it was asked about, and the reason, once while it is avoided. Nothing is decided otherwise. A test counts the lines.

--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -190,7 +190,7 @@
     return target_caller.Failure(failure._replace(kind=httpcall.FailureKind.PROXY_LOST))
 
 
-def _lost_at_the_target(self: Any, peer: Any, failure: Any, begun: bool) -> Any:
+def _lost_at_the_target(self: Any, peer: Any, address: str, failure: Any, begun: bool) -> Any:
     return target_caller.Failure(failure._replace(kind=httpcall.FailureKind.LOST))
 
 
--- a/src/oleanderhill/routing/proxies.py
+++ b/src/oleanderhill/routing/proxies.py
@@ -110,15 +110,20 @@
         self._avoid_until.pop(peer.name, None)
         self._not_reached_until.pop(peer.name, None)
 
-    def avoid(self, peer: Peer, now: float) -> None:
-        """Record that a peer can't help."""
+    def avoid(self, peer: Peer, now: float) -> bool:
+        """Record that a peer can't help; return whether it was not avoided before."""
         self._avoid_until = {p: until for p, until in self._avoid_until.items() if until > now}
+        is_new = peer.name not in self._avoid_until
         self._avoid_until[peer.name] = now + AVOID_SECONDS
         self._record_failure(peer)
         self._proven.pop(peer, None)
+        return is_new
 
-    def not_reached(self, peer: Peer, address: str, now: float) -> None:
-        """Record that a peer could not connect to an address."""
+    def not_reached(self, peer: Peer, address: str, now: float) -> bool:
+        """Record that a peer could not connect to an address.
+
+        :return: whether the peer is avoided for all targets from now on, and was not before
+        """
         self._not_reached_until.setdefault(peer.name, {})[address] = now + AVOID_SECONDS
         self._not_reached_until = {
             name: recent
@@ -126,8 +131,9 @@
             if (recent := {a: until for a, until in known.items() if until > now})
         }
         self._record_failure(peer)
-        if len(self._not_reached_until[peer.name]) >= MIN_NOT_REACHED:
-            self.avoid(peer, now)
+        if len(self._not_reached_until[peer.name]) < MIN_NOT_REACHED:
+            return False
+        return self.avoid(peer, now)
 
     def _may_try(self, peer: Peer, now: float) -> bool:
         return self._avoid_until.get(peer.name, 0.0) <= now
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -36,17 +36,24 @@
 Each may take the whole time of a connection."""
 
 
+def _ignore_avoided(peer: str, address: str, reason: str) -> None:
+    """Ignore that a peer is avoided."""
+
+
 class Peers(NamedTuple):
     """The other entry hosts.
 
     :param name: name of this entry host
     :param listed: returns those that may pass on requests
     :param heard: returns what their reports tell about the target at an address
+    :param on_avoided: called with a peer that is avoided from now on, the address of the target
+        that a request was for, and the reason
     """
 
     name: str
     listed: Callable[[], PeerList]
     heard: Callable[[str], Heard]
+    on_avoided: Callable[[str, str, str], None] = _ignore_avoided
 
 
 class _ProxiedObserver(Observer):
@@ -234,7 +241,7 @@
         finally:
             self._proxies.end(peer.name)
         if not is_successful(result):
-            return self._judge_failure(peer, result.failure(), collector.begun)
+            return self._judge_failure(peer, request.address, result.failure(), collector.begun)
         said = collector.failure
         if said is None:
             return Success(result.unwrap()._replace(body=collector.body))
@@ -247,7 +254,7 @@
         self._reachability.reached_by_peer(address, now)
 
     def _judge_failure(
-        self, peer: Peer, failure: CallFailure, begun: bool
+        self, peer: Peer, address: str, failure: CallFailure, begun: bool
     ) -> Result[Reply, CallFailure] | ProxyFailure:
         """Return the outcome of a request whose exchange with the peer failed.
 
@@ -259,7 +266,7 @@
             # The peer reached the target, which may be what is silent.
             return Failure(failure._replace(reason=f"{peer.name}: {failure.reason}"))
         if not begun:
-            self._proxies.avoid(peer, time.monotonic())
+            self._avoid(peer, address, failure.reason)
         if not failure.sent:
             return ProxyFailure(ProxyFault.DECLINED, failure.reason)
         reason = f"{peer.name}: {failure.reason}"
@@ -279,11 +286,16 @@
                 self._reachability.failed_by_peer(address, now)
                 return Failure(_not_connected(peer, said))
             case ProxyFault.NOT_REACHED:
-                self._proxies.not_reached(peer, address, now)
+                if self._proxies.not_reached(peer, address, now):
+                    self._peers.on_avoided(peer.name, address, said.reason)
             case ProxyFault.DECLINED:
-                self._proxies.avoid(peer, now)
+                self._avoid(peer, address, said.reason)
         return said
 
+    def _avoid(self, peer: Peer, address: str, reason: str) -> None:
+        if self._proxies.avoid(peer, time.monotonic()):
+            self._peers.on_avoided(peer.name, address, reason)
+
 
 def _not_connected(peer: Peer, said: ProxyFailure) -> CallFailure:
     reason = f"{peer.name}: {said.reason}"
--- a/src/oleanderhill/serving/target_links.py
+++ b/src/oleanderhill/serving/target_links.py
@@ -84,7 +84,9 @@
         )
 
     def _make_caller(self, direct: HttpCaller) -> TargetCaller:
-        peers = Peers(self._me.name, self._list_peers, self._heard_or_unknown)
+        peers = Peers(
+            self._me.name, self._list_peers, self._heard_or_unknown, self._note_avoided_peer
+        )
         return TargetCaller(direct, self._to_peers, self.reachability, self._proxies, peers)
 
     def _list_peers(self) -> PeerList:
@@ -105,6 +107,9 @@
     def _heard_or_unknown(self, address: str) -> Heard:
         return self._heard(address) or Heard.UNKNOWN
 
+    def _note_avoided_peer(self, peer: str, address: str, reason: str) -> None:
+        self._records.note("dependency", "avoided", dependency=peer, address=address, reason=reason)
+
     def _record_connection(self, address: str, failure: CallFailure | None) -> None:
         """Record the outcome of a new connection to a target, and log what it changes."""
         now, links = time.monotonic(), self.reachability
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -131,12 +131,18 @@
         await self.server.start()
         self.links = Reachability()
         self.peers = [Peer("peer", self.address, "hall")]
+        self.avoided = []
         self.caller = TargetCaller(
             HttpCaller(lambda a, f: f and self.links.failed(a, 0.0, f.refused, Heard.RUNNING)),
             HttpCaller(),
             self.links,
             Proxies("hall", random.Random(1)),
-            Peers("here", lambda: PeerList(self.peers), lambda address: Heard.RUNNING),
+            Peers(
+                "here",
+                lambda: PeerList(self.peers),
+                lambda address: Heard.RUNNING,
+                lambda *what: self.avoided.append(what),
+            ),
         )
         self.break_links(self.links)
 
@@ -286,6 +292,12 @@
             self.caller._proxies._avoid_until.clear()
         self.assertEqual(self.target.received, [])
 
+    async def test_peer_that_is_avoided_is_reported_once_with_the_reason(self):
+        self.draining = True
+        for _ in range(2):
+            self.assertFalse(is_successful(await self.send(Chunks())))
+        self.assertEqual(self.avoided, [("peer", self.target.address, "draining")])
+
     async def test_request_under_way_ends_before_the_peer_does(self):
         self.target.hold = True
         sending = asyncio.ensure_future(self.send(Chunks()))
