A peer that does not list a target is asked for others

Cause: a peer that was asked about a target which its own list lacks was avoided for all targets, as one that drains is. Lists differ while hosts come and go, and longer after a restore of the store; an owner that is cut off sends an order to each new host through its peers, so all of them were avoided. Class: an answer about one target taken for one about the peer.

Change: such a peer is not asked about that target for a second, and about others as before.

Two tests and a mutant. `test_peer_that_drains_or_does_not_know_the_target_takes_nothing` starts from fresh beliefs for each case, as a refusal is remembered in one more place now; it asks the same.

--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from oleanderhill.clients import httpcall
+from oleanderhill.clients import httpcall, proxying
 from oleanderhill.platform import entry
 from oleanderhill.routing import proxies, reachability
 from oleanderhill.routing.reachability import Heard, Route
@@ -23,6 +23,7 @@
     links = reachability.Reachability
     pure = "test_cut_off.ReachabilityTest"
     site = "test_proxied_requests.CutOffHostTest"
+    hop = "test_proxied_requests.HopTest"
     return [
         Mutant(
             "requests go through a peer where the own link is broken",
@@ -54,6 +55,11 @@
             [(reachability, "FAILED_RECENTLY_SECONDS", 0.0)],
             testing(f"{site}.test_refused_at_once_if_no_host_reaches_the_targets"),
         ),
+        Mutant(
+            "a peer that does not list a target is asked for others",
+            [(proxying.ProxyFailure, "is_unlisted", False)],
+            testing(f"{hop}.test_peer_that_does_not_list_a_target_is_asked_for_others"),
+        ),
         Mutant(
             "peers that could not help are avoided",
             [(proxies.Proxies, "avoid", lambda self, peer, now: None)],
--- a/src/oleanderhill/clients/proxying.py
+++ b/src/oleanderhill/clients/proxying.py
@@ -31,6 +31,10 @@
 """End of a body that is sent to a peer, not part of the request."""
 
 
+UNLISTED_REASON = "no such target"
+"""Reason of a peer whose host list lacks the target. Lists differ while hosts come and go."""
+
+
 class ProxyFault(StrEnum):
     """What kept a peer from returning a reply of the target."""
 
@@ -57,6 +61,11 @@
     reason: str
     refused: bool = False
 
+    @property
+    def is_unlisted(self) -> bool:
+        """Return whether the peer does not list the target; it may reach others."""
+        return self.fault == ProxyFault.DECLINED and self.reason == UNLISTED_REASON
+
 
 _DECODER = msgspec.msgpack.Decoder(ProxyFailure)
 
--- a/src/oleanderhill/routing/proxies.py
+++ b/src/oleanderhill/routing/proxies.py
@@ -68,6 +68,7 @@
         self._rng = rng
         self._avoid_until: dict[str, float] = {}
         self._not_reached_until: dict[str, dict[str, float]] = {}
+        self._unlisted_until: dict[tuple[str, str], float] = {}
         self._proven: dict[Peer, float] = {}
         self._failed_by_data_centre: dict[str, set[str]] = {}
         self._in_flight: Counter[str] = Counter()
@@ -85,6 +86,7 @@
             if p.name not in tried
             and self._may_try(p, now)
             and self._not_reached_until.get(p.name, {}).get(address, 0.0) <= now
+            and self._unlisted_until.get((p.name, address), 0.0) <= now
         ]
         if tried:
             usable = [p for p in usable if p in self._proven] or usable
@@ -135,6 +137,11 @@
             return False
         return self.avoid(peer, now)
 
+    def unlisted(self, peer: Peer, address: str, now: float) -> None:
+        """Record that a peer does not list the target at an address."""
+        self._unlisted_until = {k: t for k, t in self._unlisted_until.items() if t > now}
+        self._unlisted_until[peer.name, address] = now + AVOID_SECONDS
+
     def _may_try(self, peer: Peer, now: float) -> bool:
         return self._avoid_until.get(peer.name, 0.0) <= now
 
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -31,6 +31,7 @@
     FAILURE_STATUS,
     SENDER_HEADER,
     TARGET_HEADER,
+    UNLISTED_REASON,
     ProxyFailure,
     ProxyFault,
     confirmed_body,
@@ -250,7 +251,7 @@
         if self.in_flight >= MAX_IN_FLIGHT:
             return ProxyFailure(ProxyFault.DECLINED, "too many requests of peers")
         if not self._callbacks.is_target(address):
-            return ProxyFailure(ProxyFault.DECLINED, "no such target")
+            return ProxyFailure(ProxyFault.DECLINED, UNLISTED_REASON)
         if self._reachability.is_broken(address, now):
             return ProxyFailure(ProxyFault.DECLINED, "its own link is broken")
         if self._reachability.route(address, now) in (Route.PEER, Route.UNREACHABLE):
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -288,6 +288,8 @@
             case ProxyFault.NOT_REACHED:
                 if self._proxies.not_reached(peer, address, now):
                     self._peers.on_avoided(peer.name, address, said.reason)
+            case ProxyFault.DECLINED if said.is_unlisted:
+                self._proxies.unlisted(peer, address, now)
             case ProxyFault.DECLINED:
                 self._avoid(peer, address, said.reason)
         return said
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -289,7 +289,7 @@
             self.listed = set() if change == "unlisted" else {self.target.address}
             failure = (await self.send(Chunks())).failure()
             self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
-            self.caller._proxies._avoid_until.clear()
+            self.caller._proxies = Proxies("hall", random.Random(1))
         self.assertEqual(self.target.received, [])
 
     async def test_peer_that_is_avoided_is_reported_once_with_the_reason(self):
@@ -298,6 +298,24 @@
             self.assertFalse(is_successful(await self.send(Chunks())))
         self.assertEqual(self.avoided, [("peer", self.target.address, "draining")])
 
+    async def test_peer_that_does_not_list_a_target_is_asked_for_others(self):
+        self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        listed, taken = self.target.address, 0
+        for _ in range(4):
+            self.target.address = free_address()
+            failure = (await self.send(Chunks())).failure()
+            self.assertEqual((failure.kind, failure.sent), (FailureKind.NOT_CONNECTED, False))
+            self.target.address = listed
+            taken += is_successful(await self.send(Chunks()))
+        self.assertEqual((taken, len(self.target.received), self.avoided), (4, 4, []))
+
+    async def test_peer_that_does_not_list_a_target_is_not_asked_for_it_again_at_once(self):
+        self.listed.clear()
+        with mock.patch.object(self.server, "take", wraps=self.server.take) as take:
+            for _ in range(3):
+                await self.send(Chunks())
+        self.assertEqual(take.call_count, 1)
+
     async def test_request_under_way_ends_before_the_peer_does(self):
         self.target.hold = True
         sending = asyncio.ensure_future(self.send(Chunks()))
