An owner without a way to its hosts breaks up no group

What callers saw: groups that served were told to leave while the owner of their domain was cut off and no peer was left; the callers of the other hosts paid.

Cause: probes that found no path counted as silence of the host. Class: a broken link of the observer taken for a failure of the observed.

Change: an order or probe that got no connection while the own links may be why, and that no peer took, has an outcome of its own (`no path`), which tells nothing of the host and is logged. A probe that a peer lost on the way is one.

Pure tests of the two probes and of `may_explain`; a mutant. Ruled out: a dead host near a sound owner, which its peers confirm as before. Open: an owner that is cut off from one service only, with one group there, knows a single broken link.

--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from oleanderhill.clients import httpcall, proxying
-from oleanderhill.platform import entry
+from oleanderhill.platform import entry, orders
 from oleanderhill.routing import proxies, reachability
 from oleanderhill.routing.reachability import Heard, Route
 from oleanderhill.serving import driver, link_checks, placement, proxy_server, target_caller
@@ -60,6 +60,11 @@
             [(proxying.ProxyFailure, "is_unlisted", False)],
             testing(f"{hop}.test_peer_that_does_not_list_a_target_is_asked_for_others"),
         ),
+        Mutant(
+            "probes that found no path are no evidence against a host",
+            [(orders.EngineOrders, "_had_no_path", lambda self, address, failure: False)],
+            testing(f"{site}.test_owner_without_a_way_to_its_hosts_breaks_up_no_group"),
+        ),
         Mutant(
             "peers that could not help are avoided",
             [(proxies.Proxies, "avoid", lambda self, peer, now: None)],
--- a/src/oleanderhill/groups/actions.py
+++ b/src/oleanderhill/groups/actions.py
@@ -84,3 +84,6 @@
     SILENT = "silent"
     HELD_BACK = "held back"
     """Not sent, because the host asked for a back-off."""
+
+    NO_PATH = "no path"
+    """Not known to have reached the host, because of the links of this entry host or of a peer."""
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -67,6 +67,9 @@
 """Seconds, in addition to twice the load time of its model, that a group may take to form before
 its hosts are reassigned."""
 
+_NOT_DELIVERED = (OrderOutcome.HELD_BACK, OrderOutcome.NO_PATH)
+"""Outcomes of orders that tell nothing of the host."""
+
 
 class DomainKeeper:
     """Decides the actions of the owner of one domain."""
@@ -91,12 +94,12 @@
         """Record the outcome of an order."""
         if end in (OrderOutcome.SILENT, OrderOutcome.GONE):
             self._avoid_until[order.instance] = now + AVOID_SECONDS
-        elif end != OrderOutcome.HELD_BACK:
+        elif end not in _NOT_DELIVERED:
             # A host that was partitioned answers orders long before another probe of it is due. If
             # its old unanswered probes still counted, each group that it is assigned to would be
             # dissolved.
             self._unanswered_probes.pop(order.instance, None)
-        if end not in (OrderOutcome.SILENT, OrderOutcome.HELD_BACK):
+        if end != OrderOutcome.SILENT and end not in _NOT_DELIVERED:
             self._answered_at = now
         if isinstance(order, Stage):
             self._spares.ended(order, end, now)
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -28,7 +28,7 @@
 from .ownership import Presence, owns, should_take, taken_over
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, in_new_generation, plan_key
-from .probing import ProbeRounds, count_unanswered
+from .probing import ProbeOutcome, ProbeRounds, count_unanswered
 
 SETTLE_SECONDS = 1.5
 """Seconds after the store recovers in which no domain that has a plan is taken over: leases may
@@ -62,7 +62,7 @@
     async def send(self, order: Order, address: str, term: int) -> OrderOutcome:
         """Send an order and return its outcome."""
 
-    async def answers(self, instance: Instance, address: str) -> bool:
+    async def probe(self, instance: Instance, address: str) -> ProbeOutcome:
         """Return whether this incarnation of a host answers a probe."""
 
 
@@ -283,17 +283,21 @@
             for instance, unanswered in zip(
                 contactable, await asyncio.gather(*probes), strict=True
             ):
-                keeper.probed(instance, unanswered, boottime_seconds())
-                if unanswered:
-                    silent = True
-                    self._records.note("probe", "silent", instance=str(instance), group=group.name)
+                if unanswered is not None:
+                    keeper.probed(instance, unanswered, boottime_seconds())
+                    silent = silent or unanswered > 0
+                if unanswered != 0:
+                    outcome = ProbeOutcome.SILENT if unanswered else ProbeOutcome.NO_PATH
+                    self._records.note("probe", outcome, instance=str(instance), group=group.name)
         finally:
             self._probe_rounds.end(group.name, silent, boottime_seconds())
             self.refresh_soon()
 
-    async def _probe_host(self, instance: Instance) -> bool:
+    async def _probe_host(self, instance: Instance) -> ProbeOutcome:
         host = self._inventory.by_instance.get(instance)
-        return host is not None and await self._orders.answers(instance, host.address)
+        if host is None:
+            return ProbeOutcome.SILENT
+        return await self._orders.probe(instance, host.address)
 
     def _make_pacer(
         self, now: float, catalog: Catalog, needs: Sequence[ModelNeed], domains: int
--- a/src/oleanderhill/groups/probing.py
+++ b/src/oleanderhill/groups/probing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
+from enum import StrEnum
 
 SECOND_PROBE_DELAY = 0.1
 """Seconds after which a second probe is sent concurrently with an unanswered first one. A host
@@ -19,6 +20,15 @@
 seconds."""
 
 
+class ProbeOutcome(StrEnum):
+    """What a probe tells of a host."""
+
+    ANSWERED = "answered"
+    SILENT = "silent"
+    NO_PATH = "no path"
+    """Nothing: the own links or those to a peer may be why there was no answer."""
+
+
 class ProbeRounds:
     """Schedules the probe rounds of suspected groups.
 
@@ -59,14 +69,17 @@
         self._next_at.pop(group, None)
 
 
-async def count_unanswered(ask: Callable[[], Awaitable[bool]]) -> int:
+async def count_unanswered(ask: Callable[[], Awaitable[ProbeOutcome]]) -> int | None:
     """Probe a host up to twice; return the number of unanswered probes, 0 if it answered one.
 
-    :param ask: sends one probe on its own connection and returns whether it was answered in time
+    :param ask: sends one probe on its own connection and waits for its outcome
+    :return: ``None`` if no probe tells anything of the host
     """
     first = asyncio.ensure_future(ask())
     await asyncio.wait({first}, timeout=SECOND_PROBE_DELAY)
-    if first.done() and first.result():
+    if first.done() and first.result() == ProbeOutcome.ANSWERED:
+        return 0
+    outcomes = await asyncio.gather(ask(), first)
+    if ProbeOutcome.ANSWERED in outcomes:
         return 0
-    second, first_answered = await asyncio.gather(ask(), first)
-    return 0 if second or first_answered else 2
+    return outcomes.count(ProbeOutcome.SILENT) or None
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -11,9 +11,10 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from ..clients.httpcall import Call, CallFailure, Reply
+from ..clients.httpcall import Call, CallFailure, FailureKind, Reply
 from ..groups.actions import Close, Join, Leave, Open, Order, OrderOutcome, Stage, Warm
 from ..groups.inventory import Instance
+from ..groups.probing import ProbeOutcome
 from ..serving.forwarding import Notice
 from ..serving.target_caller import TargetCaller
 from .decoding import decode_report
@@ -119,6 +120,8 @@
         found = await self._call_host(order.instance, call)
         if is_successful(found):
             return _OUTCOME_BY_STATUS.get(found.unwrap().status, OrderOutcome.SILENT)
+        if self._had_no_path(address, found.failure()):
+            return OrderOutcome.NO_PATH
         # A refused connection doesn't prove that the host is down: a partition may cause it too.
         return OrderOutcome.SILENT
 
@@ -138,7 +141,23 @@
         """Close the idle connections to the address of an ended host."""
         self._caller.forget(address)
 
+    def _had_no_path(self, address: str, failure: CallFailure) -> bool:
+        """Return whether links may be why a call failed, so that it tells nothing of the host."""
+        if failure.kind == FailureKind.PROXY_LOST:
+            return True
+        return not failure.sent and self._caller.links_may_explain(address)
+
     async def answers(self, instance: Instance, address: str, second_opinion: bool = False) -> bool:
+        """Return whether this incarnation of a host answers a probe at an address.
+
+        :param second_opinion: whether the probe goes through a peer if it gets no connection
+        """
+        outcome = await self.probe(instance, address, second_opinion)
+        return outcome == ProbeOutcome.ANSWERED
+
+    async def probe(
+        self, instance: Instance, address: str, second_opinion: bool = False
+    ) -> ProbeOutcome:
         """Probe an address and return whether this incarnation of the host answers there.
 
         :param second_opinion: whether the probe goes through a peer if it gets no connection
@@ -155,11 +174,15 @@
             connect_timeout=PROBE_TIMEOUT,
         )
         found = await self._call_host(instance, call, second_opinion)
-        if not is_successful(found) or found.unwrap().status != 200:
-            return False
+        if not is_successful(found):
+            no_path = self._had_no_path(address, found.failure())
+            return ProbeOutcome.NO_PATH if no_path else ProbeOutcome.SILENT
+        if found.unwrap().status != 200:
+            return ProbeOutcome.SILENT
         try:
-            return decode_report(found.unwrap().body) in (None, instance.born)
+            is_same = decode_report(found.unwrap().body) in (None, instance.born)
         except ValueError:
             # A malformed report still shows that the host is running. Whether it serves is detected
             # by the requests of its group.
-            return True
+            is_same = True
+        return ProbeOutcome.ANSWERED if is_same else ProbeOutcome.SILENT
--- a/src/oleanderhill/routing/reachability.py
+++ b/src/oleanderhill/routing/reachability.py
@@ -267,6 +267,15 @@
             self._lost and address in self._failed_at
         )
 
+    def may_explain(self, address: str, now: float) -> bool:
+        """Return whether the own links may be why a call to any host failed.
+
+        Unlike :meth:`blames_links` it covers hosts whose failures are not recorded.
+        """
+        if self._confirmed(address, now):
+            return False
+        return self._lost or self.route(address, now) != Route.DIRECT
+
     def take_checks(self, now: float) -> list[str]:
         """Return the addresses to which a connection should be tried now."""
         due = [a for a, link in self._broken.items() if link.check_at <= now]
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -166,6 +166,10 @@
         """Return whether a connection over the own links was opened lately."""
         return self._reachability.proven(time.monotonic())
 
+    def links_may_explain(self, address: str) -> bool:
+        """Return whether the own links may be why a call to a host failed."""
+        return self._reachability.may_explain(address, time.monotonic())
+
     async def is_running(self, address: str) -> bool:
         """Return whether a peer can connect to a target; nothing is sent to it."""
         request = Call(address, "GET", "/", reuse=True, connect_timeout=TAKE_TIMEOUT)
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -187,6 +187,17 @@
         self.break_links("a1", refused=True)
         self.assertEqual(self.links.route("a1", 0.1), Route.OPEN_CONNECTION)
 
+    def test_links_in_doubt_may_explain_failures_that_are_not_recorded(self):
+        links = Reachability()
+        for address in ("a", "b"):
+            self.assertFalse(links.may_explain("member", 0.0))
+            links.failed(address, 0.0)
+        self.assertTrue(links.may_explain("member", 0.1))
+        links.failed_by_peer("member", 0.1)
+        self.assertFalse(links.may_explain("member", 0.2))
+        links.connected("a", 0.3)
+        self.assertFalse(links.may_explain("other", 0.4))
+
     def test_the_end_of_a_cut_is_found_at_all_targets_at_once(self):
         self.break_links(*(f"a{number}" for number in range(5)))
         self.assertEqual(self.links.take_checks(CHECK_INTERVAL - 0.01), [])
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -40,7 +40,7 @@
 from oleanderhill.groups.ownership import Presence, owns, preferred_owner, should_take, taken_over
 from oleanderhill.groups.pacing import LoadPacer
 from oleanderhill.groups.plans import DomainPlan, decode_plan, encode_plan
-from oleanderhill.groups.probing import ProbeRounds, count_unanswered
+from oleanderhill.groups.probing import ProbeOutcome, ProbeRounds, count_unanswered
 from oleanderhill.groups.serving_groups import serving_groups
 from oleanderhill.groups.spares import LOAD_RETRY_SECONDS
 
@@ -584,7 +584,9 @@
         async def once():
             seconds, answered = left.pop(0)
             await asyncio.sleep(seconds)
-            return answered
+            if answered is None:
+                return ProbeOutcome.NO_PATH
+            return ProbeOutcome.ANSWERED if answered else ProbeOutcome.SILENT
 
         began = time.monotonic()
         return await count_unanswered(once), time.monotonic() - began
@@ -604,6 +606,11 @@
         self.assertEqual((await self.ask((0.4, False), (0.01, True)))[0], 0)
         self.assertEqual((await self.ask((0.3, True), (0.4, False)))[0], 0)
 
+    async def test_probes_without_a_path_tell_nothing_of_a_host(self):
+        self.assertIsNone((await self.ask((0.01, None), (0.01, None)))[0])
+        self.assertEqual((await self.ask((0.4, False), (0.01, None)))[0], 1)
+        self.assertEqual((await self.ask((0.01, None), (0.01, True)))[0], 0)
+
 
 class InventoryTest(unittest.TestCase):
     def test_entries_that_lapsed_with_the_store_get_time_to_come_back(self):
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -27,6 +27,7 @@
     proxied_headers,
     proxy_address,
 )
+from oleanderhill.clock import boottime_seconds
 from oleanderhill.groups.actions import Leave, OrderOutcome
 from oleanderhill.groups.inventory import Instance
 from oleanderhill.kernel import Kernel
@@ -444,13 +445,41 @@
             await asyncio.sleep(sum(CHECK_DELAYS) + 0.1)
         ended.assert_not_called()
 
-    async def test_owner_that_is_cut_off_goes_on_with_its_domain(self):
-        owner = next(
+    def owner(self):
+        return next(
             number
             for number, entry in enumerate(self.site.entries)
             for plan in entry._plans.by_key.values()
             if plan.owner == f"entry-{number}"
         )
+
+    async def test_owner_without_a_way_to_its_hosts_breaks_up_no_group(self):
+        owner = self.owner()
+        entry = self.site.entries[owner]
+        for how in (Cut.REFUSED, Cut.SILENT):
+            self.cut_off(how, owner)
+            await self.statuses(4, entry)
+            groups = {g.name for p in entry._plans.by_key.values() for g in p.groups}
+            with (
+                mock.patch.object(entry._book, "is_suspect", lambda *what: True),
+                mock.patch.object(entry._orders, "send", wraps=entry._orders.send) as send,
+            ):
+                await until(lambda: self.answered_lately(entry))
+                with mock.patch.object(entry._links._proxies, "choose", return_value=None):
+                    await asyncio.sleep(1.0)
+                await asyncio.sleep(1.0)
+            sent = [call.args[0] for call in send.call_args_list]
+            left = [o.group for o in sent if isinstance(o, Leave) and o.group in groups]
+            self.assertEqual(left, [], how)
+            self.site.links.heal(entry._settings.host)
+            await until(lambda: not entry._links.reachability.broken, 3.0)
+
+    def answered_lately(self, entry):
+        keepers = entry._owner._keeper_by_domain.values()
+        return all(boottime_seconds() - k._answered_at < 0.2 for k in keepers)
+
+    async def test_owner_that_is_cut_off_goes_on_with_its_domain(self):
+        owner = self.owner()
         entry = self.site.entries[owner]
         self.cut_off(Cut.REFUSED, owner)
         await self.statuses(4, entry)
