A peer that just helped is not avoided for several lost targets

Several lost targets are a common picture: a crash, a lost rack.

Cause: two targets not reached were taken for broken links of the peer. Class: a count of failures without the successes between.

Change: a peer that passed a request on within the last second is not avoided for it. One whose links break now helps nobody from then on, and is avoided a second later; each try until then takes the time of one connection at most.

Evidence: the new test of the choice of peers failed before; a mutant.

--- a/dev/oleanderhill_dev/users/proxy_mutants.py
+++ b/dev/oleanderhill_dev/users/proxy_mutants.py
@@ -60,6 +60,14 @@
             [(proxying.ProxyFailure, "is_unlisted", False)],
             testing(f"{hop}.test_peer_that_does_not_list_a_target_is_asked_for_others"),
         ),
+        Mutant(
+            "a peer that just helped is not avoided for several lost targets",
+            [(proxies, "HELPED_SECONDS", 0.0)],
+            testing(
+                "test_cut_off.ProxiesTest"
+                ".test_a_peer_that_just_helped_is_not_avoided_for_several_lost_targets"
+            ),
+        ),
         Mutant(
             "probes that found no path are no evidence against a host",
             [(orders.EngineOrders, "_had_no_path", lambda self, address, failure: False)],
--- a/src/oleanderhill/routing/proxies.py
+++ b/src/oleanderhill/routing/proxies.py
@@ -14,8 +14,12 @@
 """Seconds for which a peer that could not help is avoided."""
 
 MIN_NOT_REACHED = 2
-"""Targets that a peer could not reach, and none between, from which it is avoided for all targets.
-One target that failed doesn't tell that the links of the peer did."""
+"""Targets that a peer could not reach, and none between, from which it is avoided for all targets,
+unless it just helped. One target that failed doesn't tell that the links of the peer did."""
+
+HELPED_SECONDS = 1.0
+"""Seconds after a peer passed a request on in which targets that it can't reach are taken to be
+lost, as several may be at a time."""
 
 PROVEN_SECONDS = 5.0
 """Seconds after its last request for which a peer is known to help."""
@@ -133,7 +137,8 @@
             if (recent := {a: until for a, until in known.items() if until > now})
         }
         self._record_failure(peer)
-        if len(self._not_reached_until[peer.name]) < MIN_NOT_REACHED:
+        helped = now - self._proven.get(peer, float("-inf")) < HELPED_SECONDS
+        if helped or len(self._not_reached_until[peer.name]) < MIN_NOT_REACHED:
             return False
         return self.avoid(peer, now)
 
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -10,7 +10,7 @@
 from oleanderhill_dev.users.site import LARGE, until
 from returns.pipeline import is_successful
 
-from oleanderhill.routing.proxies import AVOID_SECONDS, Peer, PeerList, Proxies
+from oleanderhill.routing.proxies import AVOID_SECONDS, HELPED_SECONDS, Peer, PeerList, Proxies
 from oleanderhill.routing.reachability import (
     CHECK_INTERVAL,
     CONFIRMED_SECONDS,
@@ -274,6 +274,18 @@
         self.proxies.took(self.peers.local[0], 0.3)
         self.assertEqual(self.choose(0.3, address="a3"), "hall-0")
 
+    def test_a_peer_that_just_helped_is_not_avoided_for_several_lost_targets(self):
+        helped = self.peers.local[0]
+        self.proxies.took(helped, 0.0)
+        for peer in (*self.peers.local, *self.peers.remote):
+            for address in ("a1", "a2"):
+                self.proxies.not_reached(peer, address, 0.1)
+        self.assertIsNone(self.choose(0.1, address="a1"))
+        self.assertEqual(self.choose(0.1, address="a3"), helped.name)
+        for address in ("a3", "a4"):
+            self.proxies.not_reached(helped, address, HELPED_SECONDS)
+        self.assertIsNone(self.choose(HELPED_SECONDS, address="a5"))
+
     def test_peers_that_were_tried_are_left_out(self):
         tried = [p.name for p in (*self.peers.local, *self.peers.remote)]
         self.assertIsNone(self.choose(tried=tried))
