The soak replaces the file of cut links whole

By reading: an entry host of the soak reads the file with its cut links at any moment, so it could read one that is half written. The file is written beside and renamed. A fault of the tool only; no check is changed.

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -199,7 +199,10 @@
         The first call has to come before the process starts.
         """
         order = msgspec.json.encode(CutOrder(how, addresses))
-        self._cut_file.write_bytes(order)
+        # The process may read the file at any moment.
+        written = self._cut_file.with_suffix(".new")
+        written.write_bytes(order)
+        written.replace(self._cut_file)
         self._program = [
             "-m",
             "oleanderhill_dev.users.cut_entry",
