The soak's quiet time begins when all entry hosts run again

The traces show that the promise was kept: the quiet time of 7 s is meant to count from the last fault, and an entry host that has not come back is one.

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -44,6 +44,13 @@
 FAULT_SECONDS = 9.0
 """Seconds during which faults begin; the longest fault lasts 3 s."""
 
+GRACE_SECONDS = 4.0
+"""Seconds that an entry host has to end its requests after SIGTERM."""
+
+RESTART_SECONDS = 10.0
+"""Seconds after the last fault in which all entry hosts must run again: the grace of one that was
+terminated, and its start."""
+
 QUIET_SECONDS = 7.0
 """Seconds without faults at the end: leases expire in 3, groups are complete in another 3."""
 
@@ -168,7 +175,7 @@
             "platform": {"address": self.link.address},
             "bootstrap": self._first,
             "bounds": {
-                "grace_s": 4.0,
+                "grace_s": GRACE_SECONDS,
                 "revoke_ms": KEY_REMOVAL_SECONDS * 1000,
                 "evacuate_ms": EVACUATION_SECONDS * 1000,
                 "cold_excess": COLD_EXCESS,
@@ -245,6 +252,10 @@
             log.seek(self._log_offset)
             return b'"what":"in force"' in log.read()
 
+    def is_up(self) -> bool:
+        """Return whether the process serves, and no fault ended it."""
+        return not self.exit_expected and self.holds_configuration()
+
     def has_exited(self) -> bool:
         """Return whether the process has exited."""
         return self._process is None or self._process.poll() is not None
@@ -325,6 +336,7 @@
         self._host_number = HOSTS
         self._stopping = False
         self._faults_ended_at = float("inf")
+        self._not_restarted: list[str] = []
         self.violations: list[str] = []
 
     async def run(self) -> None:
@@ -367,6 +379,7 @@
                 await self._remove_key()
             if self._evacuated:
                 await self._kill()
+            self._not_restarted = await self._wait_for_restarts()
             self._faults_ended_at = time.monotonic()
             await asyncio.sleep(QUIET_SECONDS)
             self._stopping = True
@@ -407,6 +420,10 @@
                 )
             ):
                 found.append(f"{a.request_id} ran with a key that had been removed too long before")
+        found += [
+            f"{name} did not run {RESTART_SECONDS} s after the last fault"
+            for name in self._not_restarted
+        ]
         found += self._excess_crashes()
         found += self._retries_over_budget()
         found += self._limits_exceeded()
@@ -540,6 +557,13 @@
                     process.unexpected_exits += not process.exit_expected
                     process.run()
 
+    async def _wait_for_restarts(self) -> list[str]:
+        """Wait until all processes run that faults have ended; return those that don't in time."""
+        ends = time.monotonic() + RESTART_SECONDS
+        while time.monotonic() < ends and not all(p.is_up() for p in self.processes):
+            await asyncio.sleep(0.1)
+        return [p.name for p in self.processes if not p.is_up()]
+
     async def _call_repeatedly(self) -> None:
         caller = HttpCaller()
         rng = random.Random(self._rng.random())
