A suspected part of prompts outlasts all entry hosts

Cause: the first crashes of a part lay in no store until the verdict a second later, and all entry hosts that restarted before began to count again. The same class as the retry budget: a count that ends with the process that holds it.

Change: the crashes of a suspected part are written to the store with their ages and with the crashes around them, without which a restored part would seem to have been in flight at all of its time. The record has one more field, which hosts of the landed build ignore.

Pure tests that crashes at the same moment stay no suspicion, that one request's crashes are not blamed on the part, and that stored and own verdict agree; a mutant. Open: the first two crashes, and those after the moment of the suspicion, lie in no store.

--- a/dev/oleanderhill_dev/users/part_mutants.py
+++ b/dev/oleanderhill_dev/users/part_mutants.py
@@ -35,4 +35,9 @@
             [(crash_verdicts, "_is_explained_by_requests", lambda *evidence: False)],
             testing(f"{_PROOFS}.test_part_is_not_blamed_for_one_request_that_crashes_targets"),
         ),
+        Mutant(
+            "suspicion of a part outlasts all processes",
+            [(crashes.CrashTracker, "part_crashes_of", lambda self, part, now: {})],
+            testing(f"{_PROOFS}.test_suspected_part_is_suspected_after_all_processes_restarted"),
+        ),
     ]
--- a/src/oleanderhill/routing/crashes.py
+++ b/src/oleanderhill/routing/crashes.py
@@ -20,12 +20,14 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import TypeVar
+from types import MappingProxyType
+from typing import NamedTuple, TypeVar
 
 from ..outcomes import Problem, Ran, ends_targets, held_back
 from .crash_news import (
     QUARANTINED_PER_DATAGRAM,
     EndingNews,
+    PartInFlight,
     Quarantined,
     chunks,
     in_flight_chunks,
@@ -33,6 +35,7 @@
 )
 from .crash_verdicts import (
     CERTAIN_CRASHES,
+    RATE_WINDOW_LEAD,
     Crash,
     Evidence,
     find_part,
@@ -86,6 +89,19 @@
 that were partitioned or overloaded for a moment."""
 
 
+class PartCrash(NamedTuple):
+    """A crash as it is kept with a suspected part of prompts.
+
+    :param age: seconds since the crash
+    :param parts: parts in flight
+    :param requests: requests in flight, with their run times in seconds
+    """
+
+    age: float
+    parts: dict[str, PartInFlight] = {}
+    requests: dict[str, float] = {}
+
+
 class CrashTracker:
     """The crashes that this entry host observed or learned from peers.
 
@@ -206,21 +222,37 @@
         return is_new
 
     def restore_crashes(
-        self, in_flight_by_incarnation: Mapping[str, Mapping[str, float]], now: float
+        self,
+        in_flight_by_incarnation: Mapping[str, Mapping[str, float]],
+        now: float,
+        part_crashes: Mapping[str, PartCrash] = MappingProxyType({}),
     ) -> list[str]:
         """Restore crashes from before the start of this process; return the requests quarantined.
 
-        Their times are no longer known, so they are recorded with the current time.
+        The times of crashes without parts are no longer known, so these are recorded with the
+        current time.
 
         :param in_flight_by_incarnation: requests in flight at each crash, with their run times in
             seconds
+        :param part_crashes: crashes that a part is suspected for, and those around them, by
+            incarnation
         """
+        for incarnation, part_crash in part_crashes.items():
+            self._store_depths({p: flight.depth for p, flight in part_crash.parts.items()})
+            seconds = {p: flight.seconds for p, flight in part_crash.parts.items()}
+            held = {**part_crash.requests, **seconds}
+            self._restore_crash(incarnation, now - part_crash.age, held, now)
         for incarnation, in_flight in in_flight_by_incarnation.items():
-            crash = self._add_to_crash(incarnation, now, in_flight, now)
-            if crash is not None and not crash.confirmed:
-                crash.confirmed, self._evaluated = True, False
+            self._restore_crash(incarnation, now, in_flight, now)
         return self._quarantine_suspects(now)
 
+    def _restore_crash(
+        self, incarnation: str, at: float, in_flight: Mapping[str, float], now: float
+    ) -> None:
+        crash = self._add_to_crash(incarnation, at, in_flight, now)
+        if crash is not None and not crash.confirmed:
+            crash.confirmed, self._evaluated = True, False
+
     def pop_new_suspects(self) -> list[str]:
         """Return the requests that reached :data:`MIN_CRASHES` crashes since the previous call."""
         found, self._newly_suspected = self._newly_suspected, []
@@ -234,6 +266,38 @@
             if c.confirmed and identity in c.in_flight
         }
 
+    def part_crashes_of(self, part: str, now: float) -> dict[str, PartCrash]:
+        """Return the crashes that a part is suspected for, and those around them.
+
+        The latter have nothing in flight. Without them a restored part would seem to have been in
+        flight at all crashes of its time.
+        """
+        confirmed = {i: c for i, c in self._crash_by_incarnation.items() if c.confirmed}
+        own_at = [c.at for c in confirmed.values() if part in c.in_flight]
+        since = min(own_at, default=now) - RATE_WINDOW_LEAD
+        return {
+            incarnation: self._part_crash(c, part, now)
+            for incarnation, c in confirmed.items()
+            if c.at >= since
+        }
+
+    def suspects(self, subject: str) -> bool:
+        """Return whether a subject is suspected of its crashes."""
+        crashes = self._crash_by_incarnation.values()
+        return is_suspected(subject, [c for c in crashes if c.confirmed and subject in c.in_flight])
+
+    def _part_crash(self, crash: Crash, part: str, now: float) -> PartCrash:
+        age = round(now - crash.at, 3)
+        if part not in crash.in_flight:
+            return PartCrash(age)
+        requests, parts = _split_kinds(crash.in_flight)
+        depths = self._depth_by_part
+        return PartCrash(
+            age,
+            {p: PartInFlight(crash.in_flight[p], depths.get(p, 0)) for p in parts},
+            {r: crash.in_flight[r] for r in requests},
+        )
+
     def release(self, identity: str, now: float) -> None:
         """End a quarantine. The request may be tried again, but is on probation.
 
--- a/src/oleanderhill/serving/quarantine.py
+++ b/src/oleanderhill/serving/quarantine.py
@@ -1,8 +1,8 @@
 """Detects requests that crash targets, sends updates to peers, and records them in the store.
 
 The decisions are made without I/O in :mod:`..routing.crashes`. This task checks whether a target
-whose connections were lost still listens, writes quarantined requests to the store, where the
-records outlive all entry hosts, and logs when a request becomes suspect, is quarantined or cleared.
+whose connections were lost still listens, writes suspected and quarantined subjects to the store,
+where the records outlive all entry hosts, and logs when one is suspected, quarantined or cleared.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 from ..records import Records
 from ..routing.crash_news import EndingNews
 from ..routing.crash_verdicts import MIN_CRASHES
-from ..routing.crashes import QUARANTINE_SECONDS, CrashTracker
+from ..routing.crashes import QUARANTINE_SECONDS, CrashTracker, PartCrash
 from ..routing.identity import is_part, part_identities, scope
 from ..types import Member
 
@@ -78,19 +78,21 @@
 
 
 class QuarantineRecord(msgspec.Struct):
-    """Stored record of a subject that is quarantined, or of a request that is suspected.
+    """Stored record of a subject that is quarantined or suspected.
 
     :param host: entry host that wrote it
     :param endings: incarnations of targets that crashed under it, each with all requests that were
         in flight and for how many seconds. Without the other requests, this one would seem to have
         been alone at each crash
-    :param quarantined: whether the request is sent to no target; if false, it is only suspected,
+    :param quarantined: whether the subject is sent to no target; if false, it is only suspected,
         and its next attempts decide whether it is quarantined
+    :param part_crashes: what a part is suspected for; ages count from the writing
     """
 
     host: str
     endings: dict[str, dict[str, float]] = {}
     quarantined: bool = True
+    part_crashes: dict[str, PartCrash] = {}
 
 
 class _Stored(NamedTuple):
@@ -304,7 +306,9 @@
         reason = f"store, by {record.host}"
         if not record.quarantined:
             self._records.note("quarantine", "suspected", same_as=identity, reason=reason)
-            found = self._crashes.restore_crashes(record.endings, boottime_seconds())
+            found = self._crashes.restore_crashes(
+                record.endings, boottime_seconds(), record.part_crashes
+            )
             self._handle_quarantined(found, reason, 0.0)
         elif self._crashes.quarantine(identity, tuple(record.endings), boottime_seconds()):
             self._handle_quarantined([identity], reason, 0.0)
@@ -354,11 +358,11 @@
         return stored is not None or not self._needs_record(identity)
 
     def _needs_record(self, identity: str) -> bool:
-        """Return whether a request is quarantined or has enough crashes to be stored."""
+        """Return whether a subject is quarantined or has enough crashes to be stored."""
         if self._crashes.quarantined(identity) is not None:
             return True
         if is_part(identity):
-            return False
+            return self._crashes.suspects(identity)
         return len(self._crashes.crashes_of(identity)) >= MIN_CRASHES
 
     def dispatch(self, message: object) -> None:
@@ -404,6 +408,8 @@
         endings = {} if is_part(identity) else self._crashes.crashes_of(identity)
         endings = endings or {i: {} for i in quarantined or ()}
         record = QuarantineRecord(self._me.name, endings, quarantined is not None)
+        if is_part(identity) and quarantined is None:
+            record.part_crashes = self._crashes.part_crashes_of(identity, boottime_seconds())
         key, stored = QUARANTINE_PREFIX + identity, self._stored.get(identity)
         write = Write(key, msgspec.json.encode(record), granted.unwrap())
         revision = NEVER if stored is None else stored.revision
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -1,6 +1,7 @@
 """Parts of prompts that crash each replica that runs a request with them."""
 
 import asyncio
+import contextlib
 import json
 import time
 import unittest
@@ -15,9 +16,10 @@
 
 from oleanderhill.platform.headers import MAX_PROMPT_PARTS, HeaderCodec
 from oleanderhill.routing.crash_news import EndingNews, Quarantined
-from oleanderhill.routing.crash_verdicts import ACQUITTAL_SECONDS, MIN_OTHER_ANSWERS
+from oleanderhill.routing.crash_verdicts import ACQUITTAL_SECONDS, MIN_CRASHES, MIN_OTHER_ANSWERS
 from oleanderhill.routing.crashes import CrashTracker
 from oleanderhill.routing.identity import part_identities, scope
+from oleanderhill.serving.quarantine import QuarantineRecord
 
 from .test_users_site import SiteTest
 
@@ -125,6 +127,55 @@
         news = [msgspec.json.decode(data, type=EndingNews) for data in sent]
         return [found for update in news for found in other.apply_peer_update(update, now)]
 
+    def stored(self, part, now):
+        """Return a tracker that knows just what is stored of a part."""
+        part_crashes = self.tracker.part_crashes_of(part, now)
+        record = QuarantineRecord("peer", quarantined=False, part_crashes=part_crashes)
+        decoded = msgspec.json.decode(msgspec.json.encode(record), type=QuarantineRecord)
+        other = CrashTracker()
+        other.targets = 14
+        other.restore_crashes(decoded.endings, 100.0, decoded.part_crashes)
+        return other
+
+    def test_suspected_part_is_suspected_after_all_processes_restarted(self):
+        for n in range(4):
+            self.crash(f"t{n}", 1.0 + n / 5, (f"r{n}", Q, P))
+        self.tracker.parts_written((Q,), 1.7)
+        other = self.stored(P, 2.0)
+        self.assertTrue(other.suspects(P))
+        self.assertFalse(other.suspects(Q))
+        self.assertGreater(other.hold(P, 99.0), 0.0)
+        other.lost("r5", "t5", 0.1, 101.0, (Q, P))
+        other.confirm_ended("t5", 101.0)
+        other.parts_written((Q,), 101.1)
+        other.scope_answered(SCOPE, 101.2)
+        self.assertEqual(other.judge_parts(102.0), [P])
+
+    def test_crashes_at_the_same_moment_are_no_suspicion_after_a_restart(self):
+        for n in range(6):
+            self.crash(f"t{n}", 1.0 + n / 200, (f"r{n}", P))
+        self.assertFalse(self.tracker.suspects(P))
+        self.assertFalse(self.stored(P, 2.0).suspects(P))
+
+    def test_restored_part_is_not_blamed_for_one_request(self):
+        for n in range(4):
+            self.crash(f"t{n}", 1.0 + n / 5, ("r1", P))
+        other = self.stored(P, 2.0)
+        for _ in range(MIN_OTHER_ANSWERS):
+            other.scope_answered(SCOPE, 100.1)
+        self.assertEqual(other.judge_parts(101.0), [])
+
+    def test_stored_crashes_include_those_without_the_part(self):
+        for n in range(4):
+            self.crash(f"t{n}", 1.0 + n / 5, (f"r{n}", P))
+            self.crash(f"u{n}", 1.1 + n / 5, (f"s{n}",))
+        other = self.stored(P, 2.0)
+        self.answer(1.9)
+        for _ in range(MIN_OTHER_ANSWERS):
+            other.scope_answered(SCOPE, 100.1)
+        self.assertEqual(bool(self.tracker.judge_parts(3.0)), bool(other.judge_parts(101.0)))
+        self.assertEqual(other.sizes[0], 8)
+
     def test_parts_have_fields_of_their_own_in_updates(self):
         # Hosts of an earlier release take whatever the older fields name for a request.
         self.crash("t0", 1.0, ("r1", Q, P))
@@ -224,16 +275,35 @@
             self.assertEqual((reply.status, problem["error"]["type"]), (502, "ends-targets"))
             self.assertEqual((problem["ran"], "Retry-After" in reply.headers), ("no", False))
 
-    async def test_part_stays_quarantined_when_all_entry_hosts_restart_at_once(self):
-        await self.until_quarantined()
-        crashed = len(self.site.engines.crashed_instances)
+    def stored_parts(self):
         prefix = "oleanderhill/quarantined/part/"
-        await until(lambda: [k for k in self.site.store.items if k.startswith(prefix)])
+        return [k for k in self.site.store.items if k.startswith(prefix)]
+
+    async def restart_all(self):
         for entry in self.site.entries:
             await entry.kernel.stop()
         self.site.entries.clear()
         for number in range(2):
             await self.site.add_entry(f"entry-{number}")
         self.entry = self.site.entries[0]
+
+    async def test_suspicion_outlasts_restarts_of_all_entry_hosts(self):
+        crashed = self.site.engines.crashed_instances
+        for _ in range(3):
+            before = len(crashed)
+            for _ in range(8):
+                await self.send_with_part(1)
+                if len(crashed) >= before + MIN_CRASHES:
+                    break
+            with contextlib.suppress(TimeoutError):
+                await until(self.stored_parts, 1.0)
+            await self.restart_all()
+        self.assertLessEqual(len(crashed), MAX_CRASHES)
+
+    async def test_part_stays_quarantined_when_all_entry_hosts_restart_at_once(self):
+        await self.until_quarantined()
+        crashed = len(self.site.engines.crashed_instances)
+        await until(self.stored_parts)
+        await self.restart_all()
         await self.send_with_part(4)
         self.assertEqual(len(self.site.engines.crashed_instances), crashed)
