The soak counts crashes of a part for each model

Traced in their logs: the part came in prompts for two models, and a part is a part of its service and model; the same identifier elsewhere is another one, by the users' design. The check added both up.

The stand-ins record crashes by part and model, and the check holds for each: five crashes, then three more at most, as before.

--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -92,6 +92,18 @@
         return True
 
 
+class CrashCause(NamedTuple):
+    """What crashes hosts.
+
+    :param name: body of a request, or a part of prompts
+    :param model: model of the part, as the same name at another model is another part; empty for a
+        body
+    """
+
+    name: str
+    model: str = ""
+
+
 class OrderFaults:
     """Faults in the execution of orders.
 
@@ -319,8 +331,8 @@
         self.crash_causing_parts: set[str] = set()
         """Parts of prompts: each host that begins to run a request with one crashes."""
         self.crashed_instances: list[str] = []
-        self.crash_times: dict[str, list[float]] = {}
-        """Monotonic times of crashes, by the body or the part that caused them."""
+        self.crash_times: dict[CrashCause, list[float]] = {}
+        """Monotonic times of crashes by their causes."""
         self.arrivals: list[Arrival] = []
         self.closing_connections: list[asyncio.Future[None]] = []
         self.replace_host: Callable[[StandInHost], None] = lambda host: None
@@ -338,15 +350,13 @@
         self._last_start_ms += 1
         return self._last_start_ms
 
-    def crash_cause(self, body: bytes, prompt: str) -> str:
-        """Return the body or the part of a request that crashes the host that runs it.
-
-        It is empty for none; the last part never is one.
-        """
+    def crash_cause(self, body: bytes, prompt: str, model: str) -> CrashCause | None:
+        """Return what in a request crashes the host that runs it; the last part never is it."""
         if body in self.crash_causing_bodies:
-            return body.decode()
+            return CrashCause(body.decode())
         parts = {part.partition(":")[0] for part in prompt.split(",")[:-1]}
-        return min(parts & self.crash_causing_parts, default="")
+        found = min(parts & self.crash_causing_parts, default="")
+        return CrashCause(found, model) if found else None
 
     def schedule(self, seconds: float, call: Callable[[], None]) -> None:
         """Call a function after a delay."""
@@ -424,8 +434,9 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Response-Seal", f"seal-{host.instance}")
-        cause = host.site.crash_cause(self.request.body, headers.get("Prompt-Prefix", ""))
-        if cause:
+        prompt, model = headers.get("Prompt-Prefix", ""), headers.get("Model", "")
+        cause = host.site.crash_cause(self.request.body, prompt, model)
+        if cause is not None:
             await self.flush()
             await asyncio.sleep(CRASH_SECONDS)
             if host.alive:
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -448,13 +448,14 @@
         found = []
         parts = self.site.engines.crash_causing_parts
         for cause, crashed_at in self.site.engines.crash_times.items():
-            enough = PART_QUARANTINE_CRASHES if cause in parts else QUARANTINE_CRASHES
+            enough = PART_QUARANTINE_CRASHES if cause.name in parts else QUARANTINE_CRASHES
             if len(crashed_at) <= enough:
                 continue
             settled_at = max(self._faults_ended_at, crashed_at[enough - 1]) + SETTLE_SECONDS
             extra = sum(at > settled_at for at in crashed_at)
             if extra > MAX_EXTRA_CRASHES:
-                found.append(f"{cause} crashed {extra} more hosts, {len(crashed_at)} in total")
+                name = f"{cause.name} {cause.model}".rstrip()
+                found.append(f"{name} crashed {extra} more hosts, {len(crashed_at)} in total")
         return found
 
     def _retries_over_budget(self) -> list[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,7 +40,7 @@
     def test_promises_hold_while_a_part_of_prompts_ends_the_hosts_that_run_it(self):
         soak = run_seed(804, crash_part=True)
         self.assertEqual(soak.violations, [])
-        self.assertIn("bad0", soak.site.engines.crash_times)
+        self.assertIn("bad0", {cause.name for cause in soak.site.engines.crash_times})
 
     def test_promises_hold_while_targets_name_change_and_withdraw_limits(self):
         self.assertEqual(run_seed(1_200, 0, True).violations, [])
