The summary of losses doesn't count sent attempts as outcomes

The line came with the observability of the retry budget, and the reader of logs was not told of it. Class: a reader of logs that knows its lines by name.

The test has such a line now; it failed before. Ruled out by a look: `explain` shows all lines of a request, whatever their name.

--- a/dev/oleanderhill_dev/users/losses.py
+++ b/dev/oleanderhill_dev/users/losses.py
@@ -19,7 +19,14 @@
 
 ON_TIME = "on time"
 
-INTERMEDIATE_LINES = {"attempt failed", "suspect", "cleared", "retry", "retry refused"}
+INTERMEDIATE_LINES = {
+    "attempt failed",
+    "suspect",
+    "cleared",
+    "retry",
+    "retry refused",
+    "sent again",
+}
 """Log lines that are written before a request has its outcome."""
 
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -29,6 +29,7 @@
             line("attempt failed", reason="no progress"),
             line("suspect", instance="i-1"),
             line("cleared"),
+            line("sent again", number=2, target="h"),
             line("unauthenticated", status=401),
             "not a line of ours\n",
         )
