A new owner of a domain has its full bucket of loads after one window

By reading, from a trace: a new owner starts with an empty bucket, and where a domain's share is about one load, as on small sites, it fills by 0.02 a second. So an owner that took a domain over could order no load for fifty seconds, and a group that lacks one host with the weights waits for as long.

Cause: the empty bucket stands for what isn't known, and nothing said when it is known again.

Change: what the previous owner ordered counts for one window. After that the bucket is filled, except for what the new owner has taken since.

Evidence: `test_new_owner_with_a_small_share_waits_for_one_window_only` failed before. That the bound of all loads holds is shown by 200 random plays with owners lost at any time, beside the earlier test.

--- a/src/oleanderhill/groups/pacing.py
+++ b/src/oleanderhill/groups/pacing.py
@@ -5,7 +5,8 @@
 refill during one window stays below what the limit allows per window.
 
 A new owner of a domain doesn't know which loads the previous one ordered just before its end, so it
-starts with an empty bucket.
+starts with an empty bucket. A window later those no longer count, and the bucket is filled except
+for what the new owner has taken.
 """
 
 from __future__ import annotations
@@ -41,6 +42,8 @@
         self._total_concurrent = max_concurrent
         self._domains = 0
         self._at = taken_over_at
+        self._full_at = None if taken_over_at is None else taken_over_at + window
+        self._taken = 0
         self._tokens = float("inf") if taken_over_at is None else 0.0
         self.share_among(domains)
 
@@ -66,7 +69,11 @@
         if self._at is not None:
             self._tokens = min(self._cap, self._tokens + (now - self._at) * self._rate)
         self._at = now
+        if self._full_at is not None and now >= self._full_at:
+            self._tokens = max(self._tokens, self._cap - self._taken)
+            self._full_at = None
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
+        self._taken += 1
         return True
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -1,6 +1,7 @@
 """Tests of engine host groups: inventory, plans, ownership, composing, forming, pacing."""
 
 import asyncio
+import random
 import time
 import unittest
 from collections import Counter
@@ -563,6 +564,27 @@
         self.assertLessEqual(max_within_window(5.0, began), 27.75)
         self.assertGreater(len(began) / 40, 1.0)
 
+    def test_new_owner_with_a_small_share_waits_for_one_window_only(self):
+        pacer = LoadPacer(4.0, 5.0, 6, taken_over_at=10.0)
+        self.assertFalse(pacer.take(10.5))
+        self.assertTrue(pacer.take(15.0))
+        self.assertFalse(pacer.take(15.5))
+
+    def test_loads_stay_under_the_bound_whenever_owners_are_lost(self):
+        for seed in range(200):
+            rng = random.Random(seed)
+            per_window, domains = rng.choice((7.5, 27.75, 80.0)), rng.randint(1, 6)
+            pacers = [LoadPacer(per_window, 5.0, domains) for _ in range(domains)]
+            began = []
+            for tick in range(400):
+                now = tick * 0.1
+                for domain in range(domains):
+                    if rng.random() < 0.02:
+                        pacers[domain] = LoadPacer(per_window, 5.0, domains, taken_over_at=now)
+                eager = rng.random() < 0.7
+                began += [now for pacer in pacers for _ in range(9) if eager and pacer.take(now)]
+            self.assertLessEqual(max_within_window(5.0, began), per_window, seed)
+
     def test_owner_that_came_first_shares_with_the_domains_that_show_later(self):
         # At the first start the list shows one domain, then six. Without share_among(), the owner
         # of the first domain would use the whole limit for as long as it owns it.
