Log and count requests that end without an answer

Callers saw connections close without an answer, and no line of ours said so. A request that was read while its connection was being closed was dropped silently, a connection was closed without a look at the bytes that waited in it, and a handler that was cancelled left nothing. Each has a line with its reason now (`dropped`, `cancelled`), the end of the process says how many requests and idle connections it closes, and a counter stands on the metrics address. No decision changes.

--- a/dev/oleanderhill_dev/users/losses.py
+++ b/dev/oleanderhill_dev/users/losses.py
@@ -29,6 +29,9 @@
 }
 """Log lines that are written before a request has its outcome."""
 
+UNANSWERED_LINES = {"dropped", "cancelled"}
+"""Log lines of requests that ended without an answer."""
+
 
 class Loss(NamedTuple):
     """The outcome of one or more requests, on time ones included.
@@ -59,6 +62,8 @@
         return _lateness_cause(line)
     if facts.get("what") == "cut":
         return "cut: its group stalled or was lost"
+    if facts.get("what") in UNANSWERED_LINES:
+        return f"unanswered: {facts.get('reason')}"
     reason = str(facts.get("reason", ""))
     if "no target serves" in reason:
         return "refused: no whole group"
--- a/src/oleanderhill/exposition.py
+++ b/src/oleanderhill/exposition.py
@@ -60,8 +60,18 @@
             ["service", "attempt"],
             registry=self._registry,
         )
+        self._unanswered = Counter(
+            "oleanderhill_unanswered",
+            "Requests that ended without an answer",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._server: HTTPServer | None = None
 
+    def unanswered(self, outcome: str) -> None:
+        """Count a request that ended without an answer."""
+        self._unanswered.labels(outcome).inc()
+
     def admission(self, outcome: str, priority: int) -> None:
         """Count an admission decision."""
         self._admissions.labels(outcome, priority).inc()
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -278,7 +278,9 @@
         )
         self._shedding = ConnectionShedding(lambda: self.front, self._loads, records)
         self.kernel.lag.on_saturated = self._shedding.saturated
-        serving = ServeCallbacks(self._serve, self._ready, self._max_body_bytes)
+        serving = ServeCallbacks(
+            self._serve, self._ready, self._max_body_bytes, self.exposition.unanswered
+        )
         self.front = Front(
             self.kernel,
             s.callers,
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -42,6 +43,11 @@
 MAX_SERVERS = 8
 """Servers for callers whose connections are closed at the stop, the latest ones."""
 
+PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
+
+MAX_PEEKED_BYTES = 4096
+"""Maximum bytes of a socket that are looked at without reading them."""
+
 EXIT_MARGIN = 0.6
 """Seconds before the end of the grace period at which the process exits on its own."""
 
@@ -52,11 +58,13 @@
     :param serve: handles a request and writes its final response to a sink
     :param ready: returns whether the load balancer should send requests to this host
     :param max_body: returns the maximum size of a request body in bytes
+    :param unanswered: counts a request that ends without an answer, by outcome
     """
 
     serve: Callable[[Incoming, str, str, CallerSink], Awaitable[None]]
     ready: Callable[[], bool]
     max_body: Callable[[], int]
+    unanswered: Callable[[str], None] = lambda outcome: None
 
 
 class CallerSink:
@@ -135,6 +143,17 @@
         written.exception()
 
 
+def _unread_bytes(connection: HTTP1Connection) -> int:
+    """Return the number of bytes that wait in the socket, at most :data:`MAX_PEEKED_BYTES`."""
+    if connection.stream.closed():
+        return 0
+    try:
+        waiting = connection.stream.socket.recv(MAX_PEEKED_BYTES, PEEK_FLAGS)
+    except OSError:
+        return 0
+    return len(waiting)
+
+
 async def _ignore_closed(flushed: asyncio.Future[None]) -> None:
     try:
         await flushed
@@ -178,12 +197,13 @@
 
     def finish(self) -> None:
         front = self._front
+        facts = front.codec.read_request(self._headers)
         if isinstance(self._connection, HTTP1Connection) and self._connection.stream.closed():
             # The request was read while its connection was being closed as idle. No caller is left
             # to receive the response, so a target would process the request for nothing.
             front.requests_in_flight.discard(self)
+            front.unanswered(facts.request_id, "dropped", "read while its connection was closed")
             return
-        facts = front.codec.read_request(self._headers)
         sink = CallerSink(self._connection, front.codec, facts, front)
         if self._size > front.callbacks.max_body():
             sink.reject(too_large(front.callbacks.max_body()))
@@ -209,15 +229,21 @@
 
     def on_connection_close(self) -> None:
         self._front.idle.discard(self)
-        if self._task is None:
-            self._front.requests_in_flight.discard(self)
         if self._task is not None:
             self._task.cancel()
+        elif self in self._front.requests_in_flight:
+            self._front.requests_in_flight.discard(self)
+            request_id = self._front.codec.read_request(self._headers).request_id
+            self._front.unanswered(request_id, "dropped", "closed before it was whole")
 
     def close(self) -> None:
         """Close the connection, on which no request has started."""
-        if isinstance(self._connection, HTTP1Connection):
-            self._connection.close()
+        if not isinstance(self._connection, HTTP1Connection):
+            return
+        unread = _unread_bytes(self._connection)
+        if unread:
+            self._front.unanswered("", "dropped", "its connection was closed unread", bytes=unread)
+        self._connection.close()
 
 
 class _ReadinessRequest(HTTPMessageDelegate):
@@ -283,6 +309,7 @@
         self._records = records
         self.stopping = False
         self.closing_idle = False
+        self._stopped = False
         self.requests_in_flight: set[_CallerRequest] = set()
         self.idle: WeakSet[_CallerRequest] = WeakSet()
         self._servers: list[HTTPServer] = []
@@ -310,6 +337,10 @@
 
     async def stop(self) -> None:
         """Close the servers and all connections."""
+        self._stopped = True
+        self._records.note(
+            "process", "closing connections", in_flight=self.in_flight, idle=len(self.idle)
+        )
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
@@ -351,6 +382,16 @@
             await asyncio.sleep(0.05)
         self._records.note("process", "drained", in_flight=self.in_flight)
 
+    def unanswered(self, request_id: str, outcome: str, reason: str, **fields: object) -> None:
+        """Log and count a request that ends without an answer.
+
+        :param request_id: empty if the request was not read
+        """
+        self._records.request(
+            request_id, outcome, False, reason=reason, draining=self.stopping, **fields
+        )
+        self.callbacks.unanswered(outcome)
+
     async def run(self, incoming: Incoming, host: str, path: str, sink: CallerSink) -> None:
         """Handle a request up to its final response.
 
@@ -358,6 +399,10 @@
         """
         try:
             await self.callbacks.serve(incoming, host, path, sink)
+        except asyncio.CancelledError:
+            reason = "the process stops" if self._stopped else "its connection was closed"
+            self.unanswered(incoming.facts.request_id, "cancelled", reason, started=sink.started)
+            raise
         except Exception as error:  # an internal error must not leave the caller without a response
             self.log_failure(error)
             detail = f"{type(error).__name__}: {error}"
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -31,6 +31,8 @@
             line("cleared"),
             line("sent again", number=2, target="h"),
             line("unauthenticated", status=401),
+            line("dropped", reason="its connection was closed unread"),
+            line("cancelled", reason="the process stops"),
             "not a line of ours\n",
         )
         self.assertEqual(
@@ -45,6 +47,8 @@
                 ("refused: all places taken", 1),
                 ("cut: its group stalled or was lost", 1),
                 ("not taken: unauthenticated", 1),
+                ("unanswered: its connection was closed unread", 1),
+                ("unanswered: the process stops", 1),
             ],
         )
 
