Connections that wait to be accepted are served when listening ends

A caller whose connection waited in the queue of the listening socket as a host stopped listening, at the end of a drain or while a saturated host refuses connections, was reset with its request. The queue is accepted once more before the socket is closed; these connections are then served, or closed as idle, like open ones.

Both tests (tests.test_front, one for the drain, one for a saturated host) failed with *connection reset by peer* before and pass after. It works since nothing can enter the queue between the last accept and the close but what arrives in those microseconds, and that is unread and unanswered in any case.

--- a/src/oleanderhill/listener.py
+++ b/src/oleanderhill/listener.py
@@ -165,11 +165,12 @@
         asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def refuse_connections(self) -> None:
-        """Refuse new connections; open ones are served."""
+        """Refuse new connections. Those that wait to be accepted are served, like open ones."""
         if self._socket is None:
             return
         listening, self._socket = self._socket, None
         asyncio.get_running_loop().remove_reader(listening)
+        self._accept_from(listening, BACKLOG)
         listening.close()
 
     def close_idle(self) -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -174,6 +174,21 @@
         drained = await self.drain_with(lambda: caller.sendall(request("waits")))
         await self.assert_answered(caller, drained)
 
+    async def test_connection_that_waits_to_be_accepted_as_the_listening_time_ends_is_served(self):
+        self.release.set()
+        callers = []
+
+        def connect():
+            ip, port = self.address.rsplit(":", 1)
+            caller = socket.create_connection((ip, int(port)))
+            self.addCleanup(caller.close)
+            caller.sendall(request("queued"))
+            callers.append(caller)
+
+        drained = await self.drain_with(connect)
+        await self.until(lambda: callers)
+        await self.assert_answered(callers[0], drained)
+
     async def test_idle_connection_is_closed_as_the_listening_time_ends(self):
         caller = await self.connect_idle()
         drained = asyncio.create_task(self.front.drain())
@@ -205,3 +220,21 @@
         async with asyncio.timeout(PROMPTLY):
             self.assertIn(b"200", await reader.readline())
         await asyncio.wait_for(drained, PROMPTLY)
+
+
+class RefuseTest(FrontTest):
+    async def test_connection_that_waits_to_be_accepted_as_others_are_refused_is_served(self):
+        self.release.set()
+        ip, port = self.address.rsplit(":", 1)
+        caller = socket.create_connection((ip, int(port)))
+        self.addCleanup(caller.close)
+        caller.sendall(request("queued"))
+        self.front.refuse_connections()
+        caller.setblocking(False)
+        async with asyncio.timeout(PROMPTLY):
+            answer = await asyncio.get_running_loop().sock_recv(caller, 1 << 16)
+        self.assertIn(b"200", answer)
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        self.front.accept_connections()
+        await self.connect()
