The proxy of an entry host answers peers whose connection waits as it shuts down

A peer whose connection waited to be accepted when this host ended was reset, after a wait for nothing: the drain of the proxy looked at the count of requests that had reached their target, not at connections. The proxy uses the listener that owns its connections: it accepts the queue once more, closes idle connections, and ends when all are closed, so a reply is also written whole.

Nothing on the wire changes.

--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -13,7 +13,6 @@
 
 from returns.pipeline import is_successful
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -39,6 +38,7 @@
     without_proxy_headers,
 )
 from ..kernel import Kernel, Task
+from ..listener import HttpListener, ListenerLimits
 from ..records import Records
 from ..routing.reachability import Reachability, Route
 from .forwarding import Codec
@@ -54,8 +54,6 @@
 MAX_IN_FLIGHT = 512
 """Requests of peers at a time. An entry host bears several times as many requests."""
 
-DRAIN_POLL_SECONDS = 0.05
-
 HOP_HEADERS = ("Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Expect", "Te")
 """Headers of one connection, which aren't passed on."""
 
@@ -162,34 +160,29 @@
         records: Records,
     ) -> None:
         super().__init__(kernel)
-        self._address = address
         self._caller = caller
         self._reachability = reachability
         self._codec = codec
         self._callbacks = callbacks
         self._records = records
         self.in_flight = 0
-        self._http = HTTPServer(
-            _ConnectionDelegate(self),
-            max_header_size=MAX_HEADER_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT,
-        )
+        limits = ListenerLimits(MAX_HEADER_BYTES, IDLE_TIMEOUT)
+        self._peers = HttpListener(address, _ConnectionDelegate(self), limits)
 
     async def start(self) -> None:
         """Start listening."""
-        ip, port = self._address.rsplit(":", 1)
-        self._http.listen(int(port), ip)
+        self._peers.accept_connections()
 
     async def stop(self) -> None:
         """Close the server."""
-        self._http.stop()
-        await self._http.close_all_connections()
+        await self._peers.stop()
         await super().stop()
 
     async def drain(self, until: float) -> None:
-        """Return when the requests of peers have ended, at the latest at a monotonic time."""
-        while self.in_flight and time.monotonic() < until:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        """Return when the replies to peers are written, at the latest at a monotonic time."""
+        self._peers.refuse_connections()
+        self._peers.close_idle()
+        await self._peers.until_closed(until)
 
     async def take(self, request: _ProxiedRequest) -> None:
         """Connect to the target of a request, or reject the request before its body is sent."""
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -102,6 +102,18 @@
         self.body += chunk
 
 
+class SlowChunks(Chunks):
+    """Reads no further than the first chunk until it is told to resume."""
+
+    def __init__(self):
+        super().__init__()
+        self.resume = asyncio.Event()
+
+    def data(self, chunk):
+        super().data(chunk)
+        return self.resume.wait()
+
+
 class RefusedCaller(HttpCaller):
     """Finds that nothing listens anywhere."""
 
@@ -327,6 +339,31 @@
         sending.cancel()
         await asyncio.wait_for(draining, PROMPTLY)
 
+    async def test_reply_is_written_whole_before_the_peer_ends(self):
+        self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n\r\n" + b"x" * (4 << 20)
+        seen = SlowChunks()
+        sending = asyncio.ensure_future(self.send(seen))
+        await until(lambda: seen.body)
+        draining = asyncio.ensure_future(self.server.drain(time.monotonic() + 5.0))
+        await asyncio.sleep(0.2)
+        self.assertFalse(draining.done())
+        seen.resume.set()
+        await asyncio.wait_for(draining, 5.0)
+        await self.server.stop()
+        self.assertEqual((await sending).unwrap().status, 200)
+        self.assertEqual(len(seen.body), 4 << 20)
+
+    async def test_connection_of_a_peer_that_waits_to_be_accepted_is_answered(self):
+        ip, port = self.address.rsplit(":", 1)
+        peer = socket.create_connection((ip, int(port)))
+        self.addCleanup(peer.close)
+        peer.settimeout(1.0)
+        head = f"POST / HTTP/1.1\r\nHost: a\r\n{TARGET_HEADER}: 127.0.0.1:1\r\n"
+        peer.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
+        self.draining = True
+        await self.server.drain(time.monotonic() + 5.0)
+        self.assertIn(FAILURE_HEADER.encode(), peer.recv(4096))
+
     async def test_two_hosts_that_are_both_cut_off_do_not_pass_requests_round(self):
         self.break_links(self.peer_links)
         failure = (await self.send(Chunks())).failure()
