The own interface answers requests that have arrived when its drain ends

A caller of the own interface whose request was still arriving as the drain ended was cut off: the drain counted requests that their handler had begun to serve. Idle connections were kept until the process ended, so that a request could cross the end unseen. The drain stops listening, closes idle connections, and waits up to 5 s until the others are closed; answers close their connection once readiness is withdrawn.

--- a/src/oleanderhill/entry.py
+++ b/src/oleanderhill/entry.py
@@ -46,6 +46,10 @@
 DRAIN_LIMIT = 600.0
 """Seconds after which a drain ends even if requests are in flight: the longest allowed request."""
 
+CLOSE_LIMIT = 5.0
+"""Seconds after which a drain ends even if connections of callers are open: their requests have
+ended, or are refused as soon as they have arrived."""
+
 
 def make_kernel(boot: Boot, decisions: Decisions) -> Kernel:
     """Return a kernel with all services of an entry host registered and none started."""
@@ -131,4 +135,5 @@
         async with asyncio.timeout(DRAIN_LIMIT):
             while edge.in_flight or not claims.idle:
                 await asyncio.sleep(0.05)
+    await edge.drain(time.monotonic() + CLOSE_LIMIT)
     decisions.note("drain", edge.host, f"done, {edge.in_flight} in flight")
--- a/src/oleanderhill/requests/edge.py
+++ b/src/oleanderhill/requests/edge.py
@@ -72,6 +72,15 @@
         self._listener = HttpListener(self._address, application, limits)
         self._listener.accept_connections()
 
+    async def drain(self, deadline: float) -> None:
+        """Stop listening, and return when the connections of callers are closed.
+
+        :param deadline: monotonic time at which it returns in any case
+        """
+        self._listener.refuse_connections()
+        self._listener.close_idle()
+        await self._listener.until_closed(deadline)
+
     async def stop(self) -> None:
         """Close the server."""
         await self._listener.stop()
--- a/src/oleanderhill/requests/handlers.py
+++ b/src/oleanderhill/requests/handlers.py
@@ -104,6 +104,8 @@
 
     def prepare(self) -> None:
         self.set_header(ID_HEADER, self.request_id)
+        if self.edge.readiness_withdrawn:
+            self.set_header("Connection", "close")
         length = self.request.headers.get("Content-Length", "0")
         if not length.isdigit() or int(length) > MAX_BODY_BYTES:
             # The body is not read, so the connection can't be reused.
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import socket
 import tempfile
 import time
 import unittest
@@ -13,7 +14,7 @@
 from oleanderhill_dev.bench_site import free_address
 from returns.pipeline import is_successful
 
-from oleanderhill import outcomes
+from oleanderhill import entry, listener, outcomes
 from oleanderhill.clients import httpcall
 from oleanderhill.clients.httpcall import Call, HttpCaller, Observer
 from oleanderhill.decisions import Decisions
@@ -298,6 +299,36 @@
         status, _ = await self.send("GET", "/readyz")
         self.assertEqual(status, 503)
 
+    async def test_request_that_waits_in_the_socket_at_the_end_of_a_drain_is_refused(self):
+        ip, port = self.callers.rsplit(":", 1)
+        caller = socket.create_connection((ip, int(port)))
+        self.addCleanup(caller.close)
+        caller.settimeout(1.0)
+        await asyncio.sleep(2 * listener.MIN_IDLE_SECONDS)
+        with mock.patch.object(entry, "READINESS_LAG", 0.2):
+            drained = asyncio.create_task(entry.drain(self.kernel, Decisions("entry-t")))
+            await asyncio.sleep(0.1)
+            head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key\r\n"
+            body = b'{"model": "m", "messages": []}'
+            caller.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body[:9])
+            await asyncio.sleep(0.3)
+            self.assertFalse(drained.done())
+            caller.sendall(body[9:])
+            await asyncio.wait_for(drained, 2.0)
+        await self.kernel.stop()
+        answer = caller.recv(4096)
+        self.assertIn(b" 503 ", answer.partition(b"\r\n")[0])
+        self.assertIn(b"Connection: close", answer)
+
+    async def test_idle_connection_is_closed_by_a_drain(self):
+        ip, port = self.callers.rsplit(":", 1)
+        caller = socket.create_connection((ip, int(port)))
+        self.addCleanup(caller.close)
+        caller.settimeout(1.0)
+        with mock.patch.object(entry, "READINESS_LAG", 0.1):
+            await asyncio.wait_for(entry.drain(self.kernel, Decisions("entry-t")), 2.0)
+        self.assertEqual(caller.recv(1), b"")
+
 
 class BootTest(unittest.TestCase):
     def test_broken_boot_file_names_path_value_and_what_was_expected(self):
