Requests that outlast the grace period get a final answer

A request whose target was still at work when the grace period of its entry host ended was cut off: its handler was cancelled as the server closed its connections, and its caller saw a closed connection. Requests whose answer hasn't begun are ended 0.6 s before the end of the grace period with 502, *may have run*, and 0.2 s are left to write it. A begun stream is still cut off, as its end must not look complete.

Ruled out: 503 and a time to come back, as the request was sent and may run.

--- a/src/oleanderhill/outcomes.py
+++ b/src/oleanderhill/outcomes.py
@@ -14,6 +14,7 @@
 from .exceptions import OleanderhillError
 
 HELD_BACK = "held-back"
+PROCESS_ENDED = "process-ended"
 PROBLEM_BASE = "urn:oleanderhill:problem:"
 
 
@@ -168,6 +169,12 @@
     )
 
 
+def process_ended() -> Problem:
+    """Return the problem of a request that outlasts the grace period of its entry host."""
+    detail = "this entry host ended before the answer was complete"
+    return Problem(PROCESS_ENDED, 502, Ran.UNKNOWN, detail)
+
+
 def draining() -> Problem:
     """Return the problem of a request to an entry host that is shutting down."""
     return Problem("draining", 503, Ran.NO, "this entry host is shutting down", 1.0)
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -22,7 +22,7 @@
 
 from ..kernel import Kernel, Task
 from ..listener import Connection, HttpListener, ListenerLimits
-from ..outcomes import Problem, Ran, too_large
+from ..outcomes import PROCESS_ENDED, Problem, Ran, process_ended, too_large
 from ..records import Records
 from .forwarding import Codec, RequestInfo
 from .incoming import Incoming
@@ -43,6 +43,9 @@
 EXIT_MARGIN = 0.6
 """Seconds before the end of the grace period at which the process exits on its own."""
 
+FINAL_ANSWER_SECONDS = 0.2
+"""Seconds for the final answers of requests that outlast the grace period."""
+
 
 class ServeCallbacks(NamedTuple):
     """Callbacks of the server into the rest of the process.
@@ -72,6 +75,12 @@
         self.started = False
         self.finished = False
 
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection is closed."""
+        connection = self._connection
+        return isinstance(connection, HTTP1Connection) and connection.stream.closed()
+
     def reply(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete response."""
         headers["Content-Length"] = str(len(body))
@@ -164,13 +173,13 @@
     def finish(self) -> None:
         front = self._front
         facts = front.codec.read_request(self._headers)
-        if isinstance(self._connection, HTTP1Connection) and self._connection.stream.closed():
+        sink = CallerSink(self._connection, front.codec, facts, front)
+        if sink.closed:
             # No caller is left to receive the response, so a target would process the request for
             # nothing.
             front.requests_in_flight.discard(self)
             front.unanswered(facts.request_id, "dropped", "read while its connection was closed")
             return
-        sink = CallerSink(self._connection, front.codec, facts, front)
         if self._size > front.callbacks.max_body():
             sink.reject(too_large(front.callbacks.max_body()))
             front.requests_in_flight.discard(self)
@@ -193,6 +202,11 @@
         self._task = front.spawn(front.run(incoming, host, path, sink))
         self._task.add_done_callback(lambda _: front.requests_in_flight.discard(self))
 
+    def end(self) -> None:
+        """End the request, as this process ends."""
+        if self._task is not None:
+            self._task.cancel()
+
     def on_connection_close(self) -> None:
         if self._task is not None:
             self._task.cancel()
@@ -260,7 +274,7 @@
         self.callbacks = callbacks
         self._records = records
         self.stopping = False
-        self._stopped = False
+        self._ending = False
         self.requests_in_flight: set[_CallerRequest] = set()
         self.callers = HttpListener(callers, _Requests(self, _CallerRequest), LIMITS)
         self._readiness = HttpListener(balancer, _Requests(self, _ReadinessRequest), LIMITS)
@@ -285,7 +299,7 @@
 
     async def stop(self) -> None:
         """Close the servers and all connections."""
-        self._stopped = True
+        self._ending = True
         self._records.note(
             "process",
             "closing connections",
@@ -328,8 +342,17 @@
         self.callers.refuse_connections()
         self.callers.close_idle()
         await self.callers.until_closed(started_at + self._grace - EXIT_MARGIN)
+        if self.in_flight:
+            self._end_requests()
+            await self.callers.until_closed(time.monotonic() + FINAL_ANSWER_SECONDS)
         self._records.note("process", "drained", in_flight=self.in_flight, open=len(self.callers))
 
+    def _end_requests(self) -> None:
+        """End the requests that are left: with a final answer, unless theirs has begun."""
+        self._ending = True
+        for request in list(self.requests_in_flight):
+            request.end()
+
     def unanswered(self, request_id: str, outcome: str, reason: str, **fields: object) -> None:
         """Log and count a request that ends without an answer.
 
@@ -348,7 +371,11 @@
         try:
             await self.callbacks.serve(incoming, host, path, sink)
         except asyncio.CancelledError:
-            reason = "the process stops" if self._stopped else "its connection was closed"
+            if self._ending and not (sink.started or sink.finished or sink.closed):
+                sink.reject(process_ended())
+                self._records.request(incoming.facts.request_id, PROCESS_ENDED, False, status=502)
+                return
+            reason = "the process stops" if self._ending else "its connection was closed"
             self.unanswered(incoming.facts.request_id, "cancelled", reason, started=sink.started)
             raise
         except Exception as error:  # an internal error must not leave the caller without a response
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -189,6 +189,17 @@
         await self.until(lambda: callers)
         await self.assert_answered(callers[0], drained)
 
+    async def test_request_that_outlasts_the_grace_period_gets_a_final_answer(self):
+        caller = await self.connect_idle()
+        caller.sendall(request("long"))
+        await self.until(lambda: self.served)
+        drained = asyncio.create_task(self.front.drain())
+        answer = await self.answer(caller)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer[:80])
+        self.assertIn(b'"ran": "unknown"', answer)
+        await asyncio.wait_for(drained, PROMPTLY)
+        self.assertEqual(len(self.found("process-ended")), 1)
+
     async def test_idle_connection_is_closed_as_the_listening_time_ends(self):
         caller = await self.connect_idle()
         drained = asyncio.create_task(self.front.drain())
