The idle timeout takes no request that has arrived

A caller whose request arrived as its connection had been idle for 30 s got neither an answer nor a refusal: where the event loop was held up, the timer of the HTTP library and the request became ready in the same step, and the timer closed the connection with the request in its buffer. The listener closes idle connections itself, by the same look at what was read and what waits in the socket as at the end of a drain; the library's timer only ends heads that don't arrive within another 10 s.

Found by looking for the class of the incident: a timer that fires after the loop was held up is handled before requests that were read earlier. tests.test_front.IdleTimeoutTest: before, none of two requests (one read, one in the socket) was served, now both; a connection that stays idle is closed as before. The timer costs one pass over the open connections each 3 s.

--- a/src/oleanderhill/listener.py
+++ b/src/oleanderhill/listener.py
@@ -30,6 +30,13 @@
 """Seconds for which a connection must have been idle to be closed. The request of a new one follows
 within a round trip."""
 
+HEAD_SECONDS = 10.0
+"""Seconds in which a request's head must arrive, beyond the time for which its connection may have
+been idle."""
+
+IDLE_CHECKS = 10
+"""Number of checks in the time for which a connection may stay idle."""
+
 FAULT = "oleanderhill:fault"
 
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -131,9 +138,11 @@
         self.delegate = delegate
         self.params = HTTP1ConnectionParameters(
             max_header_size=limits.max_header_bytes,
-            header_timeout=limits.idle_seconds,
+            header_timeout=limits.idle_seconds + HEAD_SECONDS,
             max_body_size=limits.max_body_bytes,
         )
+        self._idle_seconds = limits.idle_seconds
+        self._next_check: asyncio.TimerHandle | None = None
         self._socket: socket.socket | None = None
         self._connections: set[Connection] = set()
         self._all_closed = asyncio.Event()
@@ -163,6 +172,8 @@
         ip, port = self._address.rsplit(":", 1)
         (self._socket,) = bind_sockets(int(port), ip, backlog=BACKLOG)
         asyncio.get_running_loop().add_reader(self._socket, self._accept)
+        if self._next_check is None:
+            self._check_idle()
 
     def refuse_connections(self) -> None:
         """Refuse new connections. Those that wait to be accepted are served, like open ones."""
@@ -194,6 +205,8 @@
             asyncio.get_running_loop().remove_reader(self._socket)
             self._socket.close()
             self._socket = None
+        if self._next_check is not None:
+            self._next_check.cancel()
         while self._connections:
             await next(iter(self._connections)).close()
 
@@ -228,6 +241,15 @@
             self._connections.add(connection)
             connection.serve()
 
+    def _check_idle(self) -> None:
+        """Close the connections that have been idle for too long, now and later."""
+        idle_before = time.monotonic() - self._idle_seconds
+        for connection in list(self._connections):
+            if connection.idle_since <= idle_before and connection.idle:
+                connection.close_stream()
+        interval = self._idle_seconds / IDLE_CHECKS
+        self._next_check = asyncio.get_running_loop().call_later(interval, self._check_idle)
+
     def _close_later(self, connection: Connection, seconds: float) -> None:
         asyncio.get_running_loop().call_later(seconds, self._close_if_idle, connection)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -76,6 +76,14 @@
         self.addCleanup(writer.close)
         return reader, writer
 
+    async def connect_idle(self):
+        """Return a plain socket of a caller whose connection is idle."""
+        ip, port = self.address.rsplit(":", 1)
+        caller = socket.create_connection((ip, int(port)))
+        self.addCleanup(caller.close)
+        await self.until(lambda: self.front.callers.idle)
+        return caller
+
     async def answer(self, caller):
         """Return all that a caller receives until its connection is closed or reset."""
         caller.setblocking(False)
@@ -140,14 +148,6 @@
         self.addCleanup(patch.stop)
         await super().asyncSetUp()
 
-    async def connect_idle(self):
-        """Return a plain socket of a caller whose connection is idle."""
-        ip, port = self.address.rsplit(":", 1)
-        caller = socket.create_connection((ip, int(port)))
-        self.addCleanup(caller.close)
-        await self.until(lambda: self.front.callers.idle)
-        return caller
-
     async def drain_with(self, act):
         """Drain, and act in the step of the event loop in which the listening time ends."""
         drained = asyncio.create_task(self.front.drain())
@@ -255,3 +255,32 @@
         self.front.refuse_connections()
         self.front.accept_connections()
         await self.connect()
+
+
+class IdleTimeoutTest(FrontTest):
+    async def asyncSetUp(self):
+        limits = front_module.LIMITS._replace(idle_seconds=0.4)
+        patch = mock.patch.object(front_module, "LIMITS", limits)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+        self.release.set()
+
+    async def test_request_that_arrives_as_its_connection_has_been_idle_too_long_is_answered(self):
+        for act_before in (True, False):
+            caller = await self.connect_idle()
+            await asyncio.sleep(0.3)
+            if act_before:
+                caller.sendall(request("held-up"))
+            time.sleep(0.2)
+            if not act_before:
+                caller.sendall(request("at-once"))
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.served, ["held-up", "at-once"])
+
+    async def test_connection_that_stays_idle_is_closed(self):
+        reader, _ = await self.connect()
+        began = time.monotonic()
+        async with asyncio.timeout(PROMPTLY):
+            self.assertEqual(await reader.read(), b"")
+        self.assertGreater(time.monotonic() - began, 0.35)
