--- a/dev/oleanderhill_dev/users/listener_mutants.py
+++ b/dev/oleanderhill_dev/users/listener_mutants.py
@@ -41,6 +41,14 @@
                 "test_front.NewConnectionTest.test_new_connection_has_time_to_bring_its_request"
             ),
         ),
+        Mutant(
+            "a connection that was idle for too long is looked at once more",
+            [(listener.Connection, "idle", True)],
+            testing(
+                "test_front.IdleTimeoutTest"
+                ".test_request_that_arrives_as_its_connection_has_been_idle_too_long_is_answered"
+            ),
+        ),
         Mutant(
             "a drain ends when all connections are closed",
             [(listener.HttpListener, "until_closed", _until_nothing)],
