A request that follows an answer at once is not cut off by a drain

A caller that sent its next request as soon as it had its answer, while the event loop was busy, could lose it after it had been passed on: its bytes were read before the listener began to wait for them, so that the connection counted as idle for as long as the request ran, and a drain closed it. A connection now knows how far its request has been read: bytes that come after a whole request belong to the next one, and one whose head was read is not idle until its answer is written.

--- a/src/oleanderhill/listener.py
+++ b/src/oleanderhill/listener.py
@@ -12,11 +12,19 @@
 import contextlib
 import socket
 import time
+from collections.abc import Awaitable
 from typing import NamedTuple
 
 import eliot
 from tornado.http1connection import HTTP1ConnectionParameters, HTTP1ServerConnection
-from tornado.httputil import HTTPConnection, HTTPMessageDelegate, HTTPServerConnectionDelegate
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
@@ -69,10 +77,35 @@
         return count
 
 
+class _Message(HTTPMessageDelegate):
+    """Tells a connection how far the request has been read, and passes on what was read."""
+
+    def __init__(self, connection: Connection, delegate: HTTPMessageDelegate) -> None:
+        self._connection = connection
+        self._delegate = delegate
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        self._connection.handled = True
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        self._connection.request_read()
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        self._delegate.on_connection_close()
+
+
 class Connection(HTTPServerConnectionDelegate):
     """An accepted connection.
 
     :ivar requests: number of requests that were awaited on it, with the current one
+    :ivar handled: whether the head of the current request was read and its answer isn't written yet
     """
 
     def __init__(self, accepted: socket.socket, listener: HttpListener) -> None:
@@ -80,6 +113,7 @@
         self._stream = _Stream(accepted)
         self._http = HTTP1ServerConnection(self._stream, listener.params)
         self.requests = 0
+        self.handled = False
         self.idle_since = time.monotonic()
 
     def serve(self) -> None:
@@ -90,10 +124,14 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         self.requests += 1
-        self._stream.received = False
+        self.handled = False
         self.idle_since = time.monotonic()
         self._listener.became_idle(self)
-        return self._listener.delegate.start_request(self, request_conn)
+        return _Message(self, self._listener.delegate.start_request(self, request_conn))
+
+    def request_read(self) -> None:
+        """Note that the current request was read whole; what is read from now on follows it."""
+        self._stream.received = False
 
     def on_close(self, server_conn: object) -> None:
         self._listener.connection_closed(self)
@@ -101,7 +139,7 @@
     @property
     def idle(self) -> bool:
         """Return whether no byte of a request has arrived, not even in the socket."""
-        return not (self._stream.closed() or self._stream.received or self.unread)
+        return not (self._stream.closed() or self.handled or self._stream.received or self.unread)
 
     @property
     def unread(self) -> bool:
--- /dev/null
+++ b/tests/test_caller_connections.py
@@ -0,0 +1,94 @@
+"""Connections of callers in states between two requests, and ends that no request hears of."""
+
+import asyncio
+import contextlib
+import socket
+
+from tornado.httputil import HTTPHeaders
+
+from oleanderhill import listener
+
+from .test_front import GRACE_SECONDS, LISTENING_SECONDS, PROMPTLY, FrontTest, request
+
+
+class PlainCallerTest(FrontTest):
+    async def connect_plain(self):
+        ip, port = self.address.rsplit(":", 1)
+        caller = socket.create_connection((ip, int(port)))
+        self.addCleanup(caller.close)
+        caller.settimeout(PROMPTLY)
+        return caller
+
+    async def receive(self, caller):
+        """Return what a caller receives until its connection is closed."""
+        caller.setblocking(False)
+        loop, received = asyncio.get_running_loop(), b""
+        async with asyncio.timeout(GRACE_SECONDS):
+            with contextlib.suppress(ConnectionResetError):
+                while chunk := await loop.sock_recv(caller, 1 << 16):
+                    received += chunk
+        return received
+
+
+class ReadAheadTest(PlainCallerTest):
+    async def assert_second_is_answered_after_the_listening_time(self, caller):
+        await self.until(lambda: len(self.served) == 2)
+        await asyncio.sleep(2 * listener.MIN_IDLE_SECONDS)
+        drained = asyncio.create_task(self.front.drain())
+        await asyncio.sleep(2 * LISTENING_SECONDS)
+        self.release.set()
+        received = await self.receive(caller)
+        await asyncio.wait_for(drained, PROMPTLY)
+        self.assertEqual(self.counted, [])
+        self.assertTrue(received.endswith(b"answer"), received)
+
+    async def test_request_read_right_after_the_answer_before_it_is_not_cut_by_a_drain(self):
+        caller = await self.connect_plain()
+
+        async def serve(incoming, host, path, sink):
+            self.served.append(incoming.facts.request_id)
+            if len(self.served) == 1:
+                sink.reply(200, HTTPHeaders(), self.body)
+                # The caller has the whole answer and asks again while the event loop is held up.
+                caller.recv(1 << 16)
+                caller.sendall(request("second"))
+                return
+            await self.release.wait()
+            sink.reply(200, HTTPHeaders(), self.body)
+
+        self.front.callbacks = self.front.callbacks._replace(serve=serve)
+        caller.sendall(request("first"))
+        await self.assert_second_is_answered_after_the_listening_time(caller)
+
+    async def test_pipelined_request_is_not_cut_by_a_drain(self):
+        async def serve(incoming, host, path, sink):
+            self.served.append(incoming.facts.request_id)
+            if len(self.served) == 2:
+                await self.release.wait()
+            sink.reply(200, HTTPHeaders(), self.body)
+
+        self.front.callbacks = self.front.callbacks._replace(serve=serve)
+        caller = await self.connect_plain()
+        caller.sendall(request("first") + request("second"))
+        await self.until(lambda: len(self.served) == 2)
+        caller.recv(1 << 16)
+        await self.assert_second_is_answered_after_the_listening_time(caller)
+
+    async def test_head_begun_right_after_the_answer_before_it_is_not_cut_by_a_drain(self):
+        caller = await self.connect_plain()
+
+        async def serve(incoming, host, path, sink):
+            self.served.append(incoming.facts.request_id)
+            sink.reply(200, HTTPHeaders(), self.body)
+            if len(self.served) == 1:
+                caller.recv(1 << 16)
+                caller.sendall(request("second")[:20])
+
+        self.front.callbacks = self.front.callbacks._replace(serve=serve)
+        caller.sendall(request("first"))
+        await asyncio.sleep(2 * listener.MIN_IDLE_SECONDS)
+        drained = asyncio.create_task(self.front.drain())
+        await asyncio.sleep(2 * LISTENING_SECONDS)
+        caller.sendall(request("second")[20:])
+        self.assertTrue((await self.receive(caller)).endswith(b"answer"))
+        await asyncio.wait_for(drained, PROMPTLY)
