--- a/src/oleanderhill/listener.py
+++ b/src/oleanderhill/listener.py
@@ -72,8 +72,9 @@
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         count = super().read_from_fd(buf)
-        if count:
-            self.received = True
+        if count and not self.received:
+            # Empty lines may precede a request.
+            self.received = bool(bytes(buf[:count]).strip(b"\r\n"))
         return count
 
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -92,3 +92,11 @@
         caller.sendall(request("second")[20:])
         self.assertTrue((await self.receive(caller)).endswith(b"answer"))
         await asyncio.wait_for(drained, PROMPTLY)
+
+
+class EndOfDrainTest(PlainCallerTest):
+    async def test_empty_line_does_not_hold_the_drain(self):
+        caller = await self.connect_plain()
+        caller.sendall(b"\r\n")
+        await asyncio.sleep(2 * listener.MIN_IDLE_SECONDS)
+        await asyncio.wait_for(self.front.drain(), PROMPTLY)
