A refused HEAD request gets its answer

A caller whose HEAD request was refused (404, 503) got a closed connection: the problem was written with its body, which the HTTP library takes for too much and closes the connection. The head goes out alone now, with the length that the body would have.

Ruled out: answers of targets, which had no body in this case.

--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -66,9 +66,15 @@
     """Writes the response to one caller."""
 
     def __init__(
-        self, connection: HTTPConnection, codec: Codec, facts: RequestInfo, front: Front
+        self,
+        connection: HTTPConnection,
+        codec: Codec,
+        facts: RequestInfo,
+        front: Front,
+        head_only: bool,
     ) -> None:
         self._connection = connection
+        self._head_only = head_only
         self._codec = codec
         self._facts = facts
         self._front = front
@@ -82,9 +88,9 @@
         return isinstance(connection, HTTP1Connection) and connection.stream.closed()
 
     def reply(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
-        """Send a complete response."""
+        """Send a complete response, without its body if only the head was asked for."""
         headers["Content-Length"] = str(len(body))
-        self._write_head(status, headers, body)
+        self._write_head(status, headers, None if self._head_only else body)
         self.end()
 
     def begin(self, status: int, headers: HTTPHeaders) -> None:
@@ -173,7 +179,8 @@
     def finish(self) -> None:
         front = self._front
         facts = front.codec.read_request(self._headers)
-        sink = CallerSink(self._connection, front.codec, facts, front)
+        head_only = self._start_line.method == "HEAD"
+        sink = CallerSink(self._connection, front.codec, facts, front, head_only)
         if sink.closed:
             # No caller is left to receive the response, so a target would process the request for
             # nothing.
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import socket
+from unittest import mock
 
 from tornado.httputil import HTTPHeaders
 
 from oleanderhill import listener
+from oleanderhill.outcomes import Problem, Ran
+from oleanderhill.serving import front as front_module
 
 from .test_front import GRACE_SECONDS, LISTENING_SECONDS, PROMPTLY, FrontTest, request
 
@@ -100,3 +103,24 @@
         caller.sendall(b"\r\n")
         await asyncio.sleep(2 * listener.MIN_IDLE_SECONDS)
         await asyncio.wait_for(self.front.drain(), PROMPTLY)
+
+
+class UnheardTest(PlainCallerTest):
+    """Requests whose end the delegate never hears of."""
+
+    async def asyncSetUp(self):
+        short = front_module.LIMITS._replace(idle_seconds=0.2)
+        patch = mock.patch.object(front_module, "LIMITS", short)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+
+    async def test_refusal_of_a_head_request_reaches_its_caller(self):
+        async def serve(incoming, host, path, sink):
+            sink.reject(Problem("unknown-route", 404, Ran.NO, "there is no such route"))
+
+        self.front.callbacks = self.front.callbacks._replace(serve=serve)
+        caller = await self.connect_plain()
+        caller.sendall(request("head", b"").replace(b"POST", b"HEAD"))
+        received = await self.receive(caller)
+        self.assertTrue(received.startswith(b"HTTP/1.1 404"), received)
