A request that becomes whole after the drain is refused, not passed on and cut off

After a drain that ended by its time limit, connections were still read while the other services stopped: a body that became whole in these milliseconds was passed on, and cut off with the process. Such a request gets 503 *draining*, which is true, as it is not handled.

--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -22,7 +22,7 @@
 
 from ..kernel import Kernel, Task
 from ..listener import Connection, HttpListener, ListenerLimits
-from ..outcomes import PROCESS_ENDED, Problem, Ran, process_ended, too_large
+from ..outcomes import PROCESS_ENDED, Problem, Ran, draining, process_ended, too_large
 from ..records import Records
 from .forwarding import Codec, RequestInfo
 from .incoming import Incoming
@@ -187,8 +187,9 @@
             front.requests_in_flight.discard(self)
             front.unanswered(facts.request_id, "dropped", "read while its connection was closed")
             return
-        if self._size > front.callbacks.max_body():
-            sink.reject(too_large(front.callbacks.max_body()))
+        refusal = self._refusal()
+        if refusal is not None:
+            sink.reject(refusal)
             front.requests_in_flight.discard(self)
             return
         incoming = Incoming(
@@ -209,6 +210,13 @@
         self._task = front.spawn(front.run(incoming, host, path, sink))
         self._task.add_done_callback(lambda _: front.requests_in_flight.discard(self))
 
+    def _refusal(self) -> Problem | None:
+        """Return why the request is not handled, ``None`` if it is."""
+        max_body = self._front.callbacks.max_body()
+        if self._size > max_body:
+            return too_large(max_body)
+        return draining() if self._front.ending else None
+
     def end(self) -> None:
         """End the request, as this process ends."""
         if self._task is not None:
@@ -281,7 +289,7 @@
         self.callbacks = callbacks
         self._records = records
         self.stopping = False
-        self._ending = False
+        self.ending = False
         self.requests_in_flight: set[_CallerRequest] = set()
         self.callers = HttpListener(callers, _Requests(self, _CallerRequest), LIMITS)
         self._readiness = HttpListener(balancer, _Requests(self, _ReadinessRequest), LIMITS)
@@ -306,7 +314,7 @@
 
     async def stop(self) -> None:
         """Close the servers and all connections."""
-        self._ending = True
+        self.ending = True
         self._records.note(
             "process",
             "closing connections",
@@ -349,6 +357,7 @@
         self.callers.refuse_connections()
         self.callers.close_idle()
         await self.callers.until_closed(started_at + self._grace - EXIT_MARGIN)
+        self.ending = True
         if self.in_flight:
             self._end_requests()
             await self.callers.until_closed(time.monotonic() + FINAL_ANSWER_SECONDS)
@@ -356,7 +365,6 @@
 
     def _end_requests(self) -> None:
         """End the requests that are left: with a final answer, unless theirs has begun."""
-        self._ending = True
         for request in list(self.requests_in_flight):
             request.end()
 
@@ -378,11 +386,11 @@
         try:
             await self.callbacks.serve(incoming, host, path, sink)
         except asyncio.CancelledError:
-            if self._ending and not (sink.started or sink.finished or sink.closed):
+            if self.ending and not (sink.started or sink.finished or sink.closed):
                 sink.reject(process_ended())
                 self._records.request(incoming.facts.request_id, PROCESS_ENDED, False, status=502)
                 return
-            reason = "the process stops" if self._ending else "its connection was closed"
+            reason = "the process stops" if self.ending else "its connection was closed"
             self.unanswered(incoming.facts.request_id, "cancelled", reason, started=sink.started)
             raise
         except Exception as error:  # an internal error must not leave the caller without a response
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -98,6 +98,17 @@
 
 
 class EndOfDrainTest(PlainCallerTest):
+    async def test_body_completed_after_the_end_of_the_drain_is_not_passed_on_and_cut(self):
+        self.addCleanup(self.release.set)
+        caller = await self.connect_plain()
+        caller.sendall(request("slow", b"x" * 100)[:-50])
+        await self.until(lambda: self.front.in_flight)
+        await self.front.drain()
+        caller.sendall(b"x" * 50)
+        await asyncio.sleep(0.006)  # the store is told, and the other services stop
+        await self.front.stop()
+        self.assertEqual(self.served, [])
+
     async def test_empty_line_does_not_hold_the_drain(self):
         caller = await self.connect_plain()
         caller.sendall(b"\r\n")
