A saturated host that is told to stop accepts connections again

Callers that the balancer still sent to a host in its first seconds of shutting down were refused where it got the signal in the second in which a saturated host refuses connections: accepting again did nothing once it was stopping. The drain accepts again at once; nothing is accepted once the balancer must have removed the host.

--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -290,6 +290,7 @@
         self._records = records
         self.stopping = False
         self.ending = False
+        self._removed = False
         self.requests_in_flight: set[_CallerRequest] = set()
         self.callers = HttpListener(callers, _Requests(self, _CallerRequest), LIMITS)
         self._readiness = HttpListener(balancer, _Requests(self, _ReadinessRequest), LIMITS)
@@ -308,8 +309,8 @@
             self.callers.refuse_connections()
 
     def accept_connections(self) -> None:
-        """Accept new connections of callers, unless this host is shutting down."""
-        if not self.stopping:
+        """Accept new connections of callers, unless the balancer must have removed this host."""
+        if not self._removed:
             self.callers.accept_connections()
 
     async def stop(self) -> None:
@@ -353,7 +354,9 @@
         started_at = time.monotonic()
         self.stopping = True
         self._records.note("process", "draining", in_flight=self.in_flight)
+        self._accept_again()
         await asyncio.sleep(STOP_LISTENING_AFTER)
+        self._removed = True
         self.callers.refuse_connections()
         self.callers.close_idle()
         await self.callers.until_closed(started_at + self._grace - EXIT_MARGIN)
@@ -363,6 +366,13 @@
             await self.callers.until_closed(time.monotonic() + FINAL_ANSWER_SECONDS)
         self._records.note("process", "drained", in_flight=self.in_flight, open=len(self.callers))
 
+    def _accept_again(self) -> None:
+        """Accept new connections if they are refused."""
+        try:
+            self.accept_connections()
+        except OSError as error:
+            self._records.note("process", "can't accept connections", reason=str(error))
+
     def _end_requests(self) -> None:
         """End the requests that are left: with a final answer, unless theirs has begun."""
         for request in list(self.requests_in_flight):
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -115,6 +115,16 @@
         await asyncio.sleep(2 * listener.MIN_IDLE_SECONDS)
         await asyncio.wait_for(self.front.drain(), PROMPTLY)
 
+    async def test_host_that_refuses_connections_accepts_again_while_it_drains(self):
+        self.front.refuse_connections()
+        drained = asyncio.create_task(self.front.drain())
+        await asyncio.sleep(0)
+        self.front.accept_connections()  # as the shedding of connections does after a second
+        try:
+            await self.connect_plain()
+        finally:
+            await drained
+
 
 class UnheardTest(PlainCallerTest):
     """Requests whose end the delegate never hears of."""
