--- a/src/oleanderhill/listener.py
+++ b/src/oleanderhill/listener.py
@@ -34,6 +34,9 @@
 MAX_ACCEPTED_AT_ONCE = 128
 """Connections that are accepted in one step of the event loop."""
 
+ACCEPT_PAUSE_SECONDS = 0.1
+"""Seconds for which no connection is accepted after one could not be, for want of descriptors."""
+
 MIN_IDLE_SECONDS = 0.1
 """Seconds for which a connection must have been idle to be closed. The request of a new one follows
 within a round trip."""
@@ -275,11 +278,22 @@
                 continue
             except OSError as error:
                 eliot.log_message(message_type=FAULT, task="listener", error=repr(error))
+                self._pause_accepting(listening)
                 return
             connection = Connection(accepted, self)
             self._connections.add(connection)
             connection.serve()
 
+    def _pause_accepting(self, listening: socket.socket) -> None:
+        """Leave connections waiting for a while: nothing can be accepted now."""
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(listening)
+        loop.call_later(ACCEPT_PAUSE_SECONDS, self._resume_accepting, listening)
+
+    def _resume_accepting(self, listening: socket.socket) -> None:
+        if listening is self._socket:
+            asyncio.get_running_loop().add_reader(listening, self._accept)
+
     def _check_idle(self) -> None:
         """Close the connections that have been idle for too long, now and later."""
         idle_before = time.monotonic() - self._idle_seconds
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import os
+import resource
 import socket
 from unittest import mock
 
@@ -145,3 +147,22 @@
         caller.sendall(request("head", b"").replace(b"POST", b"HEAD"))
         received = await self.receive(caller)
         self.assertTrue(received.startswith(b"HTTP/1.1 404"), received)
+
+
+class NoDescriptorsTest(PlainCallerTest):
+    async def test_listener_without_descriptors_does_not_fill_the_log(self):
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setblocking(False)
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        unused = os.dup(caller.fileno())
+        os.close(unused)
+        with mock.patch.object(listener.eliot, "log_message") as log:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (unused, hard))
+            try:
+                ip, port = self.address.rsplit(":", 1)
+                caller.connect_ex((ip, int(port)))
+                await asyncio.sleep(0.2)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        self.assertIn(log.call_count, range(1, 10))
