Heads that are not read whole have a line

A caller whose head stopped arriving, was longer than 64 KiB or could not be parsed saw its connection close, or a 400 of the HTTP library, and nothing in the log said so, as the request is known only once its head was read. The connection, which knows that bytes were read and no head, tells it: `dropped`, *its head was not read whole*, without an id.

A head that parses with a malformed Content-Length still gets 400 and a line that says *closed before it was whole*: left alone.

--- a/src/oleanderhill/listener.py
+++ b/src/oleanderhill/listener.py
@@ -12,7 +12,7 @@
 import contextlib
 import socket
 import time
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import eliot
@@ -138,6 +138,8 @@
         self._stream.received = False
 
     def on_close(self, server_conn: object) -> None:
+        if self._stream.received and not self.handled:
+            self._listener.on_head_lost()
         self._listener.connection_closed(self)
 
     @property
@@ -164,9 +166,15 @@
         await self._http.close()
 
 
+def _ignore_lost_head() -> None:
+    """Ignore that a head was not read."""
+
+
 class HttpListener:
     """Serves a delegate, such as a tornado application, on ``ip:port``.
 
+    :param on_head_lost: called when a connection ends of which a part of a head was read, or a head
+        that was too long or malformed
     :ivar params: parameters of the HTTP protocol
     """
 
@@ -175,7 +183,9 @@
         address: str,
         delegate: HTTPServerConnectionDelegate,
         limits: ListenerLimits = ListenerLimits(),  # noqa: B008 - immutable
+        on_head_lost: Callable[[], None] = _ignore_lost_head,
     ) -> None:
+        self.on_head_lost = on_head_lost
         self._address = address
         self.delegate = delegate
         self.params = HTTP1ConnectionParameters(
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -292,7 +292,9 @@
         self.ending = False
         self._removed = False
         self.requests_in_flight: set[_CallerRequest] = set()
-        self.callers = HttpListener(callers, _Requests(self, _CallerRequest), LIMITS)
+        self.callers = HttpListener(
+            callers, _Requests(self, _CallerRequest), LIMITS, self._head_lost
+        )
         self._readiness = HttpListener(balancer, _Requests(self, _ReadinessRequest), LIMITS)
 
     async def start(self) -> None:
@@ -378,6 +380,9 @@
         for request in list(self.requests_in_flight):
             request.end()
 
+    def _head_lost(self) -> None:
+        self.unanswered("", "dropped", "its head was not read whole")
+
     def unanswered(self, request_id: str, outcome: str, reason: str, **fields: object) -> None:
         """Log and count a request that ends without an answer.
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import socket
+import time
 from unittest import mock
 
 from tornado.httputil import HTTPHeaders
@@ -12,6 +13,7 @@
 from oleanderhill import listener
 from oleanderhill.outcomes import Problem, Ran
 from oleanderhill.serving import front as front_module
+from oleanderhill.serving.front import MAX_HEADER_BYTES
 
 from .test_front import GRACE_SECONDS, LISTENING_SECONDS, PROMPTLY, FrontTest, request
 
@@ -133,11 +135,36 @@
 
     async def asyncSetUp(self):
         short = front_module.LIMITS._replace(idle_seconds=0.2)
-        patch = mock.patch.object(front_module, "LIMITS", short)
-        patch.start()
-        self.addCleanup(patch.stop)
+        for patch in (
+            mock.patch.object(front_module, "LIMITS", short),
+            mock.patch.object(listener, "HEAD_SECONDS", 0.2),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
         await super().asyncSetUp()
 
+    async def test_request_read_in_the_step_of_its_idle_timeout_is_answered_or_has_a_line(self):
+        self.release.set()
+        caller = await self.connect_plain()
+        await asyncio.sleep(0.1)
+        caller.sendall(request("late"))
+        time.sleep(0.2)  # holds up the event loop until the idle timeout is due
+        received = await self.receive(caller)
+        self.assertTrue(received or self.found("dropped"))
+
+    async def test_head_over_the_limit_is_answered_or_has_a_line(self):
+        caller = await self.connect_plain()
+        filler = b"X-Filler: " + b"x" * MAX_HEADER_BYTES + b"\r\n\r\n"
+        caller.sendall(request("big").partition(b"\r\n\r\n")[0] + b"\r\n" + filler)
+        received = await self.receive(caller)
+        self.assertTrue(received or self.found("dropped"))
+
+    async def test_head_that_stops_arriving_has_a_line(self):
+        caller = await self.connect_plain()
+        caller.sendall(request("half")[:20])
+        received = await self.receive(caller)
+        self.assertTrue(received or self.found("dropped"))
+
     async def test_refusal_of_a_head_request_reaches_its_caller(self):
         async def serve(incoming, host, path, sink):
             sink.reject(Problem("unknown-route", 404, Ran.NO, "there is no such route"))
