A request whose peer has left is not passed on

A peer that gave a request up, or ended, in the step in which its body became whole at this host had it sent to the target all the same: the proxy looked at the connection only through the close callback, which came one step later. The request could then run here and, as the peer moved it, elsewhere. The proxy looks at the connection first, as the server of callers does.

--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -113,6 +113,10 @@
     def finish(self) -> None:
         if self.to_target is None:
             return  # it was rejected
+        if isinstance(self.connection, HTTP1Connection) and self.connection.stream.closed():
+            # No peer is left to receive the reply.
+            self.on_connection_close()
+            return
         body = confirmed_body(b"".join(self.chunks))
         if body is None:
             stream, self.to_target = self.to_target, None
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -36,7 +36,7 @@
 from oleanderhill.records import Records
 from oleanderhill.routing.proxies import Peer, PeerList, Proxies
 from oleanderhill.routing.reachability import Heard, Reachability
-from oleanderhill.serving.proxy_server import ProxyCallbacks, ProxyServer
+from oleanderhill.serving.proxy_server import ProxyCallbacks, ProxyServer, _ProxiedRequest
 from oleanderhill.serving.target_caller import Peers, TargetCaller
 
 from .test_cut_off import CutSiteTest
@@ -339,6 +339,19 @@
         sending.cancel()
         await asyncio.wait_for(draining, PROMPTLY)
 
+    async def test_request_whose_peer_left_as_it_was_read_is_not_passed_on(self):
+        received = _ProxiedRequest.data_received
+
+        def receive_and_close(request, chunk):
+            received(request, chunk)
+            request.connection.stream.close()
+
+        with mock.patch.object(_ProxiedRequest, "data_received", receive_and_close):
+            failure = (await self.send(Chunks())).failure()
+        await asyncio.sleep(0.05)
+        self.assertTrue(failure.sent)
+        self.assertEqual((self.target.received, self.server.in_flight), ([], 0))
+
     async def test_reply_is_written_whole_before_the_peer_ends(self):
         self.target.reply = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n\r\n" + b"x" * (4 << 20)
         seen = SlowChunks()
