The restart soak counts from the bytes sent, not from the begin of the call

A connection that brings its request more than 0.1 s after it was accepted may be closed as idle, unread. Both times stand in the message now.

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -129,6 +129,7 @@
     :param numbers: numbers of the events received
     :param ended: the answer ended regularly
     :param entry: entry host that it was sent to
+    :param sent_at: when its bytes were sent, ``inf`` if they were not; ``sent`` is when it began
     """
 
     request_id: str
@@ -139,6 +140,7 @@
     numbers: tuple[int, ...]
     ended: bool
     entry: str = ""
+    sent_at: float = float("inf")
 
 
 class EntryProcess:
@@ -273,6 +275,11 @@
 class _Body(Observer):
     def __init__(self) -> None:
         self.data_seen = b""
+        self.sent_at = float("inf")
+
+    def confirm_send(self) -> bool:
+        self.sent_at = time.monotonic()
+        return True
 
     def data(self, chunk: bytes) -> None:
         self.data_seen += chunk
@@ -615,7 +622,9 @@
         if crash_body:
             return
         self.call_records.append(
-            CallRecord(request_id, path, key, sent, status, numbers, ended, process.name)
+            CallRecord(
+                request_id, path, key, sent, status, numbers, ended, process.name, body.sent_at
+            )
         )
 
     def _background_tasks(self) -> list[Coroutine[None, None, None]]:
--- a/dev/oleanderhill_dev/users/soak_restarts.py
+++ b/dev/oleanderhill_dev/users/soak_restarts.py
@@ -51,7 +51,7 @@
     ) -> None:
         await super()._call(caller, rng, request_id, crash_body, prompt)
         record = self.call_records[-1]
-        problem = self._problem(record, monotonic() - record.sent)
+        problem = self._problem(record, monotonic() - record.sent_at)
         if problem:
             self.lost.append(f"{request_id} at {record.entry} {problem}")
 
@@ -64,7 +64,8 @@
         if any(record.request_id in t.ran for t in self.site.targets):
             return "ran and got no answer"
         if ARRIVED_SECONDS < took < DEADLINE_SECONDS:
-            return f"got no answer in {took:.3f} s"
+            since = took + record.sent_at - record.sent
+            return f"got no answer in {took:.3f} s, {since:.3f} s after it began"
         return ""
 
     def _fault_kinds(self) -> list[Callable[[], Awaitable[None]]]:
