Bytes after a reply on a kept connection are not the next reply

A target, engine host or store that sent bytes after a complete reply on a kept connection answered the next call with them: a probe, an order or a call of the store took them for its own answer.

The cause: the pool looks at the socket for unsolicited bytes, but the stream had already read them into its buffer, with the reply itself or while the connection was idle. Evidence: tests.test_endless_replies.CallTest failed before (the second call got b"b", the bytes after the first reply) and passes after, over three connections.

Ruled out: reading from the stream to find out, as a read that finds nothing can't be taken back. The size of the buffer has no public name in tornado. A connection with such bytes is closed, also one that was returned to the pool before they came; what a target sends in between goes no further than one buffer.

--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -274,6 +274,7 @@
         finally:
             # A server that replied before the body was sent still waits for it.
             complete = reusable and collector.finished and first.body_sent
+            complete = complete and not _has_unread_bytes(stream)
             self._return_to_pool(stream, request, complete, collector.reply_headers)
         truncated = collector.close_delimited and stream.error is not None
         if (
@@ -445,10 +446,10 @@
 
     Servers close idle connections. If a request is sent on a closed one, whether it ran is unknown.
     An end of stream or an unsolicited reply that arrived while the connection was idle makes its
-    socket readable.
+    socket readable, unless the stream has read it.
     """
     stream = idle.stream
-    if stream.closed() or now >= idle.expires_at:
+    if stream.closed() or now >= idle.expires_at or _has_unread_bytes(stream):
         return False
     try:
         stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -459,6 +460,12 @@
     return False
 
 
+def _has_unread_bytes(stream: IOStream) -> bool:
+    """Return whether a stream holds bytes that would be taken for the next reply."""
+    # There is no public way to look at them without beginning to read.
+    return bool(stream._read_buffer_size)
+
+
 def _idle_seconds(headers: HTTPHeaders) -> float:
     """Return the seconds for which a connection may stay idle after a reply, 0 to close it."""
     if headers.get("Connection", "").lower() == "close":
--- /dev/null
+++ b/tests/test_endless_replies.py
@@ -0,0 +1,73 @@
+"""Targets in trouble that send bytes without end in place of an answer."""
+
+import asyncio
+import contextlib
+import unittest
+
+from oleanderhill_dev.bench_site import free_address
+
+from oleanderhill.clients.httpcall import Call, HttpCaller
+
+PROMPTLY = 1.0
+"""Seconds within which a caller's answer counts as immediate; its deadline is 4 s."""
+
+PIECE = b"x" * 65536
+
+
+class RawServer:
+    """Sends a head and then a piece again and again until the connection is closed.
+
+    :ivar sent: number of bytes written
+    """
+
+    def __init__(self, head=b"", piece=b"", pause=0.0):
+        self.head, self.piece, self.pause = head, piece, pause
+        self.sent = 0
+        self.requests = 0
+        self.ended = asyncio.Event()
+
+    async def start(self):
+        self.address = free_address()
+        ip, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                writer.write(self.head)
+                while self.piece:
+                    writer.write(self.piece)
+                    await writer.drain()
+                    self.sent += len(self.piece)
+                    await asyncio.sleep(self.pause)
+        self.ended.set()
+        writer.close()
+
+
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, head=b"", piece=b"", pause=0.0):
+        self.server = RawServer(head, piece, pause)
+        await self.server.start()
+        self.addCleanup(self.server.stop)
+        return self.server
+
+    async def test_bytes_after_a_reply_are_not_taken_for_the_next_one(self):
+        server = await self.serve(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"
+        )
+        caller = HttpCaller()
+        for pause in (0.0, 0.05, 0.05):
+            call = Call(server.address, "GET", "/", reuse=True)
+            self.assertEqual((await caller.call(call)).unwrap().body, b"a")
+            await asyncio.sleep(pause)
+        self.assertEqual(caller.opened, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
