Events that arrive in small pieces are searched once

A target that sent one long event in small pieces held up its entry host, with all requests on it: each piece copied and searched all bytes since the last event again, so the time grew with the square of the length.

The test fails over 0.2 s.

Ruled out: a limit alone, as 1 MB of a legitimate event would have cost as much. Only the last three bytes that were kept can begin a boundary that a new piece ends, so the search starts there, and the pieces are appended in place.

--- a/src/oleanderhill/serving/events.py
+++ b/src/oleanderhill/serving/events.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
+_MAX_BOUNDARY_BYTES = 4
 _ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)")
 
 
@@ -24,25 +25,27 @@
     """Splits chunks of bytes into complete events."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that this chunk completes."""
-        data = self._rest + chunk
+        # A boundary may begin in the bytes that were kept, but not before their last three.
+        searched = max(0, len(self._rest) + 1 - _MAX_BOUNDARY_BYTES)
+        self._rest += chunk
         events = []
         start = 0
-        for boundary in _BOUNDARY.finditer(data):
-            event = data[start : boundary.end()]
+        for end in [b.end() for b in _BOUNDARY.finditer(self._rest, searched)]:
+            event = bytes(self._rest[start:end])
             found = _ID.search(event)
             events.append(Event(event, int(found[1]) if found else None))
-            start = boundary.end()
-        self._rest = data[start:]
+            start = end
+        del self._rest[:start]
         return events
 
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._rest
+        return bytes(self._rest)
 
 
 class EventSequence:
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import time
 import unittest
 
 from oleanderhill_dev.bench_site import free_address
 
 from oleanderhill.clients.httpcall import Call, HttpCaller
+from oleanderhill.serving.events import EventSplitter
 
 PROMPTLY = 1.0
 """Seconds within which a caller's answer counts as immediate; its deadline is 4 s."""
@@ -69,5 +71,14 @@
         self.assertEqual(caller.opened, 3)
 
 
+class SplitterTest(unittest.TestCase):
+    def test_event_without_end_costs_time_in_proportion_to_its_length(self):
+        splitter = EventSplitter()
+        began = time.process_time()
+        for _ in range(8192):
+            splitter.feed(b"x" * 128)
+        self.assertLess(time.process_time() - began, 0.2)
+
+
 if __name__ == "__main__":
     unittest.main()
