A reply that is no answer is reported with what is wrong with it

Operators saw *the reply was cut* or *Stream is closed* for a reply that this host itself had broken off: a head or a body over its limit looked like a target that died. No caller got another answer by this.

The cause: tornado checks the size of a body and only logs the reason itself, and the reason of a closed stream was dropped. Evidence: tests.test_endless_replies.CallTest, the tests of a head and of a body without end, failed before on the reason (six cases) and pass after.

Ruled out: the limit of tornado beside the own one, as its check comes first and hides the reason. A HEAD request and a 304 may state any length, as no body follows.

--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 import struct
+import sys
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
@@ -20,6 +21,7 @@
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
@@ -28,6 +30,8 @@
 
 CONNECT_TIMEOUT = 1.0
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+"""Bytes of a reply's body, unless the call or its observer says otherwise."""
+
 MAX_IDLE_PER_ADDRESS = 16
 """Idle connections per address: one for each request that an engine group runs concurrently."""
 
@@ -59,6 +63,12 @@
 CONTINUE = 100
 """Status with which a server asks for the body of a request that announced one."""
 
+NOT_MODIFIED = 304
+"""Status of a reply that may state a length and has no body."""
+
+_MAX_LENGTH_DIGITS = 18
+"""Digits of a length that is parsed; tornado rejects longer ones."""
+
 
 class FailureKind(StrEnum):
     """How an exchange failed."""
@@ -95,8 +105,15 @@
     body: bytes
 
 
+class InvalidReplyError(HTTPInputError):
+    """What the server sends is no answer: the exchange fails, and its connection is reset."""
+
+
 class Observer:
-    """Callbacks of an exchange in progress. Overriding any of them is optional."""
+    """Callbacks of an exchange in progress. Overriding any of them is optional.
+
+    Those that receive a reply may raise :class:`InvalidReplyError`.
+    """
 
     def confirm_send(self) -> bool:
         """Return whether the request may be sent now; ``False`` aborts it before the first byte."""
@@ -105,6 +122,13 @@
     def headers(self, status: int, headers: HTTPHeaders) -> None:
         """Handle the status and headers of the reply."""
 
+    def max_body(self, limit: int) -> int | None:
+        """Return how many bytes the body may have after these headers, ``None`` for any number.
+
+        :param limit: what the call allows
+        """
+        return limit
+
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         """Handle a chunk of the body; reading continues once the returned awaitable is done."""
 
@@ -158,9 +182,29 @@
         self.close_delimited = False
         self.continued: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.body_sent = not request.expect_continue
+        self.fault = ""
+        self._max_body: int | None = request.max_reply
+        self._body_bytes = 0
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        # Of an invalid reply, the connection only tells that it ended.
+        try:
+            self._receive_headers(start_line, headers)
+        except InvalidReplyError as error:
+            self.fault = str(error)
+            raise
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        try:
+            return self._receive_data(chunk)
+        except InvalidReplyError as error:
+            self.fault = str(error)
+            raise
+
+    def _receive_headers(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
@@ -183,8 +227,19 @@
         self.framing_accepted = self._request.accept_close_delimited or not self.close_delimited
         if self._observer is not None:
             self._observer.headers(start_line.code, headers)
-
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+            self._max_body = self._observer.max_body(self._request.max_reply)
+        stated = headers.get("Content-Length", "")
+        has_body = self._request.method != "HEAD" and start_line.code != NOT_MODIFIED
+        if has_body and stated.isdecimal() and len(stated) <= _MAX_LENGTH_DIGITS:
+            self._check_size(int(stated))
+
+    def _check_size(self, size: int) -> None:
+        if self._max_body is not None and size > self._max_body:
+            raise InvalidReplyError(f"the reply's body is over {self._max_body} bytes")
+
+    def _receive_data(self, chunk: bytes) -> Awaitable[None] | None:
+        self._body_bytes += len(chunk)
+        self._check_size(self._body_bytes)
         if self.unrelated:
             return None
         if self._observer is None:
@@ -262,7 +317,7 @@
                     if not collector.unrelated or not reusable:
                         break
                     collector = _ReplyCollector(observer, request)
-                    reader = HTTP1Connection(stream, True, _params(request))
+                    reader = HTTP1Connection(stream, True, _params())
                     reusable = bool(await reader.read_response(collector))
         except _WithheldError:
             return Failure(CallFailure(FailureKind.WITHHELD, False, "overtaken"))
@@ -270,7 +325,8 @@
             reason = str(error) or f"no whole reply in {request.timeout} s"
             return Failure(CallFailure(FailureKind.TIMEOUT, first.body_sent, reason))
         except (OSError, StreamClosedError) as error:
-            return Failure(CallFailure(FailureKind.LOST, first.body_sent, str(error)))
+            reason = str(getattr(error, "real_error", None) or error)
+            return Failure(CallFailure(FailureKind.LOST, first.body_sent, reason))
         finally:
             # A server that replied before the body was sent still waits for it.
             complete = reusable and collector.finished and first.body_sent
@@ -283,7 +339,8 @@
             or collector.unrelated
             or truncated
         ):
-            return Failure(CallFailure(FailureKind.LOST, first.body_sent, "the reply was cut"))
+            reason = collector.fault or "the reply was cut"
+            return Failure(CallFailure(FailureKind.LOST, first.body_sent, reason))
         return Success(Reply(collector.status, collector.reply_headers, b"".join(collector.chunks)))
 
     def has_idle_connection(self, address: str) -> bool:
@@ -346,7 +403,7 @@
         collector: _ReplyCollector,
         observer: Observer | None,
     ) -> bool:
-        connection = HTTP1Connection(stream, True, _params(request))
+        connection = HTTP1Connection(stream, True, _params())
         headers = HTTPHeaders({"Host": request.address})
         headers.update(request.headers)
         if request.body or request.method in ("POST", "PUT"):
@@ -437,8 +494,9 @@
         stream.close()
 
 
-def _params(request: Call) -> HTTP1ConnectionParameters:
-    return HTTP1ConnectionParameters(max_body_size=request.max_reply)
+def _params() -> HTTP1ConnectionParameters:
+    # The collector checks the size, and knows which limit applies.
+    return HTTP1ConnectionParameters(max_body_size=sys.maxsize)
 
 
 def _usable(idle: _IdleConnection, now: float) -> bool:
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -7,7 +7,7 @@
 
 from oleanderhill_dev.bench_site import free_address
 
-from oleanderhill.clients.httpcall import Call, HttpCaller
+from oleanderhill.clients.httpcall import MAX_REPLY_BYTES, Call, FailureKind, HttpCaller
 from oleanderhill.serving.events import EventSplitter
 
 PROMPTLY = 1.0
@@ -58,6 +58,46 @@
         self.addCleanup(self.server.stop)
         return self.server
 
+    async def lose(self, head, piece, pause=0.0, **more):
+        server = await self.serve(head, piece, pause)
+        call = Call(server.address, "GET", "/", reuse=True, timeout=8.0, **more)
+        failure = (await HttpCaller().call(call)).failure()
+        await asyncio.wait_for(server.ended.wait(), PROMPTLY)
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.LOST, True))
+        return failure.reason
+
+    async def test_head_without_end_is_reported_with_its_limit(self):
+        cases = {
+            "one line": (b"HTTP/1.1 200 OK\r\nA: ", PIECE),
+            "many lines": (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 1000),
+            "no status line": (b"", PIECE),
+        }
+        for name, (head, piece) in cases.items():
+            with self.subTest(name):
+                self.assertIn("65536 bytes", await self.lose(head, piece))
+                self.assertLess(self.server.sent, 8 << 20)
+
+    async def test_replies_that_only_announce_another_end_with_the_connection(self):
+        await self.lose(b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 20)
+
+    async def test_body_without_end_is_reported_with_its_limit(self):
+        chunk = b"10000\r\n" + PIECE + b"\r\n"
+        cases = {
+            "chunked": (b"Transfer-Encoding: chunked\r\n\r\n", chunk),
+            "without a length": (b"\r\n", PIECE),
+            "with a huge length": (b"Content-Length: 99999999999\r\n\r\n", PIECE),
+        }
+        for name, (head, piece) in cases.items():
+            with self.subTest(name):
+                reason = await self.lose(b"HTTP/1.1 200 OK\r\n" + head, piece)
+                self.assertEqual(reason, f"the reply's body is over {MAX_REPLY_BYTES} bytes")
+
+    async def test_chunk_size_without_end_or_with_extensions_ends_the_connection(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for piece in (b"0" * 65536, b"1;a=" + PIECE, b"f" * 40 + b"\r\n"):
+            await self.lose(head, piece)
+            self.assertLess(self.server.sent, 8 << 20)
+
     async def test_bytes_after_a_reply_are_not_taken_for_the_next_one(self):
         server = await self.serve(
             b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
