A stream may have any length, and its events a limited one

A stream over 16 MB was cut at this size like a reply of a target that died, and where no further attempt could go on with it, its caller's response was broken off. A peer that passes a request on cut it there too. An event without an end filled 16 MB for each request before it was left, unless the request could move to another target after a stall.

The cause: the limit that is meant for replies that are kept whole applied to all. Now the observer of a reply says what applies: none to a stream, of which only the event under way is kept, and none to a peer that keeps nothing; an event is limited to 1 MB. Evidence in tests.test_endless_replies.StreamTest: a stream of 26 MB ended at 16,715,650 bytes before; the event without end was left by a stall (*no progress in 0.337 s*) and not for its size; both pass after. The tests of plain replies without end (moved or 502 at once, the target a suspect) and of a large answer of 4 MB passed before too. tests.test_proxied_requests.HopTest: with the default limit at the peer alone, a reply of 16 MB and a byte was lost there.

Ruled out: to accept the events that arrived in the same bytes as the one that is too long. They would count as received by the caller, and the resumed stream would lack them. They are resumed instead, from another target.

--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import Application, RequestHandler
 
 EVENT_SECONDS = 0.02
@@ -38,6 +39,11 @@
 """Unix milliseconds; the first host starts one millisecond later."""
 
 
+RawReply = Callable[[IOStream, str, int], Awaitable[None]]
+"""Writes bytes to a connection in place of a reply; called with the id of the request and the
+number of the first event that its caller lacks."""
+
+
 class RunRecord(NamedTuple):
     """The start of a request on an engine host.
 
@@ -344,6 +350,8 @@
         """Whether streams have neither a length nor chunks, and end with their connection."""
         self.break_at_event = 0
         """Number of the event in which the next stream breaks off, 0 for none."""
+        self.raw_reply: RawReply | None = None
+        """Writes the next reply to a request."""
 
     def next_start_ms(self) -> int:
         """Return the start time of the next incarnation, in Unix milliseconds."""
@@ -444,6 +452,10 @@
             host.crash()
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        raw_reply, host.site.raw_reply = host.site.raw_reply, None
+        if raw_reply is not None:
+            await _write_raw(self.detach(), raw_reply, headers["Attempt-Id"], first)
+            return
         if host.site.unframed:
             await self._send_unframed(first)
             return
@@ -498,6 +510,12 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
+async def _write_raw(stream: IOStream, reply: RawReply, request_id: str, first: int) -> None:
+    with contextlib.suppress(StreamClosedError):
+        await reply(stream, request_id, first)
+    stream.close()
+
+
 class TargetFaults:
     """Faults of a plain target.
 
@@ -505,6 +523,7 @@
     :ivar shed: number of next requests to reject without running them
     :ivar reset: number of next requests that run and get their connection closed without a reply
     :ivar slow: seconds of delay before each reply
+    :ivar raw_reply: writes all replies, ``None`` for usual ones
     """
 
     def __init__(self) -> None:
@@ -512,6 +531,7 @@
         self.shed = 0
         self.reset = 0
         self.slow = 0.0
+        self.raw_reply: RawReply | None = None
 
 
 class Arrival(NamedTuple):
@@ -556,6 +576,9 @@
             target.faults.reset -= 1
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
+        if target.faults.raw_reply is not None:
+            await _write_raw(self.detach(), target.faults.raw_reply, headers["Attempt-Id"], 0)
+            return
         await asyncio.sleep(target.faults.slow)
         self.set_status(target.faults.status or 200)
         self.set_header("Attempt-Id", headers["Attempt-Id"])
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -8,7 +8,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ..clients.httpcall import Observer
+from ..clients.httpcall import InvalidReplyError, Observer
 from ..clock import LateTimer
 from ..routing.router import Choice
 from .events import EventSequence, EventSplitter
@@ -16,6 +16,9 @@
 
 EVENT_STREAM = "text/event-stream"
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Bytes of one event. The longest of a healthy stream repeats all its output."""
+
 
 class ForwardedRequest(Protocol):
     """The request that an attempt belongs to."""
@@ -77,6 +80,9 @@
         self._request.apply_notice(self, reading)
         self.streaming = status == 200 and content_type.startswith(EVENT_STREAM) and reading.signed
 
+    def max_body(self, limit: int) -> int | None:
+        return None if self.streaming else limit
+
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         if not self.streaming:
             self.last_progress_at = time.monotonic()
@@ -88,7 +94,10 @@
 
     def _forward_events(self, chunk: bytes) -> Awaitable[None] | None:
         complete = []
-        for event in self._splitter.feed(chunk):
+        events = self._splitter.feed(chunk)
+        if self._splitter.kept > MAX_EVENT_BYTES:
+            raise InvalidReplyError(f"an event is over {MAX_EVENT_BYTES} bytes")
+        for event in events:
             if not self._request.order.accept(event):
                 self.fault = f"event {event.number} does not follow {self._request.order.last}"
                 break
--- a/src/oleanderhill/serving/events.py
+++ b/src/oleanderhill/serving/events.py
@@ -42,6 +42,11 @@
         del self._rest[:start]
         return events
 
+    @property
+    def kept(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._rest)
+
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -83,6 +83,10 @@
         written = self._connection.write_headers(start, passed)
         written.add_done_callback(_retrieve_exception)
 
+    def max_body(self, limit: int) -> int | None:
+        # Nothing is kept here, and the peer knows the limit.
+        return None
+
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         flushed = self._connection.write(chunk)
         return None if flushed.done() else _ignore_closed(flushed)
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -89,6 +89,11 @@
         if self._observer is not None and not self._failed:
             self._observer.headers(status, headers)
 
+    def max_body(self, limit: int) -> int | None:
+        if self._observer is None or self._failed:
+            return limit
+        return self._observer.max_body(limit)
+
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         if self._observer is not None and not self._failed:
             return self._observer.data(chunk)
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -16,7 +16,14 @@
 from returns.result import Failure
 from tornado.httputil import HTTPHeaders
 
-from oleanderhill.clients.httpcall import Call, CallFailure, FailureKind, HttpCaller, Observer
+from oleanderhill.clients.httpcall import (
+    MAX_REPLY_BYTES,
+    Call,
+    CallFailure,
+    FailureKind,
+    HttpCaller,
+    Observer,
+)
 from oleanderhill.clients.listening import CHECK_DELAYS
 from oleanderhill.clients.proxying import (
     FAILURE_HEADER,
@@ -114,6 +121,18 @@
         return self.resume.wait()
 
 
+class Unlimited(Observer):
+    """Counts the bytes of a reply of any length."""
+
+    size = 0
+
+    def max_body(self, limit):
+        return None
+
+    def data(self, chunk):
+        self.size += len(chunk)
+
+
 class RefusedCaller(HttpCaller):
     """Finds that nothing listens anywhere."""
 
@@ -199,6 +218,14 @@
         failure = (await self.send(Chunks())).failure()
         self.assertTrue(failure.sent)
 
+    async def test_peer_sets_no_limit_to_a_reply(self):
+        size = MAX_REPLY_BYTES + 1
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nContent-Length: {size}\r\n\r\n"
+        self.target.reply = head.encode() + b"x" * size
+        seen = Unlimited()
+        self.assertEqual((await self.send(seen)).unwrap().status, 200)
+        self.assertEqual(seen.size, size)
+
     async def test_late_reply_to_another_request_is_not_passed_on(self):
         self.target.reply = (
             b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\nContent-Length: 3\r\n\r\nold"
