A reply without a signature is neither kept nor waited for

A target in trouble that answered without a signature, or with a rejection, and then sent bytes without end kept each request until 16 MB of them were held in memory. If they came slowly, the request stayed until its deadline and its caller got 504, although it might be repeated and another target was free: each byte counted as progress.

The cause: the headers of such a reply show that its body never reaches a caller, but the body was collected like an answer. It is dropped now, is limited to 64 KB, and is no progress. Evidence in tests.test_endless_replies.PlainTargetTest: before, both replies without end were left over 16,777,216 bytes, and the reply that trickles ended in 504; now they are left over 65,536 bytes and by a stall, and the callers get 200.

Ruled out: to fail at the headers. A complete short reply without a signature makes no suspect today, and a rejection tells that the request may go elsewhere; both stay. A rejection without end counts as lost, so a request that may not be repeated is reported as possibly run.

--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -19,6 +19,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Bytes of one event. The longest of a healthy stream repeats all its output."""
 
+MAX_IGNORED_BYTES = 64 * 1024
+"""Bytes of the body of a reply whose headers show that it is no answer."""
+
 
 class ForwardedRequest(Protocol):
     """The request that an attempt belongs to."""
@@ -59,6 +62,7 @@
         self.status = 0
         self.reply_headers = HTTPHeaders()
         self.streaming = False
+        self._is_answer = False
         self.chunks: list[bytes] = []
         self.events = 0
         self.last_progress_at = time.monotonic()
@@ -79,12 +83,17 @@
         reading = self._request.read_reply(status, headers)
         self._request.apply_notice(self, reading)
         self.streaming = status == 200 and content_type.startswith(EVENT_STREAM) and reading.signed
+        self._is_answer = reading.signed and not reading.not_run
 
     def max_body(self, limit: int) -> int | None:
-        return None if self.streaming else limit
+        if self.streaming:
+            return None
+        return limit if self._is_answer else MAX_IGNORED_BYTES
 
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         if not self.streaming:
+            if not self._is_answer:
+                return None
             self.last_progress_at = time.monotonic()
             self.chunks.append(chunk)
             return None
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -199,6 +199,18 @@
         self.assertNotIn("Retry-After", headers)
         self.assertLess(seconds, PROMPTLY)
 
+    async def test_unsigned_reply_without_end_is_left_after_little(self):
+        reason = await self.assert_moves(Endless(PIECE, seal=False), PROMPTLY)
+        self.assertEqual(reason, f"the reply's body is over {attempts.MAX_IGNORED_BYTES} bytes")
+
+    async def test_rejection_without_end_is_left_after_little(self):
+        reply = Endless(PIECE, "Not-Executed: 1", seal=False, status="503 Service Unavailable")
+        reason = await self.assert_moves(reply, PROMPTLY)
+        self.assertEqual(reason, f"the reply's body is over {attempts.MAX_IGNORED_BYTES} bytes")
+
+    async def test_unsigned_reply_that_trickles_does_not_keep_a_repeatable_request(self):
+        await self.assert_moves(Endless(b"x", pause=0.02, seal=False), 2.5)
+
     async def test_large_answer_is_passed_on(self):
         content = PIECE * 64
 
