Single bytes of an answer do not keep a request at its target

A target in trouble that sent its answer a byte at a time kept a repeatable request until the deadline: its caller got 504 after 4 s although another target was free. The stall timeout did not help, as each byte counted as progress.

The cause: a plain answer made progress with any number of bytes. Now its first bytes count, and then each 16 KB. Evidence in tests.test_endless_replies.PlainTargetTest: the reply that trickles ended in 504 before, and now the request moves after the stall timeout of its route and gets 200; an answer that comes with 20 KB every 0.3 s for 3 s is passed on from its first target's reply, whole.

Ruled out: a limit of the whole time, which would end large answers over slow links, and bytes per second as a new setting. What changes besides: an answer under 16 KB that is sent in pieces for longer than the stall timeout moves too, like one that is sent at once after the same time. A request that may not be repeated stays until its deadline as before, as what trickles may be its answer.

--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -19,6 +19,10 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Bytes of one event. The longest of a healthy stream repeats all its output."""
 
+PROGRESS_BYTES = 16 * 1024
+"""Bytes of a plain reply that count as progress together. A target in trouble may send single bytes
+for as long as the request waits."""
+
 MAX_IGNORED_BYTES = 64 * 1024
 """Bytes of the body of a reply whose headers show that it is no answer."""
 
@@ -48,7 +52,8 @@
     and ``fault`` describes the first event that was out of sequence, empty for none.
 
     :ivar via: entry host that passes the request on, empty for this host's own links
-    :ivar last_progress_at: when the target last sent anything or, until then, was sent the request
+    :ivar last_progress_at: when the target last sent an event or some of its answer or, until then,
+        was sent the request
     :ivar timer: the timer that notices stalls
     """
 
@@ -64,6 +69,7 @@
         self.streaming = False
         self._is_answer = False
         self.chunks: list[bytes] = []
+        self._since_progress = 0
         self.events = 0
         self.last_progress_at = time.monotonic()
         self.timer = LateTimer()
@@ -94,13 +100,20 @@
         if not self.streaming:
             if not self._is_answer:
                 return None
-            self.last_progress_at = time.monotonic()
+            self._record_body_bytes(len(chunk))
             self.chunks.append(chunk)
             return None
         if self.fault:
             return None
         return self._forward_events(chunk)
 
+    def _record_body_bytes(self, count: int) -> None:
+        begun = bool(self.chunks)
+        self._since_progress += count
+        if not begun or self._since_progress >= PROGRESS_BYTES:
+            self.last_progress_at = time.monotonic()
+            self._since_progress = 0
+
     def _forward_events(self, chunk: bytes) -> Awaitable[None] | None:
         complete = []
         events = self._splitter.feed(chunk)
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -208,6 +208,23 @@
         reason = await self.assert_moves(reply, PROMPTLY)
         self.assertEqual(reason, f"the reply's body is over {attempts.MAX_IGNORED_BYTES} bytes")
 
+    async def test_reply_that_trickles_does_not_keep_a_repeatable_request(self):
+        await self.assert_moves(Endless(b"x", pause=0.02), 2.5)
+
+    async def test_reply_that_comes_slowly_but_steadily_is_passed_on(self):
+        content = PIECE[:20000] * 10
+
+        async def slow(stream, request_id, first):
+            await stream.write(head(request_id, f"Content-Length: {len(content)}"))
+            for start in range(0, len(content), 20000):
+                await stream.write(content[start : start + 20000])
+                await asyncio.sleep(0.3)
+
+        self.all_send(slow)
+        status, body, seconds, _ = await self.timed_reply("/scan/x")
+        self.assertEqual((status, body == content), (200, True))
+        self.assertGreater(seconds, 2.5)
+
     async def test_unsigned_reply_that_trickles_does_not_keep_a_repeatable_request(self):
         await self.assert_moves(Endless(b"x", pause=0.02, seal=False), 2.5)
 
