A report or the reply to an order is limited to 64 KB

An engine host in trouble that answered a probe or an order with bytes without end was read until the timeout of 0.4 s or 0.8 s, up to 16 MB of them kept in memory for each call; an owner probes and orders many hosts at once.

The cause: these calls had the general limit of a reply, which is meant for answers and for the content of the store.

Ruled out: the same limit for the store and for readings of peers. Their replies hold the whole content, there is one such call at a time, and a listing that is cut would keep a host from starting.

--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -26,6 +26,9 @@
 PROBE_TIMEOUT = 0.4
 """Seconds; probes go to hosts whose group was observed to stall, and use no slot of the engine."""
 
+MAX_REPLY_BYTES = 64 * 1024
+"""Bytes of a report or of the reply to an order."""
+
 _OUTCOME_BY_STATUS = {
     200: OrderOutcome.DONE,
     202: OrderOutcome.DONE,
@@ -115,6 +118,7 @@
             body,
             timeout=ORDER_TIMEOUT,
             reuse=True,
+            max_reply=MAX_REPLY_BYTES,
             connect_timeout=ORDER_TIMEOUT,
         )
         found = await self._call_host(order.instance, call)
@@ -171,6 +175,7 @@
             headers,
             timeout=PROBE_TIMEOUT,
             reuse=True,
+            max_reply=MAX_REPLY_BYTES,
             connect_timeout=PROBE_TIMEOUT,
         )
         found = await self._call_host(instance, call, second_opinion)
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 import unittest
 from unittest import mock
@@ -10,9 +11,16 @@
 from oleanderhill_dev.users.site import SMALL
 
 from oleanderhill.clients.httpcall import MAX_REPLY_BYTES, Call, FailureKind, HttpCaller
+from oleanderhill.groups.actions import Leave, OrderOutcome
+from oleanderhill.groups.inventory import Instance
+from oleanderhill.groups.probing import ProbeOutcome
+from oleanderhill.platform.orders import EngineOrders
+from oleanderhill.routing.proxies import PeerList, Proxies
+from oleanderhill.routing.reachability import Heard, Reachability
 from oleanderhill.serving import attempt as attempts
 from oleanderhill.serving.events import EventSplitter
 from oleanderhill.serving.request_log import RequestLog
+from oleanderhill.serving.target_caller import Peers, TargetCaller
 
 from .test_users_site import SiteTest
 
@@ -44,7 +52,8 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        ends = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ends):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 self.requests += 1
@@ -118,6 +127,27 @@
         self.assertEqual(caller.opened, 3)
 
 
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_engine_host_that_answers_without_end_is_silent_at_once(self):
+        server = RawServer(b"HTTP/1.1 200 OK\r\n\r\n", PIECE, 0.005)
+        await server.start()
+        self.addCleanup(server.stop)
+        links = Reachability()
+        peers = Peers("here", PeerList, lambda address: Heard.UNKNOWN)
+        caller = TargetCaller(
+            HttpCaller(), HttpCaller(), links, Proxies("hall", random.Random(1)), peers
+        )
+        orders = EngineOrders(caller, lambda *args: None, lambda instance: True)
+        instance = Instance("i-1", 1)
+        for asked, silent in (
+            (orders.probe(instance, server.address), ProbeOutcome.SILENT),
+            (orders.send(Leave("d.1", 1, instance), server.address, 3), OrderOutcome.SILENT),
+        ):
+            server.sent = 0
+            self.assertEqual(await asked, silent)
+            self.assertLess(server.sent, 1 << 20)
+
+
 def head(request_id, *lines, seal=True, status="200 OK"):
     """Return the head of a reply of a target to a request."""
     sealed = ["Response-Seal: s"] if seal else []
