A reply without end counts against its target through a peer too

A host that is cut off from a target and got a reply without end from it through a peer broke the reply off, and then took this for a lost connection to the peer, which tells nothing of the target: no suspect, and an owner learned from a probe or an order only that there was no path to the host.

The cause: a failed exchange with a peer whose reply had begun was never put down to the target, as the peer may have been lost. If this host broke it off, it knows better: the peer passes on what the target sends. The failure now says that the reply was invalid.

Ruled out: a kind of failure of its own, as all that follows from a lost connection to a target applies. A reply of a peer itself over the limit (its failures are short) is put down to the peer as before.

--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -89,12 +89,14 @@
 
     :param sent: some bytes of the request may have reached the server
     :param refused: the host is reachable, and nothing listens at the address
+    :param invalid: the reply was broken off here, as it was no answer
     """
 
     kind: FailureKind
     sent: bool
     reason: str
     refused: bool = False
+    invalid: bool = False
 
 
 class Reply(NamedTuple):
@@ -340,7 +342,8 @@
             or truncated
         ):
             reason = collector.fault or "the reply was cut"
-            return Failure(CallFailure(FailureKind.LOST, first.body_sent, reason))
+            invalid = bool(collector.fault)
+            return Failure(CallFailure(FailureKind.LOST, first.body_sent, reason, invalid=invalid))
         return Success(Reply(collector.status, collector.reply_headers, b"".join(collector.chunks)))
 
     def has_idle_connection(self, address: str) -> bool:
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -274,6 +274,9 @@
         if failure.kind == FailureKind.TIMEOUT and failure.sent:
             # The peer reached the target, which may be what is silent.
             return Failure(failure._replace(reason=f"{peer.name}: {failure.reason}"))
+        if failure.invalid and begun:
+            # The peer passes on what the target sends.
+            return Failure(failure._replace(reason=f"{peer.name}: {failure.reason}"))
         if not begun:
             self._avoid(peer, address, failure.reason)
         if not failure.sent:
--- a/tests/test_proxied_requests.py
+++ b/tests/test_proxied_requests.py
@@ -226,6 +226,15 @@
         self.assertEqual((await self.send(seen)).unwrap().status, 200)
         self.assertEqual(seen.size, size)
 
+    async def test_reply_without_end_is_the_fault_of_the_target_and_not_of_the_peer(self):
+        head = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n\r\n"
+        self.target.reply, self.target.hold = head + b"x" * (1 << 20), True
+        failure = (await self.send(Chunks(), max_reply=1000)).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.LOST, True))
+        self.assertEqual(failure.reason, "peer: the reply's body is over 1000 bytes")
+        self.assertEqual(self.avoided, [])
+        await asyncio.wait_for(self.target.closed.wait(), PROMPTLY)
+
     async def test_late_reply_to_another_request_is_not_passed_on(self):
         self.target.reply = (
             b"HTTP/1.1 200 OK\r\nAttempt-Id: r0\r\nContent-Length: 3\r\n\r\nold"
