Replies that are not complete share a limit of memory

Targets of a service that all sent large bodies without end could take an entry host down, with all its callers: each request might keep 16 MB of its reply, so 19 of them exceeded the 300 MB of the host, and hundreds run at a time.

The cause: only the single reply was limited. Now each may keep 64 KB in any case, and all together 64 MB more; the reply that would exceed this is broken off like one that is too large, with this reason in the log, and gives its share back at once. The bytes of an event under way count too.

Ruled out: to let a reply wait for its share, as replies that each hold a part would wait for each other until their deadlines; and a lower limit for each, as hundreds of 1 MB are too many, and answers of a few MB are legitimate. What changes besides: while the share is used up, a legitimate answer over 64 KB is broken off as well, and its target is a suspect. Not counted are complete answers that wait for a slow caller.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -63,6 +63,7 @@
 from ..serving.pool_capacity import pool_of
 from ..serving.proxy_server import ProxyCallbacks, ProxyServer
 from ..serving.quarantine import QUARANTINE_PREFIX, QuarantineTask
+from ..serving.reply_memory import ReplyMemory
 from ..serving.retries import SharedRetryBudget
 from ..serving.retry_detector import RetryDetector
 from ..serving.shared_counters import SharedCounters
@@ -275,6 +276,7 @@
             self._timing,
             self._admission,
             self._links.reachability,
+            ReplyMemory(),
         )
         self._shedding = ConnectionShedding(lambda: self.front, self._loads, records)
         self.kernel.lag.on_saturated = self._shedding.saturated
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -13,6 +13,7 @@
 from ..routing.router import Choice
 from .events import EventSequence, EventSplitter
 from .forwarding import ReplyInfo
+from .reply_memory import MAX_SHARED_BYTES, ReplyMemory
 
 EVENT_STREAM = "text/event-stream"
 
@@ -57,8 +58,11 @@
     :ivar timer: the timer that notices stalls
     """
 
-    def __init__(self, request: ForwardedRequest, choice: Choice) -> None:
+    def __init__(self, request: ForwardedRequest, choice: Choice, memory: ReplyMemory) -> None:
         self._request = request
+        self._memory = memory
+        self._kept = 0
+        self._ended = False
         self.choice = choice
         self.not_sent = False
         self.via = ""
@@ -101,12 +105,28 @@
             if not self._is_answer:
                 return None
             self._record_body_bytes(len(chunk))
+            self._keep(self._kept + len(chunk))
             self.chunks.append(chunk)
             return None
         if self.fault:
             return None
         return self._forward_events(chunk)
 
+    def end(self) -> None:
+        """Give back the memory of the reply, of which nothing more is accepted."""
+        self._memory.change(self._kept, 0)
+        self._kept, self._ended = 0, True
+
+    def _keep(self, count: int) -> None:
+        if self._ended:
+            raise InvalidReplyError("the attempt has ended")
+        if not self._memory.change(self._kept, count):
+            # What it kept is free for other replies at once.
+            self.chunks.clear()
+            self.end()
+            raise InvalidReplyError(f"the replies under way are over {MAX_SHARED_BYTES} bytes")
+        self._kept = count
+
     def _record_body_bytes(self, count: int) -> None:
         begun = bool(self.chunks)
         self._since_progress += count
@@ -119,6 +139,7 @@
         events = self._splitter.feed(chunk)
         if self._splitter.kept > MAX_EVENT_BYTES:
             raise InvalidReplyError(f"an event is over {MAX_EVENT_BYTES} bytes")
+        self._keep(self._splitter.kept)
         for event in events:
             if not self._request.order.accept(event):
                 self.fault = f"event {event.number} does not follow {self._request.order.last}"
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -13,6 +13,7 @@
 from .notices import TargetNotices
 from .placement import Candidate, LoadTracker
 from .quarantine import QuarantineTask
+from .reply_memory import ReplyMemory
 from .target_caller import TargetCaller
 from .timing import Timing
 
@@ -31,6 +32,7 @@
     :param count_retry: counts a decision on a retry, by service and whether it was allowed
     :param count_send: counts a request sent to a target, by service and whether it is not the first
     :param reachability: which targets this host can't reach over its own links
+    :param reply_memory: bounds what all their replies keep
     :param timing: learns from answers, and returns the usual times
     """
 
@@ -51,3 +53,4 @@
     timing: Timing
     admission: AdmissionControl
     reachability: Reachability
+    reply_memory: ReplyMemory
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -278,7 +278,7 @@
         self._log.attempt_begun(choice)
         tracker.begin(choice.group)
         began, self._target_failed = time.monotonic(), False
-        run = Attempt(self, choice)
+        run = Attempt(self, choice, self.context.reply_memory)
         calling = self.context.caller.call(
             self._call(choice),
             run,
@@ -294,6 +294,7 @@
             return self._handle_abandoned(abandon_reason, attempt, choice, run)
         finally:
             task.cancel()
+            run.end()
             self.context.quarantine.end(self._subjects, quarantined)
             permit, self._permit = self._permit, None
             if permit is not None:
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -5,10 +5,11 @@
 import random
 import time
 import unittest
+import weakref
 from unittest import mock
 
 from oleanderhill_dev.bench_site import free_address
-from oleanderhill_dev.users.site import SMALL
+from oleanderhill_dev.users.site import SMALL, until
 
 from oleanderhill.clients.httpcall import MAX_REPLY_BYTES, Call, FailureKind, HttpCaller
 from oleanderhill.groups.actions import Leave, OrderOutcome
@@ -229,6 +230,40 @@
         self.assertNotIn("Retry-After", headers)
         self.assertLess(seconds, PROMPTLY)
 
+    async def test_replies_without_end_share_a_limit_of_memory(self):
+        # Each sends 15 MB and then waits, so that all of them are kept at the same time.
+        async def large(stream, request_id, first):
+            await stream.write(head(request_id))
+            for _ in range(240):
+                await stream.write(PIECE)
+            await stream.read_until_close()
+
+        self.all_send(large)
+        begun, most_kept = weakref.WeakSet(), 0
+        receive = attempts.Attempt.headers
+
+        def note(run, *reply):
+            begun.add(run)
+            receive(run, *reply)
+
+        with mock.patch.object(attempts.Attempt, "headers", note):
+            asked = asyncio.gather(*(self.timed_reply("/pay/x", "POST") for _ in range(20)))
+            while not asked.done():
+                kept = sum(len(c) for run in begun for c in run.chunks)
+                most_kept = max(most_kept, kept)
+                await asyncio.sleep(0.02)
+        found = await asked
+        self.assertLess(most_kept, 70 << 20)
+        self.assertLessEqual({status for status, *_ in found}, {502, 503, 504})
+        self.assertIn(502, [status for status, *_ in found])
+        for status, body, *_ in found:
+            if status == 502:
+                self.assertIn(b"the replies under way are over 67108864 bytes", body)
+        self.assertEqual(self.entry._context.reply_memory.taken, 0)
+        self.all_send(None)
+        await until(lambda: not self.entry._book.is_suspect("t-0", time.monotonic()))
+        self.assertEqual((await self.timed_reply("/scan/x"))[0], 200)
+
     async def test_unsigned_reply_without_end_is_left_after_little(self):
         reason = await self.assert_moves(Endless(PIECE, seal=False), PROMPTLY)
         self.assertEqual(reason, f"the reply's body is over {attempts.MAX_IGNORED_BYTES} bytes")
