A stream does not go on without ids, and comments do not keep it

A target in trouble that sent events without ids, or only comments, kept a repeatable stream until its deadline: its caller got bytes that it ignores, or data that belongs to no place of the stream, and then an end in the middle, although another target was free.

The cause: an event without an id follows on any other, and each event counted as progress, of the request and of the whole group. Now such events are limited to 1 MB after one with an id, and to the size of a reply (16 MB) in a stream that never has one; comments and empty events are passed on, but are neither an event nor progress. Evidence in tests.test_endless_replies.StreamTest: the three new tests failed before, two of them with event 0 as all that the caller got of ten within 4 s; now the stream goes on elsewhere within 2 s and is whole.

Ruled out: to count no event without an id as progress, and 1 MB for any stream, as routes whose streams are not resumed may have none, and long ones would be cut that pass today. What changes besides: a stream that ends with nothing but comments is torn now, and was a whole answer before.

--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -11,7 +11,7 @@
 from ..clients.httpcall import InvalidReplyError, Observer
 from ..clock import LateTimer
 from ..routing.router import Choice
-from .events import EventSequence, EventSplitter
+from .events import Event, EventSequence, EventSplitter
 from .forwarding import ReplyInfo
 from .reply_memory import MAX_SHARED_BYTES, ReplyMemory
 
@@ -20,6 +20,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Bytes of one event. The longest of a healthy stream repeats all its output."""
 
+MAX_UNNUMBERED_BYTES = 1024 * 1024
+"""Bytes of events without an id between events with one."""
+
 PROGRESS_BYTES = 16 * 1024
 """Bytes of a plain reply that count as progress together. A target in trouble may send single bytes
 for as long as the request waits."""
@@ -43,7 +46,10 @@
         """Apply the notice in the headers of a reply, before its body arrives."""
 
     def forward_events(self, run: Attempt, data: bytes, events: int) -> Awaitable[None] | None:
-        """Forward complete events to the caller."""
+        """Forward complete events to the caller.
+
+        :param events: number of them that are no comments
+        """
 
 
 class Attempt(Observer):
@@ -53,8 +59,8 @@
     and ``fault`` describes the first event that was out of sequence, empty for none.
 
     :ivar via: entry host that passes the request on, empty for this host's own links
-    :ivar last_progress_at: when the target last sent an event or some of its answer or, until then,
-        was sent the request
+    :ivar last_progress_at: when the target last sent an event that is not a comment, or some of its
+        answer or, until then, was sent the request
     :ivar timer: the timer that notices stalls
     """
 
@@ -74,6 +80,8 @@
         self._is_answer = False
         self.chunks: list[bytes] = []
         self._since_progress = 0
+        self._unnumbered_bytes = 0
+        self._max_unnumbered = 0
         self.events = 0
         self.last_progress_at = time.monotonic()
         self.timer = LateTimer()
@@ -97,6 +105,8 @@
 
     def max_body(self, limit: int) -> int | None:
         if self.streaming:
+            # A stream without any ids is limited like a reply that is kept.
+            self._max_unnumbered = limit
             return None
         return limit if self._is_answer else MAX_IGNORED_BYTES
 
@@ -135,24 +145,37 @@
             self._since_progress = 0
 
     def _forward_events(self, chunk: bytes) -> Awaitable[None] | None:
-        complete = []
+        complete, count = [], 0
         events = self._splitter.feed(chunk)
         if self._splitter.kept > MAX_EVENT_BYTES:
             raise InvalidReplyError(f"an event is over {MAX_EVENT_BYTES} bytes")
         self._keep(self._splitter.kept)
+        self._check_numbered(events)
         for event in events:
             if not self._request.order.accept(event):
                 self.fault = f"event {event.number} does not follow {self._request.order.last}"
                 break
             complete.append(event.data)
+            count += not event.is_comment
         if not complete:
             return None
         now = time.monotonic()
-        if self.events:
-            self.longest_pause = max(self.longest_pause, now - self.last_progress_at)
-        self.last_progress_at = now
-        self.events += len(complete)
-        return self._request.forward_events(self, b"".join(complete), len(complete))
+        if count:
+            if self.events:
+                self.longest_pause = max(self.longest_pause, now - self.last_progress_at)
+            self.last_progress_at = now
+        self.events += count
+        return self._request.forward_events(self, b"".join(complete), count)
+
+    def _check_numbered(self, events: Sequence[Event]) -> None:
+        """Check that a stream does not go on for long without an id."""
+        for event in events:
+            size = self._unnumbered_bytes + len(event.data)
+            self._unnumbered_bytes = size if event.number is None else 0
+            begun = event.number is not None or self._request.order.last is not None
+            limit = MAX_UNNUMBERED_BYTES if begun else self._max_unnumbered
+            if self._unnumbered_bytes > limit:
+                raise InvalidReplyError(f"events without an id are over {limit} bytes")
 
     @property
     def truncated(self) -> bool:
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -172,7 +172,8 @@
             # The caller gets the first target's headers, also if another target resumes the stream.
             headers = self.context.codec.caller_reply_headers(run.reply_headers)
             self._sink.begin(run.status, headers)
-        self.context.book.progress(run.choice.group, now)
+        if events:
+            self.context.book.progress(run.choice.group, now)
         if not run.via:
             self.context.reachability.data_received(now)
         self.context.quarantine.progress(run.choice.head.boot_id)
--- a/src/oleanderhill/serving/events.py
+++ b/src/oleanderhill/serving/events.py
@@ -11,6 +11,7 @@
 
 _BOUNDARY = re.compile(rb"\r?\n\r?\n")
 _MAX_BOUNDARY_BYTES = 4
+_COMMENT = re.compile(rb"(?:(?::[^\n]*)?\r?\n)+")
 _ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)")
 
 
@@ -20,6 +21,11 @@
     data: bytes
     number: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether it has no field, so that callers ignore it."""
+        return self.number is None and _COMMENT.fullmatch(self.data) is not None
+
 
 class EventSplitter:
     """Splits chunks of bytes into complete events."""
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -23,7 +23,7 @@
 from oleanderhill.serving.request_log import RequestLog
 from oleanderhill.serving.target_caller import Peers, TargetCaller
 
-from .test_users_site import SiteTest
+from .test_users_site import ResponseRecorder, SiteTest
 
 PROMPTLY = 1.0
 """Seconds within which a caller's answer counts as immediate; its deadline is 4 s."""
@@ -324,6 +324,36 @@
         reason = failed.call_args_list[0].args[1]
         self.assertEqual(reason, f"an event is over {attempts.MAX_EVENT_BYTES} bytes")
 
+    async def leave_unnumbered(self, piece, pause):
+        start = b"id: 0\ndata: piece 0\n\n"
+        reply = Endless(piece, *self.events, pause=pause, start=start)
+        self.site.engines.raw_reply = reply
+        with self.failed_attempts() as failed:
+            _, reader, seconds = await self.stream()
+        self.assert_complete_stream(reader)
+        self.assertLess(seconds, 2.0)
+        return failed.call_args_list[0].args[1]
+
+    async def test_events_without_ids_do_not_go_on_without_end(self):
+        reason = await self.leave_unnumbered(b"data: " + PIECE + b"\n\n", 0.005)
+        self.assertEqual(reason, "events without an id are over 1048576 bytes")
+
+    async def test_stream_that_never_has_an_id_is_limited_like_a_reply(self):
+        reply = Endless(b"data: " + PIECE + b"\n\n", *self.events)
+        self.site.engines.raw_reply = reply
+        with (
+            self.failed_attempts() as failed,
+            mock.patch.object(ResponseRecorder, "max_body", lambda *limit: None),
+        ):
+            _, reader, _ = await self.stream()
+        self.assert_complete_stream(reader)
+        reason = failed.call_args_list[0].args[1]
+        self.assertEqual(reason, f"events without an id are over {MAX_REPLY_BYTES} bytes")
+
+    async def test_comments_do_not_keep_a_stream_that_has_stalled(self):
+        reason = await self.leave_unnumbered(b": x\n\n", 0.02)
+        self.assertIn("no progress", reason)
+
     async def test_stream_of_any_length_is_passed_on(self):
         count = 400
         stream = [b"id: %d\ndata: %s\n\n" % (n, PIECE) for n in range(count)]
