--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -172,7 +172,8 @@
             # The caller gets the first target's headers, also if another target resumes the stream.
             headers = self.context.codec.caller_reply_headers(run.reply_headers)
             self._sink.begin(run.status, headers)
-        self.context.book.progress(run.choice.group, now)
+        if events:
+            self.context.book.progress(run.choice.group, now)
         if not run.via:
             self.context.reachability.data_received(now)
         self.context.quarantine.progress(run.choice.head.boot_id)
@@ -278,7 +279,7 @@
         self._log.attempt_begun(choice)
         tracker.begin(choice.group)
         began, self._target_failed = time.monotonic(), False
-        run = Attempt(self, choice)
+        run = Attempt(self, choice, self.context.reply_memory)
         calling = self.context.caller.call(
             self._call(choice),
             run,
@@ -294,6 +295,7 @@
             return self._handle_abandoned(abandon_reason, attempt, choice, run)
         finally:
             task.cancel()
+            run.end()
             self.context.quarantine.end(self._subjects, quarantined)
             permit, self._permit = self._permit, None
             if permit is not None:
--- a/src/oleanderhill/serving/target_caller.py
+++ b/src/oleanderhill/serving/target_caller.py
@@ -89,6 +89,11 @@
         if self._observer is not None and not self._failed:
             self._observer.headers(status, headers)
 
+    def max_body(self, limit: int) -> int | None:
+        if self._observer is None or self._failed:
+            return limit
+        return self._observer.max_body(limit)
+
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         if self._observer is not None and not self._failed:
             return self._observer.data(chunk)
@@ -269,6 +274,9 @@
         if failure.kind == FailureKind.TIMEOUT and failure.sent:
             # The peer reached the target, which may be what is silent.
             return Failure(failure._replace(reason=f"{peer.name}: {failure.reason}"))
+        if failure.invalid and begun:
+            # The peer passes on what the target sends.
+            return Failure(failure._replace(reason=f"{peer.name}: {failure.reason}"))
         if not begun:
             self._avoid(peer, address, failure.reason)
         if not failure.sent:
