A host that is silent for about a second doesn't cost its group

Callers of a group whose head or member sent nothing for 1.1 s, and went on, were moved or waited; the owner of the domain took the whole group apart: two probes that hung for 0.4 s, sent 0.1 s apart, made the member count as lost 0.9 s after it fell silent. Its members were ordered to leave, and a new group was formed of the same hosts.

Cause: a probe that hangs and one that is refused counted alike, and nothing asked for how long the host had been silent. Probes that hang count now once the host has answered nothing for more than 1.3 s without a gap; refused or closed connections and answers of another host count at once, as before. The next round of a silent host begins when it is due, not at the next 0.2 s.

Ruled out: longer probes instead, as a connection that hangs may get through only seconds later.

--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -104,6 +104,22 @@
     model: str = ""
 
 
+class Silence:
+    """A span in which a host or target sends nothing; then it goes on as if nothing had been."""
+
+    def __init__(self) -> None:
+        self._until = float("-inf")
+
+    def begin(self, seconds: float) -> None:
+        """Fall silent for some seconds."""
+        self._until = time.monotonic() + seconds
+
+    async def wait(self) -> None:
+        """Wait until the silence is over."""
+        while (left := self._until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
+
 class OrderFaults:
     """Faults in the execution of orders.
 
@@ -135,6 +151,7 @@
         self.leaving = False
         self.alive = True
         self.faults = OrderFaults()
+        self.silence = Silence()
         self.notices = TargetNotices()
         self.cold_until = 0.0
         self.server: HTTPServer | None = None
@@ -371,6 +388,7 @@
         if "Attempt-Id" in self.request.headers:
             arrival = Arrival(time.monotonic(), self.request.headers["Attempt-Id"])
             self.host.site.arrivals.append(arrival)
+        await self.host.silence.wait()
         if not self.host.alive:
             await asyncio.sleep(STALL_SECONDS * 10)
         self.host.notices.set_notice_headers(self)
@@ -482,6 +500,7 @@
             if host.instance in host.site.crashed_instances:
                 raise StreamClosedError
             await asyncio.sleep(0.05)
+        await host.silence.wait()
         event = _event(number)
         if host.site.break_at_event and number >= host.site.break_at_event:
             host.site.break_at_event = 0
@@ -529,6 +548,7 @@
         self.ran: list[str] = []
         self.arrivals: list[Arrival] = []
         self.faults = TargetFaults()
+        self.silence = Silence()
         self.notices = TargetNotices()
 
 
@@ -538,6 +558,7 @@
 
     async def _run(self) -> None:
         target, headers = self.target, self.request.headers
+        await target.silence.wait()
         target.arrivals.append(Arrival(time.monotonic(), headers.get("Attempt-Id", "")))
         target.notices.set_notice_headers(self)
         if headers.get("Expect-Instance", target.instance) != target.instance:
@@ -557,6 +578,7 @@
             self.request.connection.stream.close()  # type: ignore[union-attr]
             return
         await asyncio.sleep(target.faults.slow)
+        await target.silence.wait()
         self.set_status(target.faults.status or 200)
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Response-Seal", f"seal-{target.instance}")
--- a/src/oleanderhill/groups/forming.py
+++ b/src/oleanderhill/groups/forming.py
@@ -14,6 +14,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
+from typing import NamedTuple
 
 from .actions import Action, Join, Leave, Open, Order, OrderOutcome, Replan, Stage
 from .composing import (
@@ -55,6 +56,13 @@
 """Consecutive unanswered probes after which a member counts as lost. Its entry stays listed for
 three more heartbeats, and requests sent in that time stall."""
 
+SOUND_SILENCE_SECONDS = 1.3
+"""Seconds for which a sound host may send nothing. Probes that hang count only once their host has
+been silent for longer."""
+
+SILENCE_GAP_SECONDS = 1.0
+"""Seconds between two probe rounds from which on the host may have sent something in between."""
+
 REACHABLE_SECONDS = 1.5
 """Seconds within which another host of the domain must have answered this entry host for unanswered
 probes to count. If none has, this entry host may itself be partitioned."""
@@ -71,6 +79,13 @@
 """Outcomes of orders that tell nothing of the host."""
 
 
+class _Silence(NamedTuple):
+    """A span in which a host answered no probe."""
+
+    since: float
+    until: float
+
+
 class DomainKeeper:
     """Decides the actions of the owner of one domain."""
 
@@ -86,6 +101,7 @@
         self._left_at: dict[tuple[str, Instance], float] = {}
         self._dissolving: set[str] = set()
         self._unanswered_probes: dict[Instance, int] = {}
+        self._silence_by_instance: dict[Instance, _Silence] = {}
         self._answered_at = float("-inf")
         self._avoid_until: dict[Instance, float] = {}
         self._closed: Collection[Instance] = ()
@@ -98,7 +114,7 @@
             # A host that was partitioned answers orders long before another probe of it is due. If
             # its old unanswered probes still counted, each group that it is assigned to would be
             # dissolved.
-            self._unanswered_probes.pop(order.instance, None)
+            self._forget_unanswered(order.instance)
         if end != OrderOutcome.SILENT and end not in _NOT_DELIVERED:
             self._answered_at = now
         if isinstance(order, Stage):
@@ -109,14 +125,36 @@
             self._left_at[order.group, order.instance] = now
             self._dissolving.add(order.group)
 
-    def probed(self, instance: Instance, unanswered: int, now: float) -> None:
-        """Record the number of consecutive probes that a host left unanswered, 0 if it answered."""
+    def probed(
+        self, instance: Instance, unanswered: int, now: float, silent_since: float | None = None
+    ) -> None:
+        """Record the number of probes that a host left unanswered in a row, 0 if it answered one.
+
+        :param silent_since: when the first of them was sent, if nothing at all came from the host;
+            ``None`` if connections were refused or closed, or another host answers
+        """
         if not unanswered:
             self._answered_at = now
-            self._unanswered_probes.pop(instance, None)
+            self._forget_unanswered(instance)
             return
-        self._unanswered_probes[instance] = self._unanswered_probes.get(instance, 0) + unanswered
         self._avoid_until[instance] = now + AVOID_SECONDS
+        if silent_since is not None and self._silent_for(instance, silent_since, now) <= (
+            SOUND_SILENCE_SECONDS
+        ):
+            return
+        self._unanswered_probes[instance] = self._unanswered_probes.get(instance, 0) + unanswered
+
+    def _silent_for(self, instance: Instance, since: float, now: float) -> float:
+        """Return for how long a host has answered no probe, with those since a time."""
+        known = self._silence_by_instance.get(instance)
+        if known is not None and since - known.until < SILENCE_GAP_SECONDS:
+            since = known.since
+        self._silence_by_instance[instance] = _Silence(since, now)
+        return now - since
+
+    def _forget_unanswered(self, instance: Instance) -> None:
+        self._unanswered_probes.pop(instance, None)
+        self._silence_by_instance.pop(instance, None)
 
     def decide(
         self,
@@ -191,6 +229,8 @@
     def _prune(self, plan: DomainPlan, hosts: Mapping[Instance, TargetHost]) -> None:
         names = {g.name for g in plan.groups}
         self._unanswered_probes = {i: n for i, n in self._unanswered_probes.items() if i in hosts}
+        for instance in [i for i in self._silence_by_instance if i not in hosts]:
+            del self._silence_by_instance[instance]
         self._avoid_until = {i: t for i, t in self._avoid_until.items() if i in hosts}
         for table in (self._planned_since, self._fault_since):
             for name in [n for n in table if n not in names]:
--- a/src/oleanderhill/groups/owner.py
+++ b/src/oleanderhill/groups/owner.py
@@ -28,7 +28,7 @@
 from .ownership import Presence, owns, should_take, taken_over
 from .pacing import LoadPacer
 from .plans import DomainPlan, PlannedGroup, encode_plan, in_new_generation, plan_key
-from .probing import ProbeOutcome, ProbeRounds, count_unanswered
+from .probing import ROUND_INTERVAL, ProbeOutcome, ProbeRounds, count_unanswered
 
 SETTLE_SECONDS = 1.5
 """Seconds after the store recovers in which no domain that has a plan is taken over: leases may
@@ -272,26 +272,33 @@
         """Probe all members of a group that was observed to stall.
 
         The host list shows a lost member only after three missed heartbeats, and the head only
-        after a stall; probes detect it within a second. All members are probed, because answers
+        after a stall; probes detect it within two seconds. All members are probed, because answers
         from the others show that this entry host is not the one that is partitioned.
         """
-        silent = False
+        silent, began = False, boottime_seconds()
         try:
             listed = [i for i in group.members if i in self._inventory.by_instance]
             contactable = [i for i in listed if self._orders.may_contact(i)]
             probes = [count_unanswered(partial(self._probe_host, i)) for i in contactable]
-            for instance, unanswered in zip(
-                contactable, await asyncio.gather(*probes), strict=True
-            ):
-                if unanswered is not None:
-                    keeper.probed(instance, unanswered, boottime_seconds())
-                    silent = silent or unanswered > 0
-                if unanswered != 0:
-                    outcome = ProbeOutcome.SILENT if unanswered else ProbeOutcome.NO_PATH
+            for instance, found in zip(contactable, await asyncio.gather(*probes), strict=True):
+                outcome = ProbeOutcome.NO_PATH
+                if found is not None:
+                    since = began if found.silent else None
+                    keeper.probed(instance, found.unanswered, boottime_seconds(), since)
+                    silent = silent or found.unanswered > 0
+                    outcome = ProbeOutcome.SILENT if found.silent else ProbeOutcome.GONE
+                if found is None or found.unanswered:
                     self._records.note("probe", outcome, instance=str(instance), group=group.name)
         finally:
             self._probe_rounds.end(group.name, silent, boottime_seconds())
             self.refresh_soon()
+            if silent:
+                self.spawn(self._refresh_for_next_round())
+
+    async def _refresh_for_next_round(self) -> None:
+        """Begin the next probe round of a silent host when it is due, not at the next interval."""
+        await asyncio.sleep(ROUND_INTERVAL)
+        self.refresh_soon()
 
     async def _probe_host(self, instance: Instance) -> ProbeOutcome:
         host = self._inventory.by_instance.get(instance)
--- a/src/oleanderhill/groups/probing.py
+++ b/src/oleanderhill/groups/probing.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
 from enum import StrEnum
+from typing import NamedTuple
 
 SECOND_PROBE_DELAY = 0.1
 """Seconds after which a second probe is sent concurrently with an unanswered first one. A host
@@ -25,6 +26,11 @@
 
     ANSWERED = "answered"
     SILENT = "silent"
+    """Nothing came in time. A sound host may be silent for about a second."""
+
+    GONE = "gone"
+    """The connection was refused or closed, or another host answered."""
+
     NO_PATH = "no path"
     """Nothing: the own links or those to a peer may be why there was no answer."""
 
@@ -69,8 +75,19 @@
         self._next_at.pop(group, None)
 
 
-async def count_unanswered(ask: Callable[[], Awaitable[ProbeOutcome]]) -> int | None:
-    """Probe a host up to twice; return the number of unanswered probes, 0 if it answered one.
+class ProbeRound(NamedTuple):
+    """Probes of one host, sent together.
+
+    :param unanswered: number of them without an answer, 0 if one was answered
+    :param silent: whether nothing at all came from the host
+    """
+
+    unanswered: int
+    silent: bool = False
+
+
+async def count_unanswered(ask: Callable[[], Awaitable[ProbeOutcome]]) -> ProbeRound | None:
+    """Probe a host up to twice; return the unanswered probes, none if it answered one.
 
     :param ask: sends one probe on its own connection and waits for its outcome
     :return: ``None`` if no probe tells anything of the host
@@ -78,8 +95,9 @@
     first = asyncio.ensure_future(ask())
     await asyncio.wait({first}, timeout=SECOND_PROBE_DELAY)
     if first.done() and first.result() == ProbeOutcome.ANSWERED:
-        return 0
+        return ProbeRound(0)
     outcomes = await asyncio.gather(ask(), first)
     if ProbeOutcome.ANSWERED in outcomes:
-        return 0
-    return outcomes.count(ProbeOutcome.SILENT) or None
+        return ProbeRound(0)
+    telling = [o for o in outcomes if o != ProbeOutcome.NO_PATH]
+    return ProbeRound(len(telling), ProbeOutcome.GONE not in telling) if telling else None
--- a/src/oleanderhill/platform/orders.py
+++ b/src/oleanderhill/platform/orders.py
@@ -175,14 +175,17 @@
         )
         found = await self._call_host(instance, call, second_opinion)
         if not is_successful(found):
-            no_path = self._had_no_path(address, found.failure())
-            return ProbeOutcome.NO_PATH if no_path else ProbeOutcome.SILENT
+            failure = found.failure()
+            if self._had_no_path(address, failure):
+                return ProbeOutcome.NO_PATH
+            closed = failure.refused or failure.kind == FailureKind.LOST
+            return ProbeOutcome.GONE if closed else ProbeOutcome.SILENT
         if found.unwrap().status != 200:
-            return ProbeOutcome.SILENT
+            return ProbeOutcome.GONE
         try:
             is_same = decode_report(found.unwrap().body) in (None, instance.born)
         except ValueError:
             # A malformed report still shows that the host is running. Whether it serves is detected
             # by the requests of its group.
             is_same = True
-        return ProbeOutcome.ANSWERED if is_same else ProbeOutcome.SILENT
+        return ProbeOutcome.ANSWERED if is_same else ProbeOutcome.GONE
--- a/src/oleanderhill/serving/placement.py
+++ b/src/oleanderhill/serving/placement.py
@@ -21,8 +21,9 @@
 
 SUSPECT_SECONDS = 2.0
 """Seconds for which a stalled target is avoided, unless this host or a peer receives data from it
-earlier. The owner of a group detects a lost member and dissolves the group within 1.5 s. With a
-longer time, callers would be rejected while a group that was slow only once stays unused."""
+earlier. The owner of a group detects a lost member in about that time, as sound ones may be silent
+for :data:`~oleanderhill.groups.forming.SOUND_SILENCE_SECONDS`. With a longer time, callers would be
+rejected while a group that was slow only once stays unused."""
 
 MAX_SUSPECT_FRACTION = 0.5
 """Fraction of the targets below which suspects are avoided. From there on the likely cause is load,
--- /dev/null
+++ b/tests/test_silent_target.py
@@ -0,0 +1,124 @@
+"""Sound targets that send nothing for about a second and then go on."""
+
+import asyncio
+import time
+
+from oleanderhill_dev.users.site import LARGE, until
+
+from .test_users_site import SiteTest
+
+SILENT_SECONDS = 1.1
+USED_AGAIN_SECONDS = 2.0
+"""Seconds after its silence within which a target gets requests again."""
+
+
+class SilentTargetTest(SiteTest):
+    """Targets answer nothing, neither requests nor probes, while they are silent."""
+
+    def host(self, instance):
+        return self.site.engines.host_by_instance[instance]
+
+    def planned(self):
+        return {g.name: g.epoch for p in self.entry._plans.by_key.values() for g in p.groups}
+
+    def orders_to_take_apart(self):
+        hosts = self.site.engines.host_by_instance.values()
+        return [o for h in hosts for o in h.orders if o["operation"] in ("leave", "close")]
+
+    async def begin_stream(self, model, events=60):
+        """Begin a stream and return the task and its first run."""
+        self.site.engines.events_per_stream = events
+        asked = asyncio.create_task(self.ask("/read/x", "POST", model=model))
+        (run,) = await until(lambda: self.runs("request-1"))
+        await asyncio.sleep(0.2)
+        return asked, run
+
+    async def assert_used_again(self, model, group):
+        end = time.monotonic() + USED_AGAIN_SECONDS
+        seen = len(self.site.engines.runs)
+        self.site.engines.events_per_stream = 10
+        while time.monotonic() < end:
+            await asyncio.gather(*(self.ask("/read/x", "POST", model=model) for _ in range(4)))
+            if any(r.group == group for r in self.site.engines.runs[seen:]):
+                return
+        self.fail("the group is not used again")
+
+
+class GroupTest(SilentTargetTest):
+    async def test_group_with_a_silent_head_stays(self):
+        # The only group of its model: its stream waits, other requests arrive meanwhile.
+        asked, run = await self.begin_stream(LARGE)
+        before, ordered = self.planned(), self.orders_to_take_apart()
+        self.host(run.instance).silence.begin(SILENT_SECONDS)
+        others = [asyncio.create_task(self.ask("/read/x", "POST", model=LARGE)) for _ in range(3)]
+        _, reader = await asked
+        self.assert_complete_stream(reader)
+        for result, other in await asyncio.gather(*others):
+            self.assertEqual(result.unwrap().status, 200)
+            self.assert_complete_stream(other)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.orders_to_take_apart(), ordered)
+        self.assertEqual(self.planned(), before)
+        await self.assert_used_again(LARGE, run.group)
+
+    async def test_group_with_a_silent_member_stays(self):
+        # The member answers no probes, and the head waits for it.
+        asked, run = await self.begin_stream(LARGE)
+        before, ordered = self.planned(), self.orders_to_take_apart()
+        for instance in (run.instance, self.host(run.instance).members[1]):
+            self.host(instance).silence.begin(SILENT_SECONDS)
+        _, reader = await asked
+        self.assert_complete_stream(reader)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.orders_to_take_apart(), ordered)
+        self.assertEqual(self.planned(), before)
+
+    async def test_group_whose_streams_moved_stays_and_is_used_again(self):
+        model = await self.model_with_two_groups()
+        asked, run = await self.begin_stream(model)
+        before = self.planned()
+        self.host(run.instance).silence.begin(SILENT_SECONDS)
+        _, reader = await asked
+        self.assert_complete_stream(reader)
+        self.assertEqual([r.resumed_after is None for r in self.runs("request-1")], [True, False])
+        await asyncio.sleep(SILENT_SECONDS)
+        self.assertLessEqual(before.items(), self.planned().items())
+        await self.assert_used_again(model, run.group)
+
+
+class PlainTest(SilentTargetTest):
+    def setUp(self):
+        self.ran = lambda: [i for t in self.site.targets for i in t.ran]
+
+    async def serve_in_silence(self, path, method, *silent):
+        """Send requests to all targets and let some fall silent as soon as they run."""
+        for target in self.site.targets:
+            target.faults.slow = 0.1
+        asked = [asyncio.create_task(self.ask(path, method)) for _ in range(6)]
+        await until(lambda: len(self.ran()) == 6)
+        for target in silent:
+            target.silence.begin(SILENT_SECONDS)
+        return [result.unwrap().status for result, _ in await asyncio.gather(*asked)]
+
+    async def test_request_that_may_run_once_is_waited_for(self):
+        statuses = await self.serve_in_silence("/pay/x", "POST", *self.site.targets)
+        self.assertEqual(statuses, [200] * 6)
+        self.assertEqual(len(self.ran()), len(set(self.ran())))
+
+    async def test_request_that_may_be_repeated_is_answered(self):
+        first, second = self.site.targets
+        for silent in ((first,), (first, second)):
+            for target in self.site.targets:
+                target.ran.clear()
+            statuses = await self.serve_in_silence("/scan/x", "GET", *silent)
+            self.assertEqual(statuses, [200] * 6)
+
+    async def test_target_is_used_again_soon(self):
+        silent = self.site.targets[0]
+        await self.serve_in_silence("/scan/x", "GET", silent)
+        await asyncio.sleep(SILENT_SECONDS)
+        seen = len(silent.ran)
+        end = time.monotonic() + USED_AGAIN_SECONDS
+        while len(silent.ran) == seen and time.monotonic() < end:
+            await asyncio.gather(*(self.ask("/scan/x") for _ in range(4)))
+        self.assertGreater(len(silent.ran), seen)
