A request that leaves a silent target goes on there if no other takes it

Callers lost answers that they could have had: a begun stream got nothing for 0.19 s and was moved; the other group refused it, the route's sends were used up, and it was cut off though its own group had it and went on a second later. Repeatable requests without an event yet, and those to plain targets, got 502 in the same way.

Cause: the attempt at the silent target was cancelled before any other target had taken the request. It is held now: its connection stays open and nothing is read from it until the other target begins to answer, and it is cancelled then. If no target takes the request, the attempt goes on where it was, with the events that arrived meanwhile. No two attempts are read at once, so no event is doubled, and no more targets are sent to than before. The silent target counts as busy as long.

A caller that leaves ends both.

--- a/src/oleanderhill/requests/attempts.py
+++ b/src/oleanderhill/requests/attempts.py
@@ -91,6 +91,19 @@
     reason: str
 
 
+class Stalled(NamedTuple):
+    """The target sends nothing. The attempt is held, and goes on if no other target takes it."""
+
+    attempt: int
+    reason: str
+
+
+class Taken(NamedTuple):
+    """The target began to answer, so that the held attempt is not needed any more."""
+
+    attempt: int
+
+
 class DeadlineHit(NamedTuple):
     """The deadline passed."""
 
@@ -127,6 +140,13 @@
     choice: Choice
 
 
+class Return(NamedTuple):
+    """Go on with the held attempt, under a new number."""
+
+    attempt: int
+    choice: Choice
+
+
 class Deliver(NamedTuple):
     """Send the caller the complete answer, or end its stream."""
 
@@ -145,11 +165,13 @@
     | EventsReceived
     | Finished
     | Lost
+    | Stalled
+    | Taken
     | DeadlineHit
     | CallerDisconnected
     | Quarantined
 )
-Effect = Select | Dispatch | Cancel | Deliver | Fail
+Effect = Select | Dispatch | Cancel | Return | Deliver | Fail
 
 
 class Budget(Protocol):
@@ -205,6 +227,7 @@
     """State machine of one request.
 
     :param budget: limits the attempts after the first
+    :ivar held: target of the stalled attempt that may go on, ``None`` for none
     """
 
     def __init__(self, request: Request, budget: Budget) -> None:
@@ -216,6 +239,7 @@
         self.maybe_ran = False
         self.attempts_sent = 0
         self.choice: Choice | None = None
+        self.held: Choice | None = None
         self.tried: frozenset[str] = frozenset()
         self._budget = budget
 
@@ -247,6 +271,11 @@
                 return self._retry_unstarted(reason, now)
             case Lost(_, reason):
                 return self._on_attempt_lost(reason, now)
+            case Stalled(_, reason):
+                return self._on_stalled(reason, now)
+            case Taken():
+                self.held = None
+                return []
             case DeadlineHit():
                 return self._fail(outcomes.deadline_passed(self.ran()))
             case CallerDisconnected():
@@ -283,7 +312,7 @@
     def _on_chosen(self, result: Choice | NoChoice) -> list[Effect]:
         if isinstance(result, NoChoice):
             problem = outcomes.no_capacity(result.reason, RETRY_AFTER_SECONDS)
-            return self._fail(problem._replace(ran=self.ran()))
+            return self._give_up(problem._replace(ran=self.ran()))
         self.attempt += 1
         self.sent = False
         self.choice = result
@@ -308,11 +337,26 @@
         problem = outcomes.interrupted(Ran.UNKNOWN, reason)
         return [*self._cancel(), *self._retry(problem, now)]
 
+    def _on_stalled(self, reason: str, now: float) -> list[Effect]:
+        """Try another target; it may refuse the request, so this one is not given up before."""
+        self.maybe_ran = True
+        self.held = self.choice
+        return self._retry(outcomes.interrupted(Ran.UNKNOWN, reason), now)
+
+    def _give_up(self, problem: Problem) -> list[Effect]:
+        """Fail the request, unless an attempt is held that may go on."""
+        if self.held is None:
+            return self._finish([Fail(problem)])
+        self.attempt += 1
+        self.choice, self.held = self.held, None
+        self.sent, self.phase = True, Phase.SENT
+        return [Return(self.attempt, self.choice)]
+
     def _retry(self, problem: Problem, now: float) -> list[Effect]:
         if self.choice is not None:
             self.tried = self.tried | {self.choice.target}
         if self._attempts_exhausted(now) or (self.attempts_sent > 0 and not self._budget.take(now)):
-            return self._finish([Fail(problem)])
+            return self._give_up(problem)
         self.phase = Phase.CHOOSING
         self.choice = None
         return [Select(self.tried)]
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Awaitable
 from typing import Protocol
@@ -61,6 +62,22 @@
         self.last_progress_at = time.monotonic()
         self.timer = LateTimer()
         self.fault = ""
+        self._resumed: asyncio.Future[None] | None = None
+
+    @property
+    def held(self) -> bool:
+        """Return whether what the target sends is kept back."""
+        return self._resumed is not None
+
+    def hold(self) -> None:
+        """Keep back what the target sends from now on, until :meth:`resume`."""
+        self._resumed = asyncio.get_running_loop().create_future()
+
+    def resume(self) -> None:
+        """Process what the target has sent since :meth:`hold`, and all that follows."""
+        resumed, self._resumed = self._resumed, None
+        if resumed is not None:
+            resumed.set_result(None)
 
     def confirm_send(self) -> bool:
         if not self._request.confirm_send():
@@ -78,6 +95,8 @@
         self.streaming = status == 200 and content_type.startswith(EVENT_STREAM) and reading.signed
 
     def data(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._resumed is not None:
+            return self._process_when_resumed(chunk, self._resumed)
         if not self.streaming:
             self.last_progress_at = time.monotonic()
             self.chunks.append(chunk)
@@ -86,6 +105,12 @@
             return None
         return self._forward_events(chunk)
 
+    async def _process_when_resumed(self, chunk: bytes, resumed: asyncio.Future[None]) -> None:
+        await resumed
+        processed = self.data(chunk)
+        if processed is not None:
+            await processed
+
     def _forward_events(self, chunk: bytes) -> Awaitable[None] | None:
         complete = []
         for event in self._splitter.feed(chunk):
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Awaitable
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple
 
 from returns.pipeline import is_successful
 from returns.result import Result
@@ -32,8 +32,11 @@
     Quarantined,
     Request,
     RequestMachine,
+    Return,
     Select,
     Sending,
+    Stalled,
+    Taken,
 )
 from ..routing.identity import identity
 from ..routing.paced_limits import Permit
@@ -70,6 +73,21 @@
 """Status with which a target ends a request at its deadline; that does not show a fault."""
 
 
+class _Running(NamedTuple):
+    """An attempt that was begun."""
+
+    run: Attempt
+    task: asyncio.Future[Result[Reply, CallFailure]]
+    began: float
+
+
+class _Held(NamedTuple):
+    """An attempt that stalled, while another target is asked."""
+
+    running: _Running
+    sent_at: float
+
+
 class Exchange:
     """One forwarded request.
 
@@ -130,6 +148,7 @@
         self._hold_reason = ""
         self._on_trial = False
         self._target_failed = False
+        self._held: _Held | None = None
         self._tried_targets: set[str] = set()
         self._lost_at_own_link: set[str] = set()
         self._ask_peers_about: set[str] = set()
@@ -142,6 +161,7 @@
         try:
             await self._run()
         finally:
+            self._drop_held()
             self._budget.end()
 
     async def _run(self) -> None:
@@ -153,6 +173,8 @@
                     effects = self._advance(self._select_target())
                 case Dispatch(attempt, choice, _):
                     effects = await self._attempt(attempt, choice)
+                case Return(attempt, choice):
+                    effects = await self._return_to_held(attempt, choice)
                 case Cancel():
                     effects = rest
                 case Deliver():
@@ -212,14 +234,21 @@
 
     def apply_notice(self, run: Attempt, reading: ReplyInfo) -> None:
         """Process the notice in the headers of a reply from the target."""
-        self._log.replied()
-        self._budget.end()
+        sent_at = self._sent_at
+        if run.held and self._held is not None:
+            sent_at = self._held.sent_at
+        else:
+            self._log.replied()
+            self._budget.end()
+            if reading.signed and not reading.not_run:
+                self._advance(Taken(self.machine.attempt))
+                self._drop_held()
         if not reading.from_expected_target:
             return
         incarnation, notice = run.choice.head.boot_id, reading.notice
-        source = StatementSource(CallKind.REQUEST, self._sent_at, self._incoming.facts.request_id)
+        source = StatementSource(CallKind.REQUEST, sent_at, self._incoming.facts.request_id)
         self.context.notices.apply(incarnation, notice, source, conclusive=reading.signed)
-        if self._on_trial and not reading.not_run and not notice.backoff:
+        if self._on_trial and not run.held and not reading.not_run and not notice.backoff:
             self.context.book.backoffs.trial_accepted(incarnation, time.monotonic())
 
     def _select_target(self) -> Chosen | Quarantined:
@@ -273,11 +302,10 @@
         return queue_limit(self._admission_class(), route.generates, waiting)
 
     async def _attempt(self, attempt: int, choice: Choice) -> list[Effect]:
-        tracker = self.context.book
         self._tried_targets.add(choice.group)
         self._log.attempt_begun(choice)
-        tracker.begin(choice.group)
-        began, self._target_failed = time.monotonic(), False
+        self.context.book.begin(choice.group)
+        began = time.monotonic()
         run = Attempt(self, choice)
         calling = self.context.caller.call(
             self._call(choice),
@@ -285,29 +313,59 @@
             partial(self._set_path, run),
             choice.group in self._ask_peers_about,
         )
-        task = asyncio.ensure_future(calling)
+        running = _Running(run, asyncio.ensure_future(calling), began)
+        return await self._follow(attempt, choice, running)
+
+    async def _return_to_held(self, attempt: int, choice: Choice) -> list[Effect]:
+        """Go on with the held attempt: no other target ran the request."""
+        held, self._held = self._held, None
+        assert held is not None
+        self._log.attempt_resumed(choice, held.running.run.status > 0)
+        self._on_trial = False
+        # The time in which nothing was read tells nothing of the target.
+        self._sent_at, self._times.sent_at = held.sent_at, None
+        held.running.run.resume()
+        return await self._follow(attempt, choice, held.running)
+
+    def _drop_held(self) -> None:
+        """Cancel the held attempt, if any."""
+        held, self._held = self._held, None
+        if held is not None:
+            held.running.task.cancel()
+            self.context.book.end(held.running.run.choice.group)
+
+    async def _follow(self, attempt: int, choice: Choice, running: _Running) -> list[Effect]:
+        """Follow an attempt up to its end, or until it is held or abandoned."""
+        tracker = self.context.book
+        run, task, began = running
+        self._target_failed = False
         quarantined = self.context.quarantine.begin(self._subjects)
         try:
             abandon_reason = await self._wait_for_end(task, quarantined, run, choice)
             if abandon_reason is None:
                 return self._handle_end(task.result(), run, attempt, choice)
-            return self._handle_abandoned(abandon_reason, attempt, choice, run)
+            return self._handle_abandoned(abandon_reason, attempt, choice, running)
         finally:
-            task.cancel()
             self.context.quarantine.end(self._subjects, quarantined)
             permit, self._permit = self._permit, None
             if permit is not None:
                 tracker.limits.give_back(permit)
             if self._on_trial:
                 tracker.backoffs.trial_ended(choice.head.boot_id)
-            if self._target_failed:
-                generates = self._accepted.route.generates
-                seconds = REQUEST_SECONDS if generates else PLAIN_REQUEST_SECONDS
-                tracker.end_failed(choice.group, began + seconds)
-            else:
-                tracker.end(choice.group)
+            if not run.held:
+                task.cancel()
+                self._end_at_target(choice, began)
             self._log.paused(run.longest_pause)
 
+    def _end_at_target(self, choice: Choice, began: float) -> None:
+        """Stop counting an attempt as a request in flight."""
+        if self._target_failed:
+            generates = self._accepted.route.generates
+            seconds = REQUEST_SECONDS if generates else PLAIN_REQUEST_SECONDS
+            self.context.book.end_failed(choice.group, began + seconds)
+        else:
+            self.context.book.end(choice.group)
+
     def _set_path(self, run: Attempt, via: str) -> None:
         run.via = via
         self._log.path_taken(run.choice, via)
@@ -415,9 +473,9 @@
         )
 
     def _handle_abandoned(
-        self, abandon_reason: str, attempt: int, choice: Choice, run: Attempt
+        self, abandon_reason: str, attempt: int, choice: Choice, running: _Running
     ) -> list[Effect]:
-        now = time.monotonic()
+        run, now = running.run, time.monotonic()
         if abandon_reason != QUARANTINED:
             self._times.abandoned(now)
         if abandon_reason == "deadline":
@@ -434,7 +492,11 @@
         else:
             self._log.attempt_failed(choice, abandon_reason)
         self._record_possible_crash(choice, run)
-        return self._advance(Lost(attempt, abandon_reason))
+        if run.fault or self._held is not None:
+            return self._advance(Lost(attempt, abandon_reason))
+        run.hold()
+        self._held = _Held(running, self._sent_at)
+        return self._advance(Stalled(attempt, abandon_reason))
 
     def _handle_end(
         self, result: Result[Reply, CallFailure], run: Attempt, attempt: int, choice: Choice
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -53,6 +53,14 @@
         self._places.append(f"{choice.group}:{choice.head.host}")
         self._arrivals.append(Arrival.NONE)
 
+    def attempt_resumed(self, choice: Choice, replied: bool) -> None:
+        """Add the target of an earlier attempt that the request returns to.
+
+        :param replied: whether the target has begun to reply
+        """
+        self.attempt_begun(choice)
+        self._arrivals[-1] = Arrival.PROVEN if replied else Arrival.UNKNOWN
+
     def path_taken(self, choice: Choice, via: str) -> None:
         """Record the entry host that passes the latest attempt on, empty for the own links."""
         place = f"{choice.group}:{choice.head.host}"
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -69,6 +69,37 @@
         effects = m.handle(attempts.Chosen(make_choice("g2")), 0.0)
         self.assertEqual(effects, [attempts.Dispatch(2, make_choice("g2"), 5)])
 
+    def stall(self, taken=False):
+        """Return a machine whose first attempt stalled and whose second one was refused."""
+        m = make_machine(stream=True)
+        start_sending(m)
+        m.handle(attempts.Stalled(1, "no progress"), 0.0)
+        m.handle(attempts.Chosen(make_choice("g2")), 0.0)
+        m.handle(attempts.Sending(2), 0.0)
+        if taken:
+            m.handle(attempts.Taken(2), 0.0)
+        m.handle(attempts.NotStarted(2, "full"), 0.0)
+        return m, m.handle(attempts.Chosen(NoChoice("none", False, True)), 0.0)
+
+    def test_stalled_attempt_goes_on_if_no_other_target_takes_the_request(self):
+        m, effects = self.stall()
+        self.assertEqual(effects, [attempts.Return(3, make_choice("g1"))])
+        self.assertEqual(m.handle(attempts.Finished(3), 0.0), [attempts.Deliver()])
+
+    def test_attempt_goes_on_once_and_not_after_another_target_took_the_request(self):
+        m, _ = self.stall()
+        m.handle(attempts.Lost(3, "reset"), 0.0)
+        effects = m.handle(attempts.Chosen(NoChoice("none", False, True)), 0.0)
+        self.assertIsInstance(effects[-1], attempts.Fail)
+        self.assertIsInstance(self.stall(taken=True)[1][-1], attempts.Fail)
+
+    def test_deadline_ends_a_request_with_a_held_attempt(self):
+        m = make_machine(stream=True)
+        start_sending(m)
+        m.handle(attempts.Stalled(1, "no progress"), 0.0)
+        m.handle(attempts.Chosen(make_choice("g2")), 0.0)
+        self.assertIsInstance(m.handle(attempts.DeadlineHit(), 0.0)[-1], attempts.Fail)
+
     def test_late_answer_of_an_abandoned_attempt_is_ignored(self):
         m = make_machine()
         start_sending(m)
--- a/tests/test_silent_target.py
+++ b/tests/test_silent_target.py
@@ -86,6 +86,64 @@
         await self.assert_used_again(model, run.group)
 
 
+class StreamTest(SilentTargetTest):
+    """The last send of a stream is refused while the silent group still has it."""
+
+    def refuse(self, *heads):
+        for head in heads:
+            head.notices.backoff = "0.1"
+
+    async def assert_goes_on(self, asked, head, others):
+        result, reader = await asked
+        self.assertEqual(result.unwrap().status, 200)
+        self.assert_complete_stream(reader)
+        self.assertTrue(any(other.notices.arrivals for other in others))
+        self.assertEqual([r.instance for r in self.runs("request-1")], [head.instance])
+        self.assertEqual(self.entry._book.own, {})
+
+    async def heads(self):
+        model = await self.model_with_two_groups()
+        candidates = self.entry.candidates("pool", model)
+        return model, [self.host(c.host.instance.name) for c in candidates]
+
+    async def test_begun_stream_goes_on_where_it_was_if_the_other_group_refuses(self):
+        model, heads = await self.heads()
+        asked, run = await self.begin_stream(model)
+        head = self.host(run.instance)
+        others = [h for h in heads if h is not head]
+        head.silence.begin(SILENT_SECONDS)
+        self.refuse(*others)
+        await self.assert_goes_on(asked, head, others)
+
+    async def test_stream_before_its_first_event_goes_on_if_the_other_group_refuses(self):
+        model, heads = await self.heads()
+        for head in heads:
+            head.silence.begin(SILENT_SECONDS)
+        asked = asyncio.create_task(self.ask("/read/x", "POST", model=model))
+        arrivals = self.site.engines.arrivals
+        await until(lambda: any(a.request_id == "request-1" for a in arrivals))
+        await until(lambda: self.entry._book.own)
+        (group,) = self.entry._book.own
+        head = next(h for h in heads if h.group["name"] == group)
+        others = [h for h in heads if h is not head]
+        self.refuse(*others)
+        for other in others:
+            other.silence.begin(0.0)
+        await self.assert_goes_on(asked, head, others)
+
+    async def test_caller_that_leaves_ends_the_run_that_was_held_back(self):
+        model, heads = await self.heads()
+        asked, run = await self.begin_stream(model, 400)
+        head = self.host(run.instance)
+        for other in heads:
+            other.silence.begin(SILENT_SECONDS)
+        await until(lambda: len(self.entry._book.own) > 1)
+        asked.cancel()
+        await until(lambda: self.entry.front.in_flight == 0, 2.0)
+        self.assertEqual(self.entry._book.own, {})
+        await until(lambda: not head.running, SILENT_SECONDS + 1.0)
+
+
 class PlainTest(SilentTargetTest):
     def setUp(self):
         self.ran = lambda: [i for t in self.site.targets for i in t.ran]
@@ -113,6 +171,21 @@
             statuses = await self.serve_in_silence("/scan/x", "GET", *silent)
             self.assertEqual(statuses, [200] * 6)
 
+    async def test_request_moved_to_a_target_that_refuses_is_answered_where_it_was(self):
+        for _ in range(5):
+            await self.send_at_rate(40, 0.2, "/scan/x")
+        for target in self.site.targets:
+            target.ran.clear()
+            target.faults.slow = 0.1
+        silent, other = self.site.targets
+        asked = [asyncio.create_task(self.ask("/scan/x")) for _ in range(6)]
+        await until(lambda: len(self.ran()) == 6)
+        silent.silence.begin(SILENT_SECONDS)
+        other.faults.shed = 9
+        answers = await asyncio.gather(*asked)
+        self.assertEqual([result.unwrap().status for result, _ in answers], [200] * 6)
+        self.assertLess(other.faults.shed, 9)
+
     async def test_target_is_used_again_soon(self):
         silent = self.site.targets[0]
         await self.serve_in_silence("/scan/x", "GET", silent)
