A request goes on at a silent target that answers before the other one

Callers of two targets that were silent at once lost answers: a begun stream was moved from a group that was silent for 1.1 s to one that was silent for longer, waited there up to its deadline, and was cut off then, though the first group had gone on long before. A repeatable request to a plain target got 504 in the same way.

Cause: the held attempt was returned to only where all others had refused the request or failed. What its target sends meanwhile is noticed now. If that is part of an answer and the other target has sent nothing, the other attempt is cancelled and the first one goes on. A rejection, a failure of the target or a closed connection of the held attempt doesn't count: the other attempt is left alone.

Evidence: two tests of `tests.test_silent_target` failed before (events 10 to 59 missing, 504) and pass. `tests.test_attempts` checks the state machine.

Ruled out: reading both and taking events from whichever is first, as pieces of two runs might be joined. A request that returned has used the send, so it stays where it is if no send is left.

--- a/src/oleanderhill/requests/attempts.py
+++ b/src/oleanderhill/requests/attempts.py
@@ -98,6 +98,12 @@
     reason: str
 
 
+class HeldAnswers(NamedTuple):
+    """The held attempt goes on, and the target of the current one has sent nothing yet."""
+
+    attempt: int
+
+
 class Taken(NamedTuple):
     """The target began to answer, so that the held attempt is not needed any more."""
 
@@ -166,6 +172,7 @@
     | Finished
     | Lost
     | Stalled
+    | HeldAnswers
     | Taken
     | DeadlineHit
     | CallerDisconnected
@@ -273,6 +280,9 @@
                 return self._on_attempt_lost(reason, now)
             case Stalled(_, reason):
                 return self._on_stalled(reason, now)
+            case HeldAnswers():
+                problem = outcomes.interrupted(Ran.UNKNOWN, "the earlier attempt goes on")
+                return [*self._cancel(), *self._give_up(problem)]
             case Taken():
                 self.held = None
                 return []
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -45,8 +45,11 @@
     :ivar via: entry host that passes the request on, empty for this host's own links
     :ivar last_progress_at: when the target last sent anything or, until then, was sent the request
     :ivar timer: the timer that notices stalls
+    :ivar goes_on: once it was held, done when the target sends part of an answer meanwhile
     """
 
+    goes_on: asyncio.Future[None]
+
     def __init__(self, request: ForwardedRequest, choice: Choice) -> None:
         self._request = request
         self.choice = choice
@@ -63,6 +66,7 @@
         self.timer = LateTimer()
         self.fault = ""
         self._resumed: asyncio.Future[None] | None = None
+        self._answering = False
 
     @property
     def held(self) -> bool:
@@ -71,7 +75,8 @@
 
     def hold(self) -> None:
         """Keep back what the target sends from now on, until :meth:`resume`."""
-        self._resumed = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._resumed, self.goes_on = loop.create_future(), loop.create_future()
 
     def resume(self) -> None:
         """Process what the target has sent since :meth:`hold`, and all that follows."""
@@ -92,10 +97,13 @@
         content_type = headers.get("Content-Type", "")
         reading = self._request.read_reply(status, headers)
         self._request.apply_notice(self, reading)
+        self._answering = status < 500 and reading.signed and not reading.not_run
         self.streaming = status == 200 and content_type.startswith(EVENT_STREAM) and reading.signed
 
     def data(self, chunk: bytes) -> Awaitable[None] | None:
         if self._resumed is not None:
+            if self._answering and not self.goes_on.done():
+                self.goes_on.set_result(None)
             return self._process_when_resumed(chunk, self._resumed)
         if not self.streaming:
             self.last_progress_at = time.monotonic()
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -27,6 +27,7 @@
     EventsReceived,
     Fail,
     Finished,
+    HeldAnswers,
     Lost,
     NotStarted,
     Quarantined,
@@ -67,6 +68,8 @@
 
 QUARANTINED = "quarantined"
 
+HELD_ANSWERS = "the earlier attempt goes on"
+
 LINK_LOST = "the own link to the target is broken"
 
 TARGET_DEADLINE_STATUS = 504
@@ -317,7 +320,7 @@
         return await self._follow(attempt, choice, running)
 
     async def _return_to_held(self, attempt: int, choice: Choice) -> list[Effect]:
-        """Go on with the held attempt: no other target ran the request."""
+        """Go on with the held attempt: no other target has begun to answer the request."""
         held, self._held = self._held, None
         assert held is not None
         self._log.attempt_resumed(choice, held.running.run.status > 0)
@@ -421,11 +424,15 @@
             next_check = min(deadline, max(stalled_at, now + 0.02))
             wait = max(0.0, next_check - now)
             awaited: set[asyncio.Future[Any]] = {task, quarantined}
+            if self._held is not None:
+                awaited.add(self._held.running.run.goes_on)
             await asyncio.wait(awaited, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
             if task.done():
                 return None
             if quarantined.done():
                 return QUARANTINED
+            if self._held is not None and self._held.running.run.goes_on.done():
+                return HELD_ANSWERS
             now = time.monotonic()
             if now >= deadline:
                 return "deadline"
@@ -476,6 +483,9 @@
         self, abandon_reason: str, attempt: int, choice: Choice, running: _Running
     ) -> list[Effect]:
         run, now = running.run, time.monotonic()
+        if abandon_reason == HELD_ANSWERS:
+            self._log.attempt_failed(choice, abandon_reason)
+            return self._advance(HeldAnswers(attempt))
         if abandon_reason != QUARANTINED:
             self._times.abandoned(now)
         if abandon_reason == "deadline":
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -93,6 +93,16 @@
         self.assertIsInstance(effects[-1], attempts.Fail)
         self.assertIsInstance(self.stall(taken=True)[1][-1], attempts.Fail)
 
+    def test_stalled_attempt_that_answers_first_goes_on_even_while_another_one_waits(self):
+        m = make_machine(stream=True)
+        start_sending(m)
+        m.handle(attempts.Stalled(1, "no progress"), 0.0)
+        m.handle(attempts.Chosen(make_choice("g2")), 0.0)
+        m.handle(attempts.Sending(2), 0.0)
+        effects = m.handle(attempts.HeldAnswers(2), 0.0)
+        cancelled = attempts.Cancel(2, make_choice("g2"))
+        self.assertEqual(effects, [cancelled, attempts.Return(3, make_choice("g1"))])
+
     def test_deadline_ends_a_request_with_a_held_attempt(self):
         m = make_machine(stream=True)
         start_sending(m)
--- a/tests/test_silent_target.py
+++ b/tests/test_silent_target.py
@@ -8,6 +8,9 @@
 from .test_users_site import SiteTest
 
 SILENT_SECONDS = 1.1
+PLAIN_SILENT_SECONDS = 2.2
+"""Longer than a request stays at a plain target whose usual times are not known."""
+
 USED_AGAIN_SECONDS = 2.0
 """Seconds after its silence within which a target gets requests again."""
 
@@ -131,6 +134,19 @@
             other.silence.begin(0.0)
         await self.assert_goes_on(asked, head, others)
 
+    async def test_begun_stream_goes_on_where_it_was_if_the_other_group_is_silent_for_longer(self):
+        model, heads = await self.heads()
+        asked, run = await self.begin_stream(model)
+        head = self.host(run.instance)
+        head.silence.begin(SILENT_SECONDS)
+        for other in heads:
+            if other is not head:
+                other.silence.begin(10 * SILENT_SECONDS)
+        _, reader = await asked
+        self.assert_complete_stream(reader)
+        self.assertLess(reader.longest_pause, SILENT_SECONDS + 0.5)
+        self.assertEqual(self.entry._book.own, {})
+
     async def test_caller_that_leaves_ends_the_run_that_was_held_back(self):
         model, heads = await self.heads()
         asked, run = await self.begin_stream(model, 400)
@@ -186,6 +202,20 @@
         self.assertEqual([result.unwrap().status for result, _ in answers], [200] * 6)
         self.assertLess(other.faults.shed, 9)
 
+    async def test_request_is_answered_where_it_was_if_the_other_target_is_silent_for_longer(self):
+        first, second = self.site.targets
+        for target in self.site.targets:
+            target.faults.slow = 0.1
+        asked = asyncio.create_task(self.ask("/scan/x"))
+        await until(self.ran)
+        if second.ran:
+            first, second = second, first
+        first.silence.begin(PLAIN_SILENT_SECONDS)
+        second.silence.begin(10 * SILENT_SECONDS)
+        result, _ = await asked
+        self.assertEqual(result.unwrap().status, 200)
+        self.assertEqual(self.entry._book.own, {})
+
     async def test_target_is_used_again_soon(self):
         silent = self.site.targets[0]
         await self.serve_in_silence("/scan/x", "GET", silent)
