A quiet connection outlasts a second without acknowledgements

A request that waited on a connection with nothing to send or to receive lost it as its target's machine acknowledged nothing for 1.1 to 1.3 s, if that began 0.8 to 1 s after the last packet. Callers of requests that may run once got 502; others were sent again.

Cause: the system closes a monitored connection 2 s after the last packet if a probe was unanswered. The first probe goes out after 1 s, so a silence of just over a second was enough. The limit is 2.5 s now: the system looks each second, so a connection that was idle is closed after 3 s, and a silence shorter than 2 s never closes one. Data that is not acknowledged closes it after 2.5 s, not 2 s.

One that stays silent is still closed.

Ruled out: no limit at all, as connections may go silent for good while new ones work.

--- a/src/oleanderhill/clients/httpcall.py
+++ b/src/oleanderhill/clients/httpcall.py
@@ -41,9 +41,10 @@
 KEEPALIVE_SECONDS = 1
 """Seconds without data after which, and between which, a monitored connection is probed."""
 
-UNACKNOWLEDGED_TIMEOUT = 2.0
+UNACKNOWLEDGED_TIMEOUT = 2.5
 """Seconds without an acknowledgement after which a monitored connection is closed. Targets may be
-silent for about a second and go on."""
+silent for about a second and go on. The seconds before the first probe count too, in which a
+connection may have been idle, so it exceeds :data:`KEEPALIVE_SECONDS` by more than that."""
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER``: what wasn't delivered yet is discarded when the connection is closed or
--- a/tests/test_silent_target.py
+++ b/tests/test_silent_target.py
@@ -1,13 +1,25 @@
 """Sound targets that send nothing for about a second and then go on."""
 
 import asyncio
+import contextlib
+import ctypes
+import socket
+import struct
+import threading
 import time
+import unittest
 
 from oleanderhill_dev.users.site import LARGE, until
+from returns.pipeline import is_successful
+
+from oleanderhill.clients.httpcall import Call, FailureKind, HttpCaller
 
 from .test_users_site import SiteTest
 
 SILENT_SECONDS = 1.1
+LONGEST_SILENCE = 1.3
+"""Seconds for which a sound target may be silent at most."""
+
 PLAIN_SILENT_SECONDS = 2.2
 """Longer than a request stays at a plain target whose usual times are not known."""
 
@@ -160,6 +172,48 @@
         await until(lambda: not head.running, SILENT_SECONDS + 1.0)
 
 
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+RETURN_NOTHING = struct.pack("HBBI", 0x06, 0, 0, 0)
+"""A packet filter that drops everything."""
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A machine that acknowledges nothing for a while."""
+
+    def serve(self, server, quiet, silent):
+        """Answer one request after a quiet time and a silent one, without and with a filter."""
+        code = ctypes.create_string_buffer(RETURN_NOTHING)
+        connection, _ = server.accept()
+        with connection, contextlib.suppress(OSError):
+            connection.recv(4096)
+            time.sleep(quiet)
+            filter_all = struct.pack("HP", 1, ctypes.addressof(code))
+            connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filter_all)
+            time.sleep(silent)
+            connection.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def call(self, quiet, silent):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            serving = threading.Thread(target=self.serve, args=(server, quiet, silent))
+            serving.start()
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            call = Call(address, "POST", "/", timeout=quiet + silent + 1.0)
+            result = await HttpCaller(monitored=True).call(call)
+            await asyncio.to_thread(serving.join)
+        return result
+
+    async def test_connection_outlasts_a_silence_whenever_it_begins(self):
+        starts = [n / 10 for n in range(11)]
+        results = await asyncio.gather(*(self.call(q, LONGEST_SILENCE) for q in starts))
+        failures = [q for q, r in zip(starts, results, strict=True) if not is_successful(r)]
+        self.assertEqual(failures, [])
+
+    async def test_connection_that_stays_silent_is_closed(self):
+        failure = (await self.call(0.5, 5.0)).failure()
+        self.assertEqual((failure.kind, failure.sent), (FailureKind.LOST, True))
+
+
 class PlainTest(SilentTargetTest):
     def setUp(self):
         self.ran = lambda: [i for t in self.site.targets for i in t.ran]
