--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -110,6 +110,22 @@
     model: str = ""
 
 
+class Silence:
+    """A span in which a host or target sends nothing; then it goes on as if nothing had been."""
+
+    def __init__(self) -> None:
+        self._until = float("-inf")
+
+    def begin(self, seconds: float) -> None:
+        """Fall silent for some seconds."""
+        self._until = time.monotonic() + seconds
+
+    async def wait(self) -> None:
+        """Wait until the silence is over."""
+        while (left := self._until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
+
 class OrderFaults:
     """Faults in the execution of orders.
 
@@ -141,6 +157,7 @@
         self.leaving = False
         self.alive = True
         self.faults = OrderFaults()
+        self.silence = Silence()
         self.notices = TargetNotices()
         self.cold_until = 0.0
         self.server: HTTPServer | None = None
@@ -379,6 +396,7 @@
         if "Attempt-Id" in self.request.headers:
             arrival = Arrival(time.monotonic(), self.request.headers["Attempt-Id"])
             self.host.site.arrivals.append(arrival)
+        await self.host.silence.wait()
         if not self.host.alive:
             await asyncio.sleep(STALL_SECONDS * 10)
         self.host.notices.set_notice_headers(self)
@@ -494,6 +512,7 @@
             if host.instance in host.site.crashed_instances:
                 raise StreamClosedError
             await asyncio.sleep(0.05)
+        await host.silence.wait()
         event = _event(number)
         if host.site.break_at_event and number >= host.site.break_at_event:
             host.site.break_at_event = 0
@@ -549,6 +568,7 @@
         self.ran: list[str] = []
         self.arrivals: list[Arrival] = []
         self.faults = TargetFaults()
+        self.silence = Silence()
         self.notices = TargetNotices()
 
 
@@ -558,6 +578,7 @@
 
     async def _run(self) -> None:
         target, headers = self.target, self.request.headers
+        await target.silence.wait()
         target.arrivals.append(Arrival(time.monotonic(), headers.get("Attempt-Id", "")))
         target.notices.set_notice_headers(self)
         if headers.get("Expect-Instance", target.instance) != target.instance:
@@ -580,6 +601,7 @@
             await _write_raw(self.detach(), target.faults.raw_reply, headers["Attempt-Id"], 0)
             return
         await asyncio.sleep(target.faults.slow)
+        await target.silence.wait()
         self.set_status(target.faults.status or 200)
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Response-Seal", f"seal-{target.instance}")
--- a/src/oleanderhill/serving/attempt.py
+++ b/src/oleanderhill/serving/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Awaitable, Sequence
 from typing import Protocol
@@ -62,8 +63,11 @@
     :ivar last_progress_at: when the target last sent an event that is not a comment, or some of its
         answer or, until then, was sent the request
     :ivar timer: the timer that notices stalls
+    :ivar goes_on: once it was held, done when the target sends part of an answer meanwhile
     """
 
+    goes_on: asyncio.Future[None]
+
     def __init__(self, request: ForwardedRequest, choice: Choice, memory: ReplyMemory) -> None:
         self._request = request
         self._memory = memory
@@ -86,6 +90,24 @@
         self.last_progress_at = time.monotonic()
         self.timer = LateTimer()
         self.fault = ""
+        self._resumed: asyncio.Future[None] | None = None
+        self._answering = False
+
+    @property
+    def held(self) -> bool:
+        """Return whether what the target sends is kept back."""
+        return self._resumed is not None
+
+    def hold(self) -> None:
+        """Keep back what the target sends from now on, until :meth:`resume`."""
+        loop = asyncio.get_running_loop()
+        self._resumed, self.goes_on = loop.create_future(), loop.create_future()
+
+    def resume(self) -> None:
+        """Process what the target has sent since :meth:`hold`, and all that follows."""
+        resumed, self._resumed = self._resumed, None
+        if resumed is not None:
+            resumed.set_result(None)
 
     def confirm_send(self) -> bool:
         if not self._request.confirm_send():
@@ -100,6 +122,7 @@
         content_type = headers.get("Content-Type", "")
         reading = self._request.read_reply(status, headers)
         self._request.apply_notice(self, reading)
+        self._answering = status < 500 and reading.signed and not reading.not_run
         self.streaming = status == 200 and content_type.startswith(EVENT_STREAM) and reading.signed
         self._is_answer = reading.signed and not reading.not_run
 
@@ -111,6 +134,10 @@
         return limit if self._is_answer else MAX_IGNORED_BYTES
 
     def data(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._resumed is not None:
+            if self._answering and not self.goes_on.done() and self._has_progress(chunk):
+                self.goes_on.set_result(None)
+            return self._process_when_resumed(chunk, self._resumed)
         if not self.streaming:
             if not self._is_answer:
                 return None
@@ -144,6 +171,19 @@
             self.last_progress_at = time.monotonic()
             self._since_progress = 0
 
+    def _has_progress(self, chunk: bytes) -> bool:
+        """Return whether a chunk that is kept back holds a part of the answer."""
+        if not self.streaming:
+            return not self.chunks or self._since_progress + len(chunk) >= PROGRESS_BYTES
+        events = EventSplitter(self._splitter.rest).feed(chunk)
+        return any(not event.is_comment for event in events)
+
+    async def _process_when_resumed(self, chunk: bytes, resumed: asyncio.Future[None]) -> None:
+        await resumed
+        processed = self.data(chunk)
+        if processed is not None:
+            await processed
+
     def _forward_events(self, chunk: bytes) -> Awaitable[None] | None:
         complete, count = [], 0
         events = self._splitter.feed(chunk)
--- a/src/oleanderhill/serving/events.py
+++ b/src/oleanderhill/serving/events.py
@@ -28,10 +28,13 @@
 
 
 class EventSplitter:
-    """Splits chunks of bytes into complete events."""
+    """Splits chunks of bytes into complete events.
 
-    def __init__(self) -> None:
-        self._rest = bytearray()
+    :param rest: bytes after the last complete event
+    """
+
+    def __init__(self, rest: bytes = b"") -> None:
+        self._rest = bytearray(rest)
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that this chunk completes."""
