Both soaks run their seeds in a folder by one function

The soak of planned work had a copy of the code that makes the folder of a seed and keeps its logs if a promise was broken.

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -21,7 +21,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 from returns.pipeline import is_successful
@@ -871,6 +871,9 @@
             self.removed_at[key] = time.monotonic()
 
 
+_SoakType = TypeVar("_SoakType", bound=Soak)
+
+
 async def run_soak(soak: Soak, seed: int) -> Soak:
     """Run a soak and print its summary line and first violations."""
     await soak.run()
@@ -905,10 +908,15 @@
     cut_off: bool = False,
     crash_part: bool = False,
 ) -> Soak:
-    """Run one seed in a temporary folder, which is kept if a guarantee was violated."""
-    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    """Run one seed; the logs are kept if a guarantee was violated."""
     options = (rate_limited, send_notices, restored, evacuated, cold, cut_off, crash_part)
-    soak = Soak(seed, folder, culprits, *options)
+    return run_in_folder(seed, lambda folder: Soak(seed, folder, culprits, *options))
+
+
+def run_in_folder(seed: int, make: Callable[[Path], _SoakType]) -> _SoakType:
+    """Run a soak in a temporary folder, which is kept if a guarantee was violated."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = make(folder)
     asyncio.run(run_soak(soak, seed))
     if soak.violations:
         print(f"soak: seed={seed} logs in {folder}", flush=True)
--- a/dev/oleanderhill_dev/users/soak_restarts.py
+++ b/dev/oleanderhill_dev/users/soak_restarts.py
@@ -8,17 +8,15 @@
 
 import asyncio
 import random
-import shutil
 import signal
 import sys
-import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from time import monotonic
 
 from oleanderhill.clients.httpcall import HttpCaller
 
-from .soak import DEADLINE_SECONDS, FAULT_SECONDS, CallRecord, Soak, run_soak
+from .soak import DEADLINE_SECONDS, FAULT_SECONDS, CallRecord, Soak, run_in_folder
 
 ARRIVED_SECONDS = 0.05
 """Seconds after which the bytes of a request must have arrived on loopback."""
@@ -92,15 +90,8 @@
 
 
 def run_seed(seed: int) -> RestartSoak:
-    """Run one seed in a temporary folder, which is kept if a guarantee was violated."""
-    folder = Path(tempfile.mkdtemp(prefix=f"soak-restarts-{seed}-"))
-    soak = RestartSoak(seed, folder)
-    asyncio.run(run_soak(soak, seed))
-    if soak.violations:
-        print(f"soak: seed={seed} logs in {folder}", flush=True)
-    else:
-        shutil.rmtree(folder)
-    return soak
+    """Run one seed; the logs are kept if a guarantee was violated."""
+    return run_in_folder(seed, lambda folder: RestartSoak(seed, folder))
 
 
 def main() -> int:
