The soak sends no reload signal to a process before its first line

Played again with the exit code in the message it failed again, with -1: the reload signal had come while the interpreter started, before the program's first line, which sets the signal to be ignored. No program can prevent that, and no request was lost, so the signal is sent once the process ignores or handles it. The message keeps the exit code.

--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -159,7 +159,7 @@
         self._cut_file = folder / f"{name}.cut"
         self._program = ["deploy/run.py"]
         self.exit_expected = False
-        self.unexpected_exits = 0
+        self.unexpected_exits: list[int] = []
 
     async def start(self) -> None:
         """Start the link and the process."""
@@ -236,7 +236,7 @@
 
     def ignores(self, number: int) -> bool:
         """Return whether the process ignores a signal yet."""
-        if self._process is None:
+        if self.has_exited() or self._process is None:
             return False
         status = Path(f"/proc/{self._process.pid}/status").read_text()
         ignored = next(x for x in status.splitlines() if x.startswith("SigIgn:")).split()[1]
@@ -262,6 +262,11 @@
         """Return whether the process has exited."""
         return self._process is None or self._process.poll() is not None
 
+    def record_exit(self) -> None:
+        """Record the exit code, or the negative number of the signal, unless a fault ended it."""
+        if self._process is not None and not self.exit_expected:
+            self.unexpected_exits.append(self._process.returncode)
+
     def stop(self) -> None:
         """Kill the process and stop the link."""
         self.exit_expected = True
@@ -444,7 +449,7 @@
         if answered < MIN_ANSWERED_FRACTION * len(last):
             found.append(f"only {answered} of the last {len(last)} requests were answered")
         found += [
-            f"{p.name} exited unexpectedly {p.unexpected_exits} times"
+            f"{p.name} exited unexpectedly with {p.unexpected_exits}"
             for p in self.processes
             if p.unexpected_exits
         ]
@@ -562,7 +567,7 @@
             await asyncio.sleep(0.1)
             for process in self.processes:
                 if process.has_exited():
-                    process.unexpected_exits += not process.exit_expected
+                    process.record_exit()
                     process.run()
 
     async def _wait_for_restarts(self) -> list[str]:
@@ -773,7 +778,10 @@
         process.signal(signal.SIGCONT)
 
     async def _hang_up(self) -> None:
-        self._random_process().signal(signal.SIGHUP)
+        process = self._random_process()
+        # It ends a process that has not come to its first line, which no program can prevent.
+        if process.ignores(signal.SIGHUP) or process.handles(signal.SIGHUP):
+            process.signal(signal.SIGHUP)
 
     async def _fail_link(self) -> None:
         link = self._random_process().link
