Requests that are refused before they are handled have a line

A request whose body was too large, or that became whole after the drain of its host, was answered (413, 503) without a line in the log, so its id led nowhere. Both have one now, with the kind, the status and the reason. The answers are the same.

--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -190,6 +190,7 @@
         refusal = self._refusal()
         if refusal is not None:
             sink.reject(refusal)
+            front.refused(facts.request_id, refusal)
             front.requests_in_flight.discard(self)
             return
         incoming = Incoming(
@@ -383,6 +384,12 @@
     def _head_lost(self) -> None:
         self.unanswered("", "dropped", "its head was not read whole")
 
+    def refused(self, request_id: str, problem: Problem) -> None:
+        """Log a request that was answered without being handled."""
+        self._records.request(
+            request_id, problem.kind, False, status=problem.status, reason=problem.detail
+        )
+
     def unanswered(self, request_id: str, outcome: str, reason: str, **fields: object) -> None:
         """Log and count a request that ends without an answer.
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -112,6 +112,8 @@
         await asyncio.sleep(0.006)  # the store is told, and the other services stop
         await self.front.stop()
         self.assertEqual(self.served, [])
+        refused = [line for line in self.found("draining") if "request_id" in line]
+        self.assertEqual([(r["request_id"], r["status"]) for r in refused], [("slow", 503)])
 
     async def test_empty_line_does_not_hold_the_drain(self):
         caller = await self.connect_plain()
