Review: a machine whose descriptors are used up stays ready and takes no connection

1600 clients that open kept connections to one of four machines use up its 1535 descriptors. It answers 200 to the platform and accepts nothing until clients close their connections.

Cause as far as known: accepting pauses at EMFILE and tries again; no idle connection is closed and readiness doesn't change.

The cases on memory now measure requests of other clients without a byte of an answer.

--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import resource
 import shlex
 import signal
 import subprocess
@@ -103,10 +104,18 @@
     """An entry host in a process."""
 
     def __init__(
-        self, name: str, folder: Path, store: str, memory_mb: int, zone: str = "hall"
+        self,
+        name: str,
+        folder: Path,
+        store: str,
+        machine: dict[str, Any],
+        zone: str = "hall",
+        enforce_descriptors: bool = False,
     ) -> None:
         self.name = name
-        self.memory_mb = memory_mb
+        self.machine = machine
+        self.memory_mb = machine["memory_mb"]
+        self._enforce_descriptors = enforce_descriptors
         self.ip = free_address().rsplit(":", 1)[0]
         self.callers = f"{self.ip}:7100"
         self.ready_address = f"{self.ip}:7101"
@@ -134,7 +143,7 @@
             "seed_nodes": [],
             "bootstrap": self._bootstrap,
             "tolerated": False,
-            "limits": {**MACHINE, "memory_mb": self.memory_mb},
+            "limits": self.machine,
             "data_dir": None,
             "heartbeat_ms": 1200,
             "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0},
@@ -156,10 +165,20 @@
         environment["OLEANDERHILL_SETTINGS"] = str(file)
         with open(self._folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self._limit_descriptors if self._enforce_descriptors else None,
             )
         self._bootstrap = False
 
+    def _limit_descriptors(self) -> None:
+        """Apply the descriptors of the machine to the process that is started, and to no other."""
+        most = self.machine["max_fds"]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
     def log(self) -> str:
         """Return what the process has written so far."""
         return (self._folder / f"{self.name}.log").read_text(errors="replace")
@@ -226,7 +245,7 @@
 
 
 def configuration(routes: list[dict[str, Any]], version: int = 1) -> bytes:
-    """Return a configuration with the engine service ``pool`` and the plain service ``desk``."""
+    """Return a configuration with the engine service ``pool`` and two plain services."""
     models = [
         {"name": SMALL, "size": 2, "traffic_share": 0.5, "pace": 1.0, "load_s": 0.4, "warm_s": 0.05},
         {"name": LARGE, "size": 3, "traffic_share": 0.5, "pace": 1.0, "load_s": 0.4, "warm_s": 0.05},
@@ -238,6 +257,7 @@
         "services": [
             {"name": "pool", "health_path": "/health", "max_connections": 474, "runtime": engine},
             {"name": "desk", "health_path": "/health", "max_connections": 110},
+            {"name": "ledger", "health_path": "/health", "max_connections": 110},
         ],
         "limits": LIMITS,
         "tenants": [{"name": "hall", "api_keys": [KEY], "priority": 1}],
@@ -280,12 +300,14 @@
         engines: int,
         entries: int,
         targets: int = 0,
-        memory_mb: int = 300,
+        enforce_descriptors: bool = False,
+        **machine: Any,
     ) -> None:
         """Start all parts, and wait until the entry hosts are ready.
 
         :param targets: plain targets of the project's own kind; a case may list others
-        :param memory_mb: memory of a machine
+        :param enforce_descriptors: whether the processes get no more descriptors than ``max_fds``
+        :param machine: limits of a machine that differ from :data:`MACHINE`
         """
         await self.site.start(hosts=engines, entries=0)
         for target in self.site.targets[targets:]:
@@ -294,7 +316,13 @@
         self.site.store.put("op/config", configuration(routes))
         folder = Path(self._folder.name)
         for number in range(entries):
-            entry = Entry(f"front-hall-{number + 1}", folder, self.site.store_address, memory_mb)
+            entry = Entry(
+                f"front-hall-{number + 1}",
+                folder,
+                self.site.store_address,
+                {**MACHINE, **machine},
+                enforce_descriptors=enforce_descriptors,
+            )
             self.entries.append(entry)
             entry.start()
         for entry in self.entries:
@@ -312,10 +340,10 @@
         self.record(f"{heads()} groups are open")
         await asyncio.sleep(1.5)
 
-    def list_target(self, instance: str, address: str, slots: int = 6) -> None:
+    def list_target(self, instance: str, address: str, service: str, slots: int = 6) -> None:
         """Put a plain target of the case into the platform's list."""
         entry = {
-            "service": "desk",
+            "service": service,
             "address": address,
             "zone": "hall",
             "version": "v1",
--- a/review/lab/memory.py
+++ b/review/lab/memory.py
@@ -1,20 +1,20 @@
-"""What the cases on memory share: the platform's kill, and streams of other clients."""
+"""What the cases on memory share: the platform's kill, and requests of other clients."""
 
 from __future__ import annotations
 
 import asyncio
 import time
+from typing import Any
 
 from client import Answer, Client
-from lab import SMALL, CannotRunError, Entry, Lab
+from lab import CannotRunError, Entry, Lab, route
+from targets import SlowTarget
 
-READERS = 8
-EVENTS = 300
+CLIENTS = 8
+WORK_SECONDS = 6.0
 ALLOWED_LOST = 3
 """The rule is broken by more."""
 
-PROMPT = {"Model": SMALL, "Token-Counts": "1460,80", "Prompt-Prefix": "5c1e:40,91bd:1420"}
-
 
 class Platform:
     """Kills a process that exceeds the memory of its machine, as the platform does."""
@@ -40,39 +40,53 @@
             await asyncio.sleep(0.02)
 
 
-class Streams:
-    """Streams of clients that have nothing to do with the disruption, on kept connections."""
+class Others:
+    """Requests of clients that have nothing to do with the disruption, on kept connections.
+
+    They go to a service of their own, whose two targets are sound and take some seconds for each.
+    """
 
     def __init__(self, entry: Entry, lab: Lab) -> None:
         self._lab = lab
-        self._clients = [Client(entry.callers) for _ in range(READERS)]
+        self._clients = [Client(entry.callers) for _ in range(CLIENTS)]
+        self._targets = [SlowTarget(f"l-{n}", "ledger") for n in range(2)]
         self._running: list[asyncio.Task[Answer]] = []
 
+    @staticmethod
+    def route() -> dict[str, Any]:
+        """Return their route."""
+        return route("book", "non_idempotent", service="ledger", max_attempts=1)
+
+    async def start(self) -> None:
+        """Start their targets."""
+        for target in self._targets:
+            await target.start(self._lab)
+
     async def begin(self) -> None:
-        """Serve a first stream on each connection, and begin the second ones.
+        """Serve a first request on each connection, and send the second ones.
 
-        :raises CannotRunError: if a first stream wasn't served
+        :raises CannotRunError: if a first request wasn't served
         """
-        firsts = await asyncio.gather(*(self._read(c) for c in self._clients))
+        firsts = await asyncio.gather(*(self._send(c) for c in self._clients))
         if not all(a.complete and a.status == 200 for a in firsts):
-            raise CannotRunError("the first streams were not served")
-        self._lab.site.engines.events_per_stream = EVENTS
-        self._running = [asyncio.create_task(self._read(c)) for c in self._clients]
+            raise CannotRunError("the first requests were not served")
+        for target in self._targets:
+            target.work_seconds = WORK_SECONDS
+        self._running = [asyncio.create_task(self._send(c)) for c in self._clients]
 
     async def lost(self) -> int:
-        """Return how many streams were passed on and ended without their last chunk."""
-        ran = {r.request_id for r in self._lab.site.engines.runs}
+        """Return how many requests began to run at a target and got no byte of an answer."""
+        ran = {r for t in self._targets for r in t.ran}
         lost = 0
         for answer in await asyncio.gather(*self._running):
-            passed_on = answer.request_id in ran
             self._lab.record(
-                f"stream {answer.request_id}: passed on {passed_on}, status {answer.status}, "
-                f"{answer.body.count(b'id: ')} of {EVENTS} events, complete {answer.complete}, "
-                f"{answer.fault or 'no fault'}"
+                f"request {answer.request_id} of another client: began to run "
+                f"{answer.request_id in ran}, status {answer.status}, complete {answer.complete}, "
+                f"{answer.ended_at - answer.sent_at:.2f} s, {answer.fault or 'no fault'}"
             )
-            lost += passed_on and not answer.complete
-        self._lab.record(f"streams on kept connections lost after they were passed on: {lost}")
+            lost += answer.request_id in ran and answer.status == 0
+        self._lab.record(f"lost on kept connections after they were passed on: {lost}")
         return lost
 
-    async def _read(self, client: Client) -> Answer:
-        return await client.send("POST", "/read/1", b"a prompt", PROMPT)
+    async def _send(self, client: Client) -> Answer:
+        return await client.send("POST", "/book/1", b"an entry")
--- a/review/lab/targets.py
+++ b/review/lab/targets.py
@@ -11,7 +11,7 @@
 
 
 class SlowTarget:
-    """A target of the service ``desk``.
+    """A target of a plain service.
 
     :ivar seconds_per_piece: pause after each 64 KiB of a body, 0 to read at full speed
     :ivar answer: body of its answers
@@ -19,8 +19,9 @@
     :ivar ran: ids of the requests that it ran
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, service: str = "desk") -> None:
         self.instance = instance
+        self.service = service
         self.seconds_per_piece = 0.0
         self.answer = b"ok"
         self.work_seconds = 0.0
@@ -32,7 +33,7 @@
         ip, port = address.rsplit(":", 1)
         # The small limit keeps this stand-in from reading ahead of its rate.
         await asyncio.start_server(self._serve, ip, int(port), limit=PIECE)
-        lab.list_target(self.instance, address)
+        lab.list_target(self.instance, address, self.service)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, EOFError, asyncio.CancelledError):
