Requests that a planned stop cuts off have a line with their times

Lacking: a stream that the end of its process cut off left "cancelled, the process stops" alone. It had no route, no target, no deadline, and nothing said when the request had arrived, so "accepted too late", "stalled at its target" and "long since under way" looked the same, and no metric of its route counted it. A request of a peer that ended as "proxy aborted" did not say whether this host was shutting down.

Now: "outlasted", with the route, the path, how long it ran, the time left until its deadline and when it arrived after the stop signal, and its count in oleanderhill_answers_total; refusals of the front are counted there too; the proxy's line says whether this host drains. The planned end is kept in one object, serving/shutdown.py, which the front and the forwarding share.

--- a/dev/oleanderhill_dev/users/losses.py
+++ b/dev/oleanderhill_dev/users/losses.py
@@ -26,6 +26,7 @@
     "retry",
     "retry refused",
     "sent again",
+    "outlasted",
 }
 """Log lines that are written before a request has its outcome."""
 
--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -52,7 +52,7 @@
 from ..serving.context import ForwardingContext
 from ..serving.driver import Exchange
 from ..serving.forwarding import Notice
-from ..serving.front import EXIT_MARGIN, CallerSink, Front, ServeCallbacks
+from ..serving.front import CallerSink, Front, ServeCallbacks
 from ..serving.gossip import GossipTask
 from ..serving.incoming import Incoming
 from ..serving.learned_timing import LearnedTiming
@@ -258,6 +258,22 @@
             records,
         )
         self._codec = HeaderCodec(self._log_unknown_header)
+        serving = ServeCallbacks(
+            self._serve,
+            self._ready,
+            self._max_body_bytes,
+            self.exposition.unanswered,
+            lambda outcome: self.exposition.request("", outcome, 0.0),
+        )
+        self.front = Front(
+            self.kernel,
+            s.callers,
+            s.readiness_address,
+            s.grace_seconds,
+            self._codec,
+            serving,
+            records,
+        )
         self._context = ForwardingContext(
             self._codec,
             self._links.caller,
@@ -277,21 +293,10 @@
             self._admission,
             self._links.reachability,
             ReplyMemory(),
+            self.front.shutdown,
         )
         self._shedding = ConnectionShedding(lambda: self.front, self._loads, records)
         self.kernel.lag.on_saturated = self._shedding.saturated
-        serving = ServeCallbacks(
-            self._serve, self._ready, self._max_body_bytes, self.exposition.unanswered
-        )
-        self.front = Front(
-            self.kernel,
-            s.callers,
-            s.readiness_address,
-            s.grace_seconds,
-            self._codec,
-            serving,
-            records,
-        )
         gossip = GossipTask(
             self.kernel,
             own_presence,
@@ -364,9 +369,8 @@
             self.exposition.listen(s.ip, METRICS_PORT)
         await self.kernel.start()
         await stop.wait()
-        stopping_at = time.monotonic()
         await self.front.drain()
-        await self._proxy.drain(stopping_at + s.grace_seconds - EXIT_MARGIN)
+        await self._proxy.drain(self.front.shutdown.ends_at)
         await self._presence.withdraw()
         await self.kernel.stop()
         self._links.close()
--- a/src/oleanderhill/serving/context.py
+++ b/src/oleanderhill/serving/context.py
@@ -14,6 +14,7 @@
 from .placement import Candidate, LoadTracker
 from .quarantine import QuarantineTask
 from .reply_memory import ReplyMemory
+from .shutdown import Shutdown
 from .target_caller import TargetCaller
 from .timing import Timing
 
@@ -33,6 +34,7 @@
     :param count_send: counts a request sent to a target, by service and whether it is not the first
     :param reachability: which targets this host can't reach over its own links
     :param reply_memory: bounds what all their replies keep
+    :param shutdown: the planned end of this process
     :param timing: learns from answers, and returns the usual times
     """
 
@@ -54,3 +56,4 @@
     admission: AdmissionControl
     reachability: Reachability
     reply_memory: ReplyMemory
+    shutdown: Shutdown
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -163,6 +163,10 @@
         """Run the request up to its final response."""
         try:
             await self._run()
+        except asyncio.CancelledError:
+            if self.context.shutdown.ending:
+                self._log.outlasted(self.machine.request.deadline, self.order.last)
+            raise
         finally:
             self._drop_held()
             self._budget.end()
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -26,6 +26,7 @@
 from ..records import Records
 from .forwarding import Codec, RequestInfo
 from .incoming import Incoming
+from .shutdown import Shutdown
 
 IDLE_TIMEOUT = 30.0
 """Seconds after which a caller's idle connection is closed: twice the callers' own idle timeout."""
@@ -54,12 +55,14 @@
     :param ready: returns whether the load balancer should send requests to this host
     :param max_body: returns the maximum size of a request body in bytes
     :param unanswered: counts a request that ends without an answer, by outcome
+    :param refused: counts a request that is answered without being handled, by outcome
     """
 
     serve: Callable[[Incoming, str, str, CallerSink], Awaitable[None]]
     ready: Callable[[], bool]
     max_body: Callable[[], int]
     unanswered: Callable[[str], None] = lambda outcome: None
+    refused: Callable[[str], None] = lambda outcome: None
 
 
 class CallerSink:
@@ -216,7 +219,7 @@
         max_body = self._front.callbacks.max_body()
         if self._size > max_body:
             return too_large(max_body)
-        return draining() if self._front.ending else None
+        return draining() if self._front.shutdown.ending else None
 
     def end(self) -> None:
         """End the request, as this process ends."""
@@ -270,6 +273,7 @@
     :param callers: ``ip:port`` on which callers connect
     :param balancer: ``ip:port`` on which the load balancer polls readiness
     :param grace: seconds between the shutdown request and the forced end of the process
+    :ivar shutdown: the planned end of the process
     """
 
     name = "front"
@@ -285,12 +289,11 @@
         records: Records,
     ) -> None:
         super().__init__(kernel)
-        self._grace = grace
+        self.shutdown = Shutdown(grace - EXIT_MARGIN)
         self.codec = codec
         self.callbacks = callbacks
         self._records = records
         self.stopping = False
-        self.ending = False
         self._removed = False
         self.requests_in_flight: set[_CallerRequest] = set()
         self.callers = HttpListener(
@@ -318,7 +321,7 @@
 
     async def stop(self) -> None:
         """Close the servers and all connections."""
-        self.ending = True
+        self.shutdown.ending = True
         self._records.note(
             "process",
             "closing connections",
@@ -354,7 +357,7 @@
         the load balancer. Connections without a request are closed when the listening ends; all
         others are closed after their response, at the latest when the process must exit.
         """
-        started_at = time.monotonic()
+        self.shutdown.request(time.monotonic())
         self.stopping = True
         self._records.note("process", "draining", in_flight=self.in_flight)
         self._accept_again()
@@ -362,8 +365,8 @@
         self._removed = True
         self.callers.refuse_connections()
         self.callers.close_idle()
-        await self.callers.until_closed(started_at + self._grace - EXIT_MARGIN)
-        self.ending = True
+        await self.callers.until_closed(self.shutdown.ends_at)
+        self.shutdown.ending = True
         if self.in_flight:
             self._end_requests()
             await self.callers.until_closed(time.monotonic() + FINAL_ANSWER_SECONDS)
@@ -389,6 +392,7 @@
         self._records.request(
             request_id, problem.kind, False, status=problem.status, reason=problem.detail
         )
+        self.callbacks.refused(problem.kind)
 
     def unanswered(self, request_id: str, outcome: str, reason: str, **fields: object) -> None:
         """Log and count a request that ends without an answer.
@@ -408,11 +412,11 @@
         try:
             await self.callbacks.serve(incoming, host, path, sink)
         except asyncio.CancelledError:
-            if self.ending and not (sink.started or sink.finished or sink.closed):
+            if self.shutdown.ending and not (sink.started or sink.finished or sink.closed):
                 sink.reject(process_ended())
                 self._records.request(incoming.facts.request_id, PROCESS_ENDED, False, status=502)
                 return
-            reason = "the process stops" if self.ending else "its connection was closed"
+            reason = "the process stops" if self.shutdown.ending else "its connection was closed"
             self.unanswered(incoming.facts.request_id, "cancelled", reason, started=sink.started)
             raise
         except Exception as error:  # an internal error must not leave the caller without a response
--- a/src/oleanderhill/serving/proxy_server.py
+++ b/src/oleanderhill/serving/proxy_server.py
@@ -241,6 +241,7 @@
                 sender=request.headers.get(SENDER_HEADER, ""),
                 address=request.headers[TARGET_HEADER],
                 status=forwarder.status,
+                draining=self._callbacks.draining(),
                 ms=round((time.monotonic() - began) * 1000),
             )
 
--- a/src/oleanderhill/serving/request_log.py
+++ b/src/oleanderhill/serving/request_log.py
@@ -13,6 +13,9 @@
 from .quarantine import Subjects
 from .retries import BudgetState
 
+OUTLASTED = "outlasted"
+"""Outcome of a request that was under way when its process ended."""
+
 
 class Arrival(StrEnum):
     """What is known of the arrival of an attempt at its target, as it stands in the path."""
@@ -140,6 +143,29 @@
         )
         self._context.count_retry(self._service, taken)
 
+    def outlasted(self, deadline: float, last_event: int | None) -> None:
+        """Log and count a request that is ended because the process ends.
+
+        :param deadline: monotonic time until which it could have run
+        """
+        now, arrived = time.monotonic(), self._incoming.arrived
+        requested_at = self._context.shutdown.requested_at
+        self._context.records.request(
+            self._incoming.facts.request_id,
+            OUTLASTED,
+            False,
+            route=self._accepted.route.name,
+            path=self._path(),
+            ms=round((now - arrived) * 1000),
+            deadline_left_ms=round((deadline - now) * 1000),
+            after_stop_ms=None if requested_at is None else round((arrived - requested_at) * 1000),
+            last_event=last_event,
+        )
+        self._context.report(self._accepted.route.name, OUTLASTED, now - arrived)
+
+    def _path(self) -> list[str]:
+        return [p + a for p, a in zip(self._places, self._arrivals, strict=True)]
+
     def ended(
         self,
         outcome: str,
@@ -157,7 +183,7 @@
             "status": status,
             "same_as": self._subjects.request,
             "standing": standing.value,
-            "path": [p + a for p, a in zip(self._places, self._arrivals, strict=True)],
+            "path": self._path(),
             "ms": round((now - arrived) * 1000),
             "first_ms": None if first_at is None else round((first_at - arrived) * 1000),
             "pause_ms": round(self._longest_pause * 1000),
--- a/tests/test_users_site.py
+++ b/tests/test_users_site.py
@@ -43,9 +43,10 @@
 class SiteTest(unittest.IsolatedAsyncioTestCase):
     hosts = 6
     entries = 1
+    make_site = StandInSite
 
     async def asyncSetUp(self):
-        self.site = StandInSite()
+        self.site = self.make_site()
         await self.site.start(self.hosts, self.entries)
         self.entry = self.site.entries[0]
         self.caller = HttpCaller()
