A request that may outlast the process is refused as not run, not cut off

A stream whose head was written before the SIGTERM can't announce "Connection: close", so its caller sends the next request on that connection.

Cause: nobody compared the time that a request may take with the time that the process has left. A request that arrived was sent to a target until the last 0.6 s of the grace period, whatever its deadline.

Now: before a request is sent to a target, and nothing was sent before, its deadline (the smaller of the caller's and the route's) is compared with the end of the process. After the time by which the balancer must have removed the host, one that may outlast it gets 503, not run, and its connection closes with the answer. Asked at the choice of a target, so it holds too for a body that comes late, a wait at this host, and a target that rejects the request late. A request that may have run is tried again as before, since "not run" is not true of it; a held attempt and a stream that has begun go on.

Why the deadline and not a learned time: only the deadline bounds a stream. The learned times have no lengths of streams, and a wrong guess cuts one off, while a refusal costs a connection to another host.

Why it works: a request that is begun later has a deadline before the end, so it is answered, fails or reaches its deadline before the process ends.

--- a/src/oleanderhill/outcomes.py
+++ b/src/oleanderhill/outcomes.py
@@ -13,6 +13,7 @@
 
 from .exceptions import OleanderhillError
 
+DRAINING = "draining"
 HELD_BACK = "held-back"
 PROCESS_ENDED = "process-ended"
 PROBLEM_BASE = "urn:oleanderhill:problem:"
@@ -177,4 +178,15 @@
 
 def draining() -> Problem:
     """Return the problem of a request to an entry host that is shutting down."""
-    return Problem("draining", 503, Ran.NO, "this entry host is shutting down", 1.0)
+    return Problem(DRAINING, 503, Ran.NO, "this entry host is shutting down", 1.0)
+
+
+def outlasting(seconds_needed: float, seconds_left: float) -> Problem:
+    """Return the problem of a request that may outlast its entry host, which is shutting down.
+
+    :param seconds_needed: seconds until the deadline of the request
+    :param seconds_left: seconds until the end of the requests that are left
+    """
+    needed, left = f"{seconds_needed:.2f}", f"{max(0.0, seconds_left):.2f}"
+    detail = f"it may take {needed} s, and this entry host ends in {left} s"
+    return draining()._replace(detail=detail)
--- a/src/oleanderhill/requests/attempts.py
+++ b/src/oleanderhill/requests/attempts.py
@@ -124,6 +124,12 @@
     problem: Problem
 
 
+class Declined(NamedTuple):
+    """The request was sent to no target, and this host sends it to none."""
+
+    problem: Problem
+
+
 # Effects.
 class Select(NamedTuple):
     """Select a group outside ``exclude``."""
@@ -177,6 +183,7 @@
     | DeadlineHit
     | CallerDisconnected
     | Quarantined
+    | Declined
 )
 Effect = Select | Dispatch | Cancel | Return | Deliver | Fail
 
@@ -290,7 +297,7 @@
                 return self._fail(outcomes.deadline_passed(self.ran()))
             case CallerDisconnected():
                 return self._finish(self._cancel())
-            case Quarantined(problem):
+            case Quarantined(problem) | Declined(problem):
                 return self._fail(problem)
         return []
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -15,12 +15,13 @@
 
 from ..clients.httpcall import Call, CallFailure, FailureKind, Reply
 from ..clock import boottime_seconds
-from ..outcomes import HELD_BACK, Problem, Ran, ends_targets
+from ..outcomes import DRAINING, HELD_BACK, Problem, Ran, ends_targets, outlasting
 from ..requests.attempts import (
     Cancel,
     Chosen,
     ConnectFailed,
     DeadlineHit,
+    Declined,
     Deliver,
     Dispatch,
     Effect,
@@ -259,10 +260,24 @@
         if self._on_trial and not run.held and not reading.not_run and not notice.backoff:
             self.context.book.backoffs.trial_accepted(incarnation, time.monotonic())
 
-    def _select_target(self) -> Chosen | Quarantined:
-        """Return the next target, or the problem if the request is known to crash targets."""
+    def _select_target(self) -> Chosen | Quarantined | Declined:
+        """Return the next target, or the problem if the request is sent to none."""
         problem = self.context.quarantine.rejection_for(self._subjects, self.machine.ran())
-        return Chosen(self._choose()) if problem is None else Quarantined(problem)
+        if problem is not None:
+            return Quarantined(problem)
+        problem = self._shutdown_problem()
+        return Chosen(self._choose()) if problem is None else Declined(problem)
+
+    def _shutdown_problem(self) -> Problem | None:
+        """Return the problem of a request that may outlast this process, ``None`` if it is tried.
+
+        One that may have run is tried again: its caller can't be told that it has not run.
+        """
+        now, shutdown = time.monotonic(), self.context.shutdown
+        deadline = self.machine.request.deadline
+        if self.machine.ran() != Ran.NO or shutdown.may_begin(deadline, now):
+            return None
+        return outlasting(deadline - now, shutdown.ends_at - now)
 
     def _fail_quarantined(self) -> list[Effect]:
         """Fail a request that was quarantined while an attempt was being sent or was running."""
@@ -634,7 +649,7 @@
             status = 504 if problem.status == 504 else 502
             return problem._replace(status=status, ran=Ran.UNKNOWN, retry_after=None)
         after = problem.retry_after
-        if problem.kind != HELD_BACK:
+        if problem.kind not in (DRAINING, HELD_BACK):
             after = self.context.retry_delay(self._service, self._incoming.facts.model)
         return problem._replace(status=503, ran=Ran.NO, retry_after=after)
 
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -39,7 +39,7 @@
 STOP_LISTENING_AFTER = 2.7
 """Seconds after the shutdown request during which new connections are still accepted. The load
 balancer polls readiness once per second and removes this host after two failures. Requests accepted
-until then have five seconds to finish."""
+until then have five seconds to finish; later ones are refused if their deadline is beyond that."""
 
 EXIT_MARGIN = 0.6
 """Seconds before the end of the grace period at which the process exits on its own."""
@@ -289,7 +289,7 @@
         records: Records,
     ) -> None:
         super().__init__(kernel)
-        self.shutdown = Shutdown(grace - EXIT_MARGIN)
+        self.shutdown = Shutdown(grace - EXIT_MARGIN, STOP_LISTENING_AFTER)
         self.codec = codec
         self.callbacks = callbacks
         self._records = records
--- a/src/oleanderhill/serving/shutdown.py
+++ b/src/oleanderhill/serving/shutdown.py
@@ -1,4 +1,8 @@
-"""The planned end of this process: when it was requested, and when the process ends."""
+"""The planned end of this process, and which requests may still be sent to a target before it.
+
+A stream that has begun can't be answered otherwise, so it is cut off if it outlasts the process.
+How long it takes is not known before it has ended: only its deadline bounds that.
+"""
 
 from __future__ import annotations
 
@@ -7,12 +11,15 @@
     """The planned end of this process. All times are monotonic.
 
     :param ends_after: seconds from the stop signal to the end of the requests that are left
+    :param removed_after: seconds from the stop signal by which the load balancer must have removed
+        this host
     :ivar requested_at: time of the stop signal, ``None`` before it
     :ivar ending: whether the requests that are left are being ended
     """
 
-    def __init__(self, ends_after: float) -> None:
+    def __init__(self, ends_after: float, removed_after: float) -> None:
         self._ends_after = ends_after
+        self._removed_after = removed_after
         self.requested_at: float | None = None
         self.ending = False
 
@@ -25,3 +32,18 @@
         """Record the stop signal; a further one changes nothing."""
         if self.requested_at is None:
             self.requested_at = now
+
+    def may_begin(self, deadline: float, now: float) -> bool:
+        """Return whether a request may be sent to a target.
+
+        While the load balancer may not have removed this host, a caller that is refused may come
+        back to it. Later, callers find another host at once, so a request is refused that may
+        outlast this process.
+
+        :param deadline: time at which the request ends in any case
+        """
+        if self.requested_at is None:
+            return True
+        if now >= self.ends_at:
+            return False
+        return now < self.requested_at + self._removed_after or deadline <= self.ends_at
