Callers that a shutting-down host refuses are told to return at once

Seen by callers: the 503 of a host that shuts down said Retry-After: 1.00, so a caller that honours it came back a second later, although the other hosts are ready. The time was meant for a host that would be back.

Cause: draining() named one second, whatever is known. Where it is said, the balancer has removed the host or the host is at its end, so a new connection goes to another one.

The own interface, whose header is a whole number of at least one, still says 1.

Ruled out: the delay of the pool (RetryDelay) for these refusals.

Test: test_refused_caller_is_told_to_return_at_once; it failed before with Retry-After: 1.00.

--- a/src/oleanderhill/outcomes.py
+++ b/src/oleanderhill/outcomes.py
@@ -177,8 +177,11 @@
 
 
 def draining() -> Problem:
-    """Return the problem of a request to an entry host that is shutting down."""
-    return Problem(DRAINING, 503, Ran.NO, "this entry host is shutting down", 1.0)
+    """Return the problem of a request to an entry host that is shutting down.
+
+    The other entry hosts are ready, and the load balancer hands a new connection to one of them.
+    """
+    return Problem(DRAINING, 503, Ran.NO, "this entry host is shutting down", 0.0)
 
 
 def outlasting(seconds_needed: float, seconds_left: float) -> Problem:
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -124,6 +124,11 @@
         self.assertRegex(line["reason"], r"may take [\d.]+ s, and this entry host ends in [\d.]+ s")
         self.assertEqual(self.counted("draining"), 1)
 
+    async def test_refused_caller_is_told_to_return_at_once(self):
+        await self.drain_with_stream()
+        self.send("second")
+        self.assertIn(b"Retry-After: 0.00\r\n", await self.rest())
+
     async def test_stream_that_ends_before_its_process_is_served(self):
         await self.drain_with_stream()
         self.site.engines.events_per_stream = 20
