The end of a process counts from the stop signal, not from the drain

Seen by callers: nothing was reported; found while the same cause was looked for on related paths. A signal that comes while the event loop is held up, or before the start is complete, was handled when the loop ran again. The time left was counted from then, so the process took itself to have up to that much longer than SIGKILL gives it, and judged requests by it.

Cause: add_signal_handler runs its callback in a step of the event loop, and the drain took its own begin as the begin of the grace period.

Now: a plain signal handler notes the time at once, the loop is woken to begin the drain. The first signal counts; a second one changes nothing, also when the loop is closed already. The listening time still counts from the begin of the drain, as the balancer notices that first, and ends at the end at the latest. The line "draining" says in how many ms the requests that are left end.

Not shown: a process that is suspended as the signal comes; it runs no code then.

--- a/src/oleanderhill/platform/entry.py
+++ b/src/oleanderhill/platform/entry.py
@@ -353,8 +353,15 @@
         """Serve until a stop signal arrives, then drain."""
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
+
+        def request_stop(number: int, frame: object) -> None:
+            if self.front.shutdown.requested_at is None:
+                self.front.shutdown.request(time.monotonic())
+                loop.call_soon_threadsafe(stop.set)
+
+        # The grace period runs while the event loop is held up, so these don't wait for the loop.
+        signal.signal(signal.SIGTERM, request_stop)
+        signal.signal(signal.SIGINT, request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         flushing = asyncio.create_task(flush_periodically(self._output))
         s = self._settings
--- a/src/oleanderhill/serving/front.py
+++ b/src/oleanderhill/serving/front.py
@@ -357,11 +357,17 @@
         the load balancer. Connections without a request are closed when the listening ends; all
         others are closed after their response, at the latest when the process must exit.
         """
-        self.shutdown.request(time.monotonic())
+        now = time.monotonic()
+        self.shutdown.request(now)
         self.stopping = True
-        self._records.note("process", "draining", in_flight=self.in_flight)
+        self._records.note(
+            "process",
+            "draining",
+            in_flight=self.in_flight,
+            ends_in_ms=round((self.shutdown.ends_at - now) * 1000),
+        )
         self._accept_again()
-        await asyncio.sleep(STOP_LISTENING_AFTER)
+        await asyncio.sleep(min(STOP_LISTENING_AFTER, self.shutdown.ends_at - now))
         self._removed = True
         self.callers.refuse_connections()
         self.callers.close_idle()
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -1,10 +1,14 @@
 """Requests that reach an entry host late in its shutdown, on stand-ins for the users' platform."""
 
 import asyncio
+import os
+import signal
+import time
 from unittest import mock
 
 from oleanderhill_dev.users.site import LARGE, StandInSite, until
 
+from oleanderhill.platform.entry import EntryHost
 from oleanderhill.serving import front
 
 from .test_users_site import HOST, SiteTest
@@ -173,3 +177,25 @@
         answer = await self.rest()
         self.assertEqual(self.ran("lost"), 2)
         self.assertTrue(answer.startswith(b"HTTP/1.1 502"), answer[:200])
+
+
+class StopSignalTest(LateTest):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.addCleanup(signal.set_wakeup_fd, -1)
+        settings = self.site.settings("entry-stopped")
+        self.stopped = EntryHost(settings, os.open(os.devnull, os.O_WRONLY))
+        self.running = asyncio.create_task(self.stopped.run())
+        await until(lambda: self.stopped.front.ready)
+
+    async def test_end_counts_from_the_signal_though_the_event_loop_is_held_up(self):
+        first_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.5)
+        handled_from = time.monotonic()
+        os.kill(os.getpid(), signal.SIGINT)
+        await asyncio.wait_for(self.running, 2 * GRACE_SECONDS)
+        requested_at = self.stopped.front.shutdown.requested_at
+        self.assertTrue(first_at <= requested_at < handled_from, requested_at - first_at)
