--- a/dev/oleanderhill_dev/users/mutants.py
+++ b/dev/oleanderhill_dev/users/mutants.py
@@ -45,6 +45,7 @@
     proxy_mutants,
     restored_mutants,
     retry_mutants,
+    shutdown_mutants,
     timing_mutants,
 )
 
@@ -174,6 +175,7 @@
         *retry_mutants.mutants(),
         *part_mutants.mutants(),
         *listener_mutants.mutants(),
+        *shutdown_mutants.mutants(),
     ]
 
 
--- a/src/oleanderhill/serving/driver.py
+++ b/src/oleanderhill/serving/driver.py
@@ -269,13 +269,10 @@
         return Chosen(self._choose()) if problem is None else Declined(problem)
 
     def _shutdown_problem(self) -> Problem | None:
-        """Return the problem of a request that may outlast this process, ``None`` if it is tried.
-
-        One that may have run is tried again: its caller can't be told that it has not run.
-        """
+        """Return the problem of a request that may outlast this process, else ``None``."""
         now, shutdown = time.monotonic(), self.context.shutdown
         deadline = self.machine.request.deadline
-        if self.machine.ran() != Ran.NO or shutdown.may_begin(deadline, now):
+        if shutdown.may_send(deadline, now, self.machine.ran() != Ran.NO):
             return None
         return outlasting(deadline - now, shutdown.ends_at - now)
 
--- a/src/oleanderhill/serving/shutdown.py
+++ b/src/oleanderhill/serving/shutdown.py
@@ -33,16 +33,17 @@
         if self.requested_at is None:
             self.requested_at = now
 
-    def may_begin(self, deadline: float, now: float) -> bool:
+    def may_send(self, deadline: float, now: float, may_have_run: bool) -> bool:
         """Return whether a request may be sent to a target.
 
         While the load balancer may not have removed this host, a caller that is refused may come
         back to it. Later, callers find another host at once, so a request is refused that may
-        outlast this process.
+        outlast this process. One that may have run is sent again: it can't be refused as not run.
 
         :param deadline: time at which the request ends in any case
+        :param may_have_run: whether it was sent to a target before that did not reject it
         """
-        if self.requested_at is None:
+        if self.requested_at is None or may_have_run:
             return True
         if now >= self.ends_at:
             return False
