--- a/dev/oleanderhill_dev/users/engines.py
+++ b/dev/oleanderhill_dev/users/engines.py
@@ -363,6 +363,8 @@
         self.ever_ready: set[tuple[str, int, str]] = set()
         self._last_start_ms = FIRST_START_MS
         self.events_per_stream = 10
+        self.events_by_body: dict[bytes, int] = {}
+        """Number of events of streams whose requests have these bodies."""
         self.unframed = False
         """Whether streams have neither a length nor chunks, and end with their connection."""
         self.break_at_event = 0
@@ -480,7 +482,9 @@
         born = host.born
         host.running += 1
         try:
-            for number in range(first, host.site.events_per_stream):
+            site = host.site
+            events = site.events_by_body.get(self.request.body, site.events_per_stream)
+            for number in range(first, events):
                 if host.born != born:
                     raise StreamClosedError  # a restart closes all older connections
                 await self._send_event(number)
--- a/dev/oleanderhill_dev/users/site.py
+++ b/dev/oleanderhill_dev/users/site.py
@@ -30,13 +30,21 @@
 SMALL, LARGE = "model-s", "model-l"
 HEARTBEAT_SECONDS = 0.2
 
+ROUTE_TIMEOUT = 4.0
+"""Timeout of the routes in seconds."""
+
 
 def configuration(
-    version: int, keys: dict[str, list[str]], pay_prefix: str = "/pay/", cold_per_s: float = 0.0
+    version: int,
+    keys: dict[str, list[str]],
+    pay_prefix: str = "/pay/",
+    cold_per_s: float = 0.0,
+    stream_timeout: float = ROUTE_TIMEOUT,
 ) -> bytes:
     """Return a configuration with a streaming, an idempotent and a non-idempotent route.
 
     :param cold_per_s: requests a second that a cold engine host bears, 0 for no limit
+    :param stream_timeout: timeout of the streaming route in seconds
     """
 
     def route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
@@ -45,7 +53,7 @@
             "host": "yard.example",
             "prefix": prefix,
             "kind": kind,
-            "timeout_ms": 4000,
+            "timeout_ms": ROUTE_TIMEOUT * 1000,
             "goal_ms": 400,
             "priority": 1,
             "public": False,
@@ -53,7 +61,13 @@
             **more,
         }
 
-    stream = {"service": "pool", "sticky": True, "resumable": True, "gap_target_ms": 300}
+    stream: dict[str, Any] = {
+        "service": "pool",
+        "sticky": True,
+        "resumable": True,
+        "gap_target_ms": 300,
+    }
+    stream["timeout_ms"] = stream_timeout * 1000
     routes = [
         route("read", "/read/", "streaming", **stream),
         route("scan", "/scan/", "idempotent", service="desk"),
@@ -112,6 +126,7 @@
         self._configuration = b""
         self.evacuated: dict[str, bytes] = {}
         self.cold_per_s = 0.0
+        self.stream_timeout = ROUTE_TIMEOUT
         self.entries: list[EntryHost] = []
         self.links = CutLinks()
         self._servers: list[Any] = []
@@ -142,7 +157,13 @@
 
     def configure(self, version: int, keys: dict[str, list[str]], **more: str) -> None:
         """Write a configuration to the store, as the operator does."""
-        self._configuration = configuration(version, keys, cold_per_s=self.cold_per_s, **more)
+        self._configuration = configuration(
+            version,
+            keys,
+            cold_per_s=self.cold_per_s,
+            stream_timeout=self.stream_timeout,
+            **more,
+        )
         self.store.put("op/config", self._configuration)
 
     def rewrite_external_entries(self) -> None:
--- a/dev/oleanderhill_dev/users/soak.py
+++ b/dev/oleanderhill_dev/users/soak.py
@@ -144,10 +144,14 @@
 
 
 class EntryProcess:
-    """One entry host in a process, which the soak restarts whenever it exits."""
+    """One entry host in a process, which the soak restarts whenever it exits.
 
-    def __init__(self, name: str, folder: Path, store: str) -> None:
+    :param grace: its grace period in seconds
+    """
+
+    def __init__(self, name: str, folder: Path, store: str, grace: float = GRACE_SECONDS) -> None:
         self.name = name
+        self._grace = grace
         ip = free_address().rsplit(":", 1)[0]
         self.caller_address = f"{ip}:7100"
         self.link = FaultyLink(free_address(), store)
@@ -177,7 +181,7 @@
             "platform": {"address": self.link.address},
             "bootstrap": self._first,
             "bounds": {
-                "grace_s": GRACE_SECONDS,
+                "grace_s": self._grace,
                 "revoke_ms": KEY_REMOVAL_SECONDS * 1000,
                 "evacuate_ms": EVACUATION_SECONDS * 1000,
                 "cold_excess": COLD_EXCESS,
@@ -305,6 +309,8 @@
     :param crash_part: a part of prompts crashes hosts, in requests that differ otherwise
     """
 
+    grace_seconds = GRACE_SECONDS
+
     def __init__(
         self,
         seed: int,
@@ -361,7 +367,9 @@
         self.site.configure(2, {"hall": self._keys})
         self._version = 2
         for number in range(ENTRIES):
-            process = EntryProcess(f"entry-{number}", self._folder, self.site.store_address)
+            process = EntryProcess(
+                f"entry-{number}", self._folder, self.site.store_address, self.grace_seconds
+            )
             self.processes.append(process)
             if self._cut_off:
                 process.cut_off(None, [])
@@ -554,10 +562,14 @@
     def _stream_faults(self, a: CallRecord) -> list[str]:
         if list(a.numbers) != list(range(len(a.numbers))):
             return [f"{a.request_id} got the event numbers {a.numbers}"]
-        if a.status == 200 and a.ended and len(a.numbers) != self.site.engines.events_per_stream:
+        if a.status == 200 and a.ended and len(a.numbers) != self._expected_events(a.request_id):
             return [f"{a.request_id} ended as complete after {len(a.numbers)} events"]
         return []
 
+    def _expected_events(self, request_id: str) -> int:
+        """Return the number of events of the stream of a request."""
+        return self.site.engines.events_per_stream
+
     def _open_models(self) -> set[str]:
         hosts = self.site.engines.host_by_instance.values()
         return {h.model for h in hosts if h.group is not None and h.group["state"] == "open"}
@@ -596,25 +608,46 @@
     ) -> None:
         path = "/read/x" if crash_body else rng.choice(["/read/x", "/pay/x", "/scan/x", "/read/x"])
         key = rng.choice([*self._keys, *(() if crash_body else self.removed_at)])
-        headers = {
+        model = rng.choice([SMALL, LARGE])
+        process = rng.choice(self.processes)
+        headers = {"Model": model, "Token-Counts": "100,80", "Prompt-Prefix": prompt}
+        sent_body = crash_body or request_id.encode()
+        record = await self._ask(caller, process, request_id, path, key, headers, sent_body)
+        if not crash_body:
+            self.call_records.append(record)
+
+    async def _ask(
+        self,
+        caller: HttpCaller,
+        process: EntryProcess,
+        request_id: str,
+        path: str,
+        key: str,
+        headers: dict[str, str],
+        sent_body: bytes,
+        deadline: float = DEADLINE_SECONDS,
+    ) -> CallRecord:
+        """Send a request to an entry host, and return what its caller observes.
+
+        :param headers: those beside the ones that each request has
+        :param deadline: seconds
+        """
+        all_headers = {
             "Host": "yard.example",
             "Authorization": f"Bearer {key}",
             "Attempt-Id": request_id,
-            "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
-            "Model": rng.choice([SMALL, LARGE]),
-            "Token-Counts": "100,80",
-            "Prompt-Prefix": prompt,
+            "Deadline-Ms": str(int(deadline * 1000)),
+            **headers,
         }
-        body, sent_body = _Body(), crash_body or request_id.encode()
+        body = _Body()
         method = "GET" if path.startswith("/scan/") else "POST"
-        process = rng.choice(self.processes)
         call = Call(
             process.caller_address,
             method,
             path,
-            headers,
+            all_headers,
             sent_body,
-            DEADLINE_SECONDS + 1,
+            deadline + 1,
             reuse=True,
         )
         sent = time.monotonic()
@@ -624,12 +657,8 @@
             int(line[4:]) for line in body.data_seen.splitlines() if line.startswith(b"id: ")
         )
         ended = is_successful(found)
-        if crash_body:
-            return
-        self.call_records.append(
-            CallRecord(
-                request_id, path, key, sent, status, numbers, ended, process.name, body.sent_at
-            )
+        return CallRecord(
+            request_id, path, key, sent, status, numbers, ended, process.name, body.sent_at
         )
 
     def _background_tasks(self) -> list[Coroutine[None, None, None]]:
