The summary of losses names refusals of a host that shuts down

`make losses` showed them as "failed: draining"; they are refusals with a cause of their own now, and the line "outlasted" is no second ending of a request (tests.test_losses fails on the old reader with "failed: draining").

--- a/dev/oleanderhill_dev/users/losses.py
+++ b/dev/oleanderhill_dev/users/losses.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from oleanderhill.operators.explaining import LogLine, parse_line
+from oleanderhill.outcomes import DRAINING
 
 WINDOW_SECONDS = 2.0
 """Width of a time window, in seconds."""
@@ -65,6 +66,8 @@
         return "cut: its group stalled or was lost"
     if facts.get("what") in UNANSWERED_LINES:
         return f"unanswered: {facts.get('reason')}"
+    if facts.get("what") == DRAINING:
+        return "refused: its entry host shuts down"
     reason = str(facts.get("reason", ""))
     if "no target serves" in reason:
         return "refused: no whole group"
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -32,7 +32,9 @@
             line("sent again", number=2, target="h"),
             line("unauthenticated", status=401),
             line("dropped", reason="its connection was closed unread"),
+            line("outlasted", deadline_left_ms=4400),
             line("cancelled", reason="the process stops"),
+            line("draining", status=503, reason="it may take 8.00 s, and this entry host ends"),
             "not a line of ours\n",
         )
         self.assertEqual(
@@ -49,6 +51,7 @@
                 ("not taken: unauthenticated", 1),
                 ("unanswered: its connection was closed unread", 1),
                 ("unanswered: the process stops", 1),
+                ("refused: its entry host shuts down", 1),
             ],
         )
 
