--- a/dev/oleanderhill_dev/fuzz_shutdown.py
+++ b/dev/oleanderhill_dev/fuzz_shutdown.py
@@ -1,10 +1,10 @@
 """Fuzzes the shutdown of an entry host in virtual time, and checks it with an oracle.
 
 Requests of any length and deadline arrive before and after the stop signal, with bodies that come
-late, at an event loop that is held up at times. Targets answer, reject, lose or ignore them. The
-oracle knows what callers and targets see, and checks that a request that was sent to a target ends
-whole, by its target or by its deadline, or was sent while the balancer still handed out this host,
-and that no request is refused that could have ended in time.
+late, at an event loop that is held up at times. Targets answer, reject or lose them, soon or late.
+The oracle knows what callers and targets see, and checks that a request that was sent to a target
+ends whole, by its target or by its deadline, or was sent while the balancer still handed out this
+host, and that no request is refused that could have ended in time.
 """
 
 from __future__ import annotations
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -140,6 +140,19 @@
         self.assertEqual(self.front.in_flight, 0)
 
 
+class RefusedTest(FrontTest):
+    async def test_request_that_is_refused_unhandled_has_a_line_and_is_counted(self):
+        refused = []
+        limited = {"max_body": lambda: 1, "refused": refused.append}
+        self.front.callbacks = self.front.callbacks._replace(**limited)
+        reader, writer = await self.connect()
+        writer.write(request("large", b"xx"))
+        async with asyncio.timeout(PROMPTLY):
+            self.assertIn(b"413", await reader.readline())
+        (line,) = self.found("too-large")
+        self.assertEqual((line["request_id"], refused), ("large", ["too-large"]))
+
+
 class DrainTest(FrontTest):
     async def asyncSetUp(self):
         # Without it, no connection of these tests would be idle for long enough to be closed.
